Lay out the build: modules, formatter, linter, test command

Cause: an empty repository; all later work hangs on one build. Change: Maven modules for the library, daemons, command line, stand-ins, experiments and scenarios; palantir-java-format through Spotless, Error Prone and Checkstyle; message classes between VMs generated and committed; shared value types. Ruled out: com.palantir.baseline:baseline-error-prone 6.0.0, which does not initialise with Error Prone 2.42 (NoSuchMethodError in AbstractReturnValueIgnored), the first version here that runs on Java 25.

--- /dev/null
+++ b/acceptance-tests/src/test/resources/scenarios/probe.feature
@@ -0,0 +1,3 @@
+Feature: Probe
+  Scenario: Probe
+    Given nothing
--- /dev/null
+++ b/library/src/main/java/org/pollenhoist/common/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers, quantities, times and errors that every other package shares. */
+package org.pollenhoist.common;
