--- /dev/null
+++ b/library/src/main/java/org/pollenhoist/caller/EntryMetrics.java
@@ -0,0 +1,111 @@
+package org.pollenhoist.caller;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+
+/** What an entry process counts, under the names that the operators' pages explain. */
+public final class EntryMetrics {
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+
+    private final Counter requests = Counter.builder()
+            .name("pollenhoist_requests_total")
+            .help("Requests by outcome: ok or the refusal's code.")
+            .labelNames("outcome")
+            .register(registry);
+
+    private final Counter attempts = Counter.builder()
+            .name("pollenhoist_attempts_total")
+            .help("Attempts at upstreams by result.")
+            .labelNames("result")
+            .register(registry);
+
+    private final Histogram overhead = Histogram.builder()
+            .name("pollenhoist_decision_seconds")
+            .help("Time from a request's arrival to its first attempt, in seconds.")
+            .register(registry);
+
+    private final Gauge revision = Gauge.builder()
+            .name("pollenhoist_configuration_revision")
+            .help("The revision of the configuration in force.")
+            .register(registry);
+
+    private final Gauge running = Gauge.builder()
+            .name("pollenhoist_running_requests")
+            .help("Requests that run now.")
+            .register(registry);
+
+    /**
+     * Counts a request that has ended.
+     *
+     * @param outcome {@code ok} or the refusal's code
+     */
+    public void countRequest(String outcome) {
+        requests.labelValues(outcome).inc();
+    }
+
+    /**
+     * Counts an attempt.
+     *
+     * @param result what became of it
+     */
+    public void countAttempt(String result) {
+        attempts.labelValues(result).inc();
+    }
+
+    /**
+     * Notes how long the decisions before the first attempt took.
+     *
+     * @param seconds the time in seconds
+     */
+    public void observeDecision(double seconds) {
+        overhead.observe(seconds);
+    }
+
+    /**
+     * Notes the revision in force.
+     *
+     * @param number the revision
+     */
+    public void setRevision(long number) {
+        revision.set(number);
+    }
+
+    /**
+     * Notes how many requests run.
+     *
+     * @param count the count
+     */
+    public void setRunning(int count) {
+        running.set(count);
+    }
+
+    /**
+     * Returns the registry, so that further parts add their own.
+     *
+     * @return the registry
+     */
+    public PrometheusRegistry registry() {
+        return registry;
+    }
+
+    /**
+     * Writes all metrics in Prometheus' text format.
+     *
+     * @return the text in UTF-8
+     */
+    public byte[] exposition() {
+        ByteArrayOutputStream text = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(text, registry.scrape());
+        } catch (IOException impossible) {
+            throw new IllegalStateException("writing to memory failed", impossible);
+        }
+        return text.toByteArray();
+    }
+}
