--- a/library/src/main/java/org/pollenhoist/caller/EntryMetrics.java
+++ b/library/src/main/java/org/pollenhoist/caller/EntryMetrics.java
@@ -73,7 +73,7 @@
      * @param number the revision
      */
     public void setRevision(long number) {
-        revision.set(number);
+        revision.set((double) number);
     }
 
     /**
