--- /dev/null
+++ b/library/src/main/java/org/pollenhoist/request/CrashQuarantine.java
@@ -0,0 +1,252 @@
+package org.pollenhoist.request;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.pollenhoist.common.DecisionLog;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.common.UpstreamName;
+import org.pollenhoist.common.VmName;
+
+/**
+ * Blames requests for crashes of upstreams. A request under which one upstream crashed is suspect: in the whole fleet
+ * it runs once more at most, elsewhere, and never on a model's last copy. A request under which a second upstream
+ * crashed is quarantined, and its repeats get the same final answer at once. An upstream that crashes under many
+ * different requests is blamed in their place.
+ *
+ * <p>The VM that wants to run a suspect request once more claims the trial, waits until a competing claim would have
+ * arrived, and yields to the one with the lower name. Thread-safe; one lock, a leaf, which is not held while notices
+ * are sent.
+ */
+public final class CrashQuarantine {
+
+    private static final DecisionLog LOG = DecisionLog.of("request");
+    private static final int UPSTREAMS_BEFORE_VERDICT = 2;
+    private static final int MAXIMUM_CASES = 10_000;
+    private static final Duration CASE_LIFETIME = Duration.ofMinutes(10);
+
+    /** Twice the longest delay of a notice between two VMs that the bound on crashes allows for. */
+    static final Duration CLAIM_SETTLING = Duration.ofMillis(200);
+
+    private static final Duration CLAIM_LIFETIME = Duration.ofSeconds(30);
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(2);
+
+    private final VmName self;
+    private final Consumer<CrashNotice> broadcast;
+    private final Object lock = new Object();
+    private final Map<RequestFingerprint, CrashCase> cases = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<RequestFingerprint, CrashCase> eldest) {
+            return size() > MAXIMUM_CASES;
+        }
+    };
+    private final Map<UpstreamName, UpstreamCrashes> crashesByUpstream = new HashMap<>();
+
+    /**
+     * Creates an empty quarantine.
+     *
+     * @param self the name of this VM
+     * @param broadcast sends a notice to all other VMs; called without a lock held
+     */
+    public CrashQuarantine(VmName self, Consumer<CrashNotice> broadcast) {
+        this.self = self;
+        this.broadcast = broadcast;
+    }
+
+    /**
+     * Decides whether a request may run.
+     *
+     * @param fingerprint the request
+     * @param copies how many upstreams hold what it needs, not counting those that crashed under it
+     * @param now the present time
+     * @return the decision; after a {@link Admission.Trial} exactly one of {@link #recordBreak}, {@link #recordSuccess}
+     *     and {@link #abandonTrial} is to follow
+     */
+    public Admission admit(RequestFingerprint fingerprint, int copies, MonotonicTime now) {
+        CrashNotice notice = null;
+        Admission admission;
+        synchronized (lock) {
+            CrashCase found = liveCase(fingerprint, now);
+            admission = found == null ? new Admission.Unrestricted() : decide(found, copies, now);
+            if (admission instanceof Admission.AskAgain && found.takeUnannouncedClaim()) {
+                notice = notice(fingerprint, found, now);
+            }
+        }
+        send(notice);
+        if (!(admission instanceof Admission.Unrestricted)) {
+            LOG.event(
+                    "admission",
+                    "fingerprint",
+                    fingerprint,
+                    "decision",
+                    admission.getClass().getSimpleName());
+        }
+        return admission;
+    }
+
+    /**
+     * Notes that the connection to an upstream broke while a request ran there, as a crash would break it.
+     *
+     * @param fingerprint the request
+     * @param upstream the upstream
+     * @param now the present time
+     */
+    public void recordBreak(RequestFingerprint fingerprint, UpstreamName upstream, MonotonicTime now) {
+        CrashNotice notice;
+        synchronized (lock) {
+            crashesByUpstream
+                    .computeIfAbsent(upstream, name -> new UpstreamCrashes())
+                    .record(fingerprint, now);
+            CrashCase changed = liveCase(fingerprint, now);
+            if (changed == null) {
+                changed = new CrashCase();
+                cases.put(fingerprint, changed);
+            }
+            changed.addCrash(upstream, now.plus(CASE_LIFETIME));
+            changed.endTrial();
+            notice = notice(fingerprint, changed, now);
+        }
+        LOG.event(
+                "crash",
+                "fingerprint",
+                fingerprint,
+                "upstream",
+                upstream,
+                "upstreams",
+                notice.upstreams().size());
+        send(notice);
+    }
+
+    /**
+     * Notes that a request ended with a whole answer, which clears it from suspicion.
+     *
+     * @param fingerprint the request
+     * @param now the present time
+     */
+    public void recordSuccess(RequestFingerprint fingerprint, MonotonicTime now) {
+        CrashNotice notice = null;
+        synchronized (lock) {
+            CrashCase found = liveCase(fingerprint, now);
+            if (found != null && !isVerdict(found, now)) {
+                cases.remove(fingerprint);
+                notice = new CrashNotice(fingerprint, Set.of(), Optional.empty(), true, CASE_LIFETIME);
+            }
+        }
+        send(notice);
+    }
+
+    /**
+     * Notes that a trial ended without showing anything, for example since no upstream could be reached.
+     *
+     * @param fingerprint the request
+     */
+    public void abandonTrial(RequestFingerprint fingerprint) {
+        synchronized (lock) {
+            CrashCase found = cases.get(fingerprint);
+            if (found != null) {
+                found.endTrial();
+            }
+        }
+    }
+
+    /**
+     * Takes a notice of another VM in.
+     *
+     * @param notice the notice
+     * @param now the present time
+     */
+    public void receive(CrashNotice notice, MonotonicTime now) {
+        synchronized (lock) {
+            CrashCase found = liveCase(notice.fingerprint(), now);
+            if (notice.isCleared()) {
+                if (found != null && !isVerdict(found, now)) {
+                    cases.remove(notice.fingerprint());
+                }
+                return;
+            }
+            if (found == null) {
+                found = new CrashCase();
+                cases.put(notice.fingerprint(), found);
+            }
+            MonotonicTime until = now.plus(notice.remaining());
+            for (UpstreamName upstream : notice.upstreams()) {
+                found.addCrash(upstream, until);
+            }
+            if (notice.trialVm().isPresent()) {
+                found.hearClaim(notice.trialVm().get(), self, now.plus(CLAIM_LIFETIME));
+            }
+        }
+    }
+
+    /**
+     * Tells whether an upstream crashes under so many different requests that the fault is its own.
+     *
+     * @param upstream the upstream
+     * @param now the present time
+     * @return true where it is to blame
+     */
+    public boolean isFaulty(UpstreamName upstream, MonotonicTime now) {
+        synchronized (lock) {
+            UpstreamCrashes crashes = crashesByUpstream.get(upstream);
+            return crashes != null && crashes.isFaulty(now);
+        }
+    }
+
+    private Admission decide(CrashCase found, int copies, MonotonicTime now) {
+        if (isVerdict(found, now)) {
+            found.prolong(now.plus(CASE_LIFETIME));
+            return new Admission.Quarantined(CASE_LIFETIME);
+        }
+        if (blamedUpstreams(found, now) == 0) {
+            return new Admission.Unrestricted();
+        }
+        if (copies <= 1 || found.isTriedElsewhere(self, now)) {
+            return new Admission.Refused(RETRY_AFTER);
+        }
+        return found.claim(self, now, CLAIM_SETTLING, CLAIM_LIFETIME)
+                .<Admission>map(Admission.AskAgain::new)
+                .orElseGet(() -> startTrial(found));
+    }
+
+    private static Admission startTrial(CrashCase found) {
+        if (!found.startTrial()) {
+            return new Admission.Refused(RETRY_AFTER);
+        }
+        return new Admission.Trial(found.upstreams());
+    }
+
+    private boolean isVerdict(CrashCase found, MonotonicTime now) {
+        return blamedUpstreams(found, now) >= UPSTREAMS_BEFORE_VERDICT;
+    }
+
+    private long blamedUpstreams(CrashCase found, MonotonicTime now) {
+        return found.upstreams().stream()
+                .filter(upstream -> !isFaulty(upstream, now))
+                .count();
+    }
+
+    private CrashCase liveCase(RequestFingerprint fingerprint, MonotonicTime now) {
+        CrashCase found = cases.get(fingerprint);
+        if (found == null || found.isLiveAt(now)) {
+            return found;
+        }
+        cases.remove(fingerprint);
+        return null;
+    }
+
+    private CrashNotice notice(RequestFingerprint fingerprint, CrashCase found, MonotonicTime now) {
+        return new CrashNotice(fingerprint, found.upstreams(), found.claimant(now), false, found.remaining(now));
+    }
+
+    private void send(CrashNotice notice) {
+        if (notice != null) {
+            broadcast.accept(notice);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/pollenhoist/request/StoredAnswer.java
@@ -0,0 +1,27 @@
+package org.pollenhoist.request;
+
+import com.google.protobuf.ByteString;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * The whole answer of a finished request, for its repeats.
+ *
+ * @param status the HTTP status
+ * @param headers the headers that are passed on
+ * @param body the body
+ */
+public record StoredAnswer(int status, SortedMap<String, String> headers, ByteString body) {
+
+    /** Copies the headers. */
+    public StoredAnswer {
+        headers = new TreeMap<>(headers);
+    }
+
+    int bytes() {
+        int headerBytes = headers.entrySet().stream()
+                .mapToInt(header -> header.getKey().length() + header.getValue().length())
+                .sum();
+        return headerBytes + body.size();
+    }
+}
