Send prompts with the same beginning to the same upstreams and scale stale reports

Cause: the first prices gained few prefix hits, since a VM knows only the prefixes that it routed or polled itself; and with reports 2.1 s apart, as at the target's size, the tail grew.

Change: two upstreams that all VMs prefer for a prompt's first block, by rendezvous hashing and without messages, join the compared candidates, with 80% (40%) of the prompt expected to be cached. The load that others had at the time of a report is scaled by the change of the own count since. Prices: 8 ms a request, 5 ms a block, 20 ms for another failure domain.

--- a/library/src/main/java/org/pollenhoist/routing/Candidate.java
+++ b/library/src/main/java/org/pollenhoist/routing/Candidate.java
@@ -10,8 +10,7 @@
  * @param upstream its name
  * @param failureDomain where it stands
  * @param ownInFlight own requests there, exact
- * @param requestsOfOthers other VMs' requests there when the last report was true
- * @param reportedWaiting requests that waited there when the last report was true
+ * @param requestsOfOthers estimate of other VMs' requests there
  * @param reportAge how long ago the last report was true; null where there was none
  * @param cachedBlocks leading blocks of the prompt that are believed to be cached there
  * @param hasAdapter whether the adapter, where one is asked for, is ready there
@@ -22,7 +21,6 @@
         FailureDomain failureDomain,
         int ownInFlight,
         int requestsOfOthers,
-        int reportedWaiting,
         Duration reportAge,
         int cachedBlocks,
         boolean hasAdapter,
--- a/library/src/main/java/org/pollenhoist/routing/Router.java
+++ b/library/src/main/java/org/pollenhoist/routing/Router.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.pollenhoist.common.DecisionLog;
@@ -65,9 +66,11 @@
                 .mapToInt(Candidate::requestsOfOthers)
                 .average()
                 .orElse(0);
+        List<Candidate> affine = affine(request, available);
         Priced best = null;
-        for (Candidate candidate : compared(available)) {
-            Priced priced = new Priced(candidate, seconds(request, candidate, meanOfOthers));
+        for (Candidate candidate : compared(available, affine)) {
+            int cachedBlocks = expectedBlocks(request, candidate, affine);
+            Priced priced = new Priced(candidate, seconds(request, candidate, cachedBlocks, meanOfOthers));
             if (best == null || priced.seconds() < best.seconds()) {
                 best = priced;
             }
@@ -85,11 +88,40 @@
         return chosen.cachedBlocks() > 0 ? RoutingReason.CACHED_PREFIX : RoutingReason.LEAST_COST;
     }
 
-    /** A few random candidates without repetition, and the one with the longest cached prefix. */
-    private List<Candidate> compared(List<Candidate> available) {
+    /**
+     * The upstreams that all VMs prefer for the prompt's first block, by rendezvous hashing: without a message between
+     * them they send prompts with the same beginning to the same few upstreams.
+     */
+    private List<Candidate> affine(RoutingRequest request, List<Candidate> available) {
+        if (request.prefixFingerprints().isEmpty()) {
+            return List.of();
+        }
+        long firstBlock = request.prefixFingerprints().getFirst();
+        return available.stream()
+                .sorted(Comparator.comparingLong(
+                                (Candidate candidate) -> Rendezvous.weight(firstBlock, candidate.upstream()))
+                        .reversed())
+                .limit(policy.affineUpstreams())
+                .toList();
+    }
+
+    /** Blocks known to be cached, or a share of the prompt where other VMs send prompts with the same beginning. */
+    private int expectedBlocks(RoutingRequest request, Candidate candidate, List<Candidate> affine) {
+        int rank = affine.indexOf(candidate);
+        if (rank < 0) {
+            return candidate.cachedBlocks();
+        }
+        int blocks = request.prefixFingerprints().size();
+        return Math.max(candidate.cachedBlocks(), (int) (blocks * policy.affineShare() / (rank + 1)));
+    }
+
+    /** A few random candidates, the affine ones, and the one with the longest cached prefix. */
+    private List<Candidate> compared(List<Candidate> available, List<Candidate> affine) {
         List<Candidate> rest = new ArrayList<>(available);
-        List<Candidate> compared = new ArrayList<>();
-        while (compared.size() < policy.samples() && !rest.isEmpty()) {
+        rest.removeAll(affine);
+        List<Candidate> compared = new ArrayList<>(affine);
+        int wanted = affine.size() + policy.samples();
+        while (compared.size() < wanted && !rest.isEmpty()) {
             compared.add(rest.remove(random.nextInt(rest.size())));
         }
         rest.stream()
@@ -99,9 +131,9 @@
         return compared;
     }
 
-    private double seconds(RoutingRequest request, Candidate candidate, double meanOfOthers) {
+    private double seconds(RoutingRequest request, Candidate candidate, int cachedBlocks, double meanOfOthers) {
         double load = candidate.ownInFlight() + discounted(candidate, meanOfOthers);
-        int missingBlocks = request.prefixFingerprints().size() - candidate.cachedBlocks();
+        int missingBlocks = request.prefixFingerprints().size() - cachedBlocks;
         double seconds = load * seconds(policy.perRequest()) + missingBlocks * seconds(policy.perBlock());
         if (!candidate.hasAdapter()) {
             seconds += seconds(policy.adapterLoad());
--- a/library/src/main/java/org/pollenhoist/routing/RoutingPolicy.java
+++ b/library/src/main/java/org/pollenhoist/routing/RoutingPolicy.java
@@ -11,6 +11,8 @@
  * @param otherDomain price of leaving the failure domain
  * @param reportHalfLife age at which a report counts half, the mean over the candidates the other half
  * @param samples how many random candidates are compared
+ * @param affineUpstreams how many upstreams are preferred for prompts with the same beginning
+ * @param affineShare the share of a prompt that is expected to be cached at the first of them
  * @param retryAfter when a request that found no upstream should come back
  */
 public record RoutingPolicy(
@@ -20,6 +22,8 @@
         Duration otherDomain,
         Duration reportHalfLife,
         int samples,
+        int affineUpstreams,
+        double affineShare,
         Duration retryAfter) {
 
     /**
@@ -29,12 +33,14 @@
      */
     public static RoutingPolicy standard() {
         return new RoutingPolicy(
-                Duration.ofMillis(20),
                 Duration.ofMillis(8),
+                Duration.ofMillis(5),
+                Duration.ofMillis(12),
                 Duration.ofMillis(20),
-                Duration.ofMillis(40),
                 Duration.ofSeconds(2),
                 3,
+                2,
+                0.8,
                 Duration.ofSeconds(1));
     }
 }
--- a/library/src/main/java/org/pollenhoist/routing/UpstreamEntry.java
+++ b/library/src/main/java/org/pollenhoist/routing/UpstreamEntry.java
@@ -7,6 +7,9 @@
 /** All that is known of one upstream. Not thread-safe: guarded by the table's lock. */
 final class UpstreamEntry {
 
+    /** Keeps a change of few own requests from swinging the estimate. */
+    private static final double DAMPING = 2;
+
     private Upstream definition;
     private final InFlightHistory inFlight = new InFlightHistory();
     private final ConnectFailures failures = new ConnectFailures();
@@ -84,7 +87,6 @@
                 definition.failureDomain(),
                 inFlight.current(),
                 requestsOfOthers(),
-                report == null ? 0 : report.waiting(),
                 report == null ? null : now.since(reportTrueAt),
                 matchingBlocks(request.prefixFingerprints()),
                 hasAdapter,
@@ -95,12 +97,18 @@
         return prefixes.isEmpty() ? 0 : hints.matchingBlocks(prefixes);
     }
 
-    /** Requests that other VMs had there when the report was true. */
+    /**
+     * Requests that other VMs have there. What they had when the report was true is scaled by the change of the own
+     * count since: the others route by the same rules, so that their counts move alike.
+     */
     private int requestsOfOthers() {
         if (report == null) {
             return 0;
         }
-        return Math.max(0, report.running() + report.waiting() - inFlight.countAt(reportTrueAt));
+        int ownThen = inFlight.countAt(reportTrueAt);
+        int othersThen = Math.max(0, report.running() + report.waiting() - ownThen);
+        double change = (inFlight.current() + DAMPING) / (ownThen + DAMPING);
+        return (int) Math.round(othersThen * change);
     }
 
     boolean hasReported() {
