--- /dev/null
+++ b/stand-ins/src/main/java/org/pollenhoist/standins/service/package-info.java
@@ -0,0 +1,2 @@
+/** The stand-in of a plain service. */
+package org.pollenhoist.standins.service;
