--- a/experiments/src/main/java/org/pollenhoist/experiments/ExperimentException.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/ExperimentException.java
@@ -1,5 +1,7 @@
 package org.pollenhoist.experiments;
 
+import java.util.List;
+
 /** An experiment that could not be carried out. */
 public final class ExperimentException extends RuntimeException {
 
@@ -47,4 +49,28 @@
     public static ExperimentException unexpectedAnswer(String call, int expected, int actual, String body) {
         return new ExperimentException(call + " answered " + actual + ", expected " + expected + ": " + body, null);
     }
+
+    /**
+     * A call of the command line failed.
+     *
+     * @param arguments its arguments
+     * @param exitCode its exit code
+     * @param output what it has printed
+     * @return the error
+     */
+    public static ExperimentException commandFailed(List<String> arguments, int exitCode, String output) {
+        return new ExperimentException(
+                "pollenhoist " + String.join(" ", arguments) + " ended with " + exitCode + ": " + output, null);
+    }
+
+    /**
+     * An answer was not that to its request.
+     *
+     * @param marker the request's marker
+     * @param answer the answer's body
+     * @return the error
+     */
+    public static ExperimentException crossedAnswer(String marker, String answer) {
+        return new ExperimentException("the answer lacks the marker " + marker + " of its request: " + answer, null);
+    }
 }
