--- a/library/src/main/java/org/pollenhoist/caller/CompletionReader.java
+++ b/library/src/main/java/org/pollenhoist/caller/CompletionReader.java
@@ -13,7 +13,7 @@
 import org.pollenhoist.common.PollenhoistException;
 
 /** Reads the bodies of the OpenAI-style completion calls. */
-final class CompletionReader {
+public final class CompletionReader {
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -29,7 +29,15 @@
 
     private CompletionReader() {}
 
-    static CallerRequest.ModelCall read(String path, byte[] body) {
+    /**
+     * Reads a body.
+     *
+     * @param path the path of the interface
+     * @param body the body as received
+     * @return the call, with a bound on its tokens that the forwarded body states too
+     * @throws RefusedException where it is malformed
+     */
+    public static CallerRequest.ModelCall read(String path, byte[] body) {
         ObjectNode request = parse(body);
         String modelText = requiredText(request, "model");
         int separator = modelText.indexOf(ADAPTER_SEPARATOR);
--- a/library/src/main/java/org/pollenhoist/caller/ServicePaths.java
+++ b/library/src/main/java/org/pollenhoist/caller/ServicePaths.java
@@ -4,11 +4,17 @@
 import org.pollenhoist.common.ErrorCode;
 
 /** Checks paths to plain services, which are forwarded unchanged: no two readers may take one for different places. */
-final class ServicePath {
+public final class ServicePaths {
 
-    private ServicePath() {}
+    private ServicePaths() {}
 
-    static void requireUnambiguous(String rawPath) {
+    /**
+     * Refuses a path that could be read in two ways.
+     *
+     * @param rawPath the path as received
+     * @throws RefusedException with {@link ErrorCode#INVALID_REQUEST}
+     */
+    public static void requireUnambiguous(String rawPath) {
         String lower = rawPath.toLowerCase(Locale.ROOT);
         boolean hasEncodedSeparator = lower.contains("%2f") || lower.contains("%5c") || lower.contains("%00");
         boolean hasEncodedDot = lower.contains("%2e");
@@ -29,7 +35,14 @@
         return false;
     }
 
-    static boolean isBelow(String prefix, String rawPath) {
+    /**
+     * Tells whether a path lies below a route's prefix, by whole segments.
+     *
+     * @param prefix the prefix
+     * @param rawPath the path as received
+     * @return true where it is the prefix or lies below
+     */
+    public static boolean isBelow(String prefix, String rawPath) {
         return rawPath.equals(prefix) || rawPath.startsWith(prefix.endsWith("/") ? prefix : prefix + "/");
     }
 }
--- a/library/src/main/java/org/pollenhoist/caller/StrictHttpServer.java
+++ b/library/src/main/java/org/pollenhoist/caller/StrictHttpServer.java
@@ -40,6 +40,13 @@
         return super.buildChannel(serverConfig, new PipelineTightener(serverConfig, handlerAdapter));
     }
 
+    /** Accepts no further connection; those that exist go on. */
+    public synchronized void closeListener() {
+        if (channel != null) {
+            channel.close().syncUninterruptibly();
+        }
+    }
+
     /** Stands in for Ratpack's adapter until the connection's pipeline is complete, then replaces the decoder. */
     @Sharable
     private static final class PipelineTightener extends ChannelInboundHandlerAdapter {
--- a/library/src/main/java/org/pollenhoist/routing/RoutingRequest.java
+++ b/library/src/main/java/org/pollenhoist/routing/RoutingRequest.java
@@ -49,4 +49,14 @@
     public RoutingRequest excluding(Set<UpstreamName> upstreams) {
         return new RoutingRequest(target, prefixFingerprints, priority, origin, upstreams);
     }
+
+    /**
+     * Returns the same request with the fingerprints of its prompt's leading blocks.
+     *
+     * @param fingerprints the fingerprints, the shortest prefix first
+     * @return the request
+     */
+    public RoutingRequest withPrefix(List<Long> fingerprints) {
+        return new RoutingRequest(target, fingerprints, priority, origin, excluded);
+    }
 }
--- a/library/src/main/java/org/pollenhoist/upstream/AnswerStream.java
+++ b/library/src/main/java/org/pollenhoist/upstream/AnswerStream.java
@@ -15,7 +15,7 @@
  */
 public final class AnswerStream implements Publisher<ByteBuf> {
 
-    /** Learns how an answer goes on. Exactly one of the three endings is told. */
+    /** Learns how an answer goes on. Exactly one of the four endings is told. */
     public interface Observer {
 
         /**
@@ -37,9 +37,14 @@
 
         /** The caller has gone. */
         void onCancelled();
-    }
 
-    private final Publisher<? extends ByteBuf> source;
+        /**
+         * This process ended the answer.
+         *
+         * @param reason why
+         */
+        void onAborted(String reason);
+    }
 
     private final Observer observer;
 
@@ -55,16 +60,18 @@
 
     private MonotonicTime lastProgress;
 
-    private AnswerStream(
-            Publisher<? extends ByteBuf> source, Observer observer, Supplier<ByteBuf> errorPart, MonotonicTime now) {
-        this.source = source;
+    private Throwable earlyFailure;
+
+    private Runnable whenEnded = () -> {};
+
+    private AnswerStream(Observer observer, Supplier<ByteBuf> errorPart, MonotonicTime now) {
         this.observer = observer;
         this.errorPart = errorPart;
         this.lastProgress = now;
     }
 
     /**
-     * Watches a body.
+     * Watches a body, from now on: also the end of one that has no reader yet is noticed.
      *
      * @param source the body
      * @param observer learns how it goes on
@@ -74,7 +81,22 @@
      */
     public static AnswerStream watch(
             Publisher<? extends ByteBuf> source, Observer observer, Supplier<ByteBuf> errorPart, MonotonicTime now) {
-        return new AnswerStream(source, observer, errorPart, now);
+        AnswerStream watched = new AnswerStream(observer, errorPart, now);
+        source.subscribe(watched.new Relay());
+        return watched;
+    }
+
+    /**
+     * Runs an action once the answer has ended in any way, at once where it has ended already.
+     *
+     * @param action the action
+     */
+    public void whenEnded(Runnable action) {
+        if (isEnded) {
+            action.run();
+            return;
+        }
+        whenEnded = action;
     }
 
     /**
@@ -107,7 +129,10 @@
         if (upstream != null) {
             upstream.cancel();
         }
-        breakOff(new AnswerBrokenException(reason));
+        isEnded = true;
+        observer.onAborted(reason);
+        whenEnded.run();
+        endVisibly(new AnswerBrokenException(reason));
     }
 
     /** Ends the answer since its reader has gone; the upstream is told by the end of its connection. */
@@ -120,33 +145,41 @@
             upstream.cancel();
         }
         observer.onCancelled();
+        whenEnded.run();
     }
 
     private void breakOff(Throwable failure) {
         isEnded = true;
         observer.onBroken(String.valueOf(failure.getMessage()));
-        if (downstream != null) {
-            downstream.onNext(errorPart.get());
-            downstream.onError(failure);
+        whenEnded.run();
+        endVisibly(failure);
+    }
+
+    private void endVisibly(Throwable failure) {
+        if (downstream == null) {
+            earlyFailure = failure;
+            return;
         }
+        downstream.onNext(errorPart.get());
+        downstream.onError(failure);
     }
 
     @Override
     public void subscribe(Subscriber<? super ByteBuf> subscriber) {
         downstream = subscriber;
-        source.subscribe(new Relay());
+        subscriber.onSubscribe(new Demand());
+        if (earlyFailure != null) {
+            subscriber.onError(earlyFailure);
+        }
     }
 
-    private final class Relay implements Subscriber<ByteBuf>, Subscription {
-
-        @Override
-        public void onSubscribe(Subscription subscription) {
-            upstream = subscription;
-            downstream.onSubscribe(this);
-        }
+    private final class Demand implements Subscription {
 
         @Override
         public void request(long count) {
+            if (isEnded) {
+                return;
+            }
             if (outstandingDemand == 0) {
                 lastProgress = MonotonicTime.read();
             }
@@ -158,6 +191,14 @@
         public void cancel() {
             AnswerStream.this.cancel();
         }
+    }
+
+    private final class Relay implements Subscriber<ByteBuf> {
+
+        @Override
+        public void onSubscribe(Subscription subscription) {
+            upstream = subscription;
+        }
 
         @Override
         public void onNext(ByteBuf part) {
@@ -183,6 +224,7 @@
             if (!isEnded) {
                 isEnded = true;
                 observer.onWhole();
+                whenEnded.run();
                 downstream.onComplete();
             }
         }
