--- a/library/src/main/java/org/pollenhoist/configuration/Profile.java
+++ b/library/src/main/java/org/pollenhoist/configuration/Profile.java
@@ -15,8 +15,8 @@
  * @param deadline how long a request may take from its arrival to the end of its answer
  * @param models the models that may be asked for
  * @param routes the routes that may be used
- * @param keyFreshness after how long without contact to the platform or a peer a VM refuses requests under this
- *     profile, since it can't learn of withdrawn keys; empty where it serves on
+ * @param keyFreshness after how long without word from the platform, directly or through peers, a VM refuses requests
+ *     under this profile, since it can't learn of withdrawn keys; empty where it serves on
  */
 public record Profile(
         ProfileName name,
--- a/library/src/test/java/org/pollenhoist/configuration/Configurations.java
+++ b/library/src/test/java/org/pollenhoist/configuration/Configurations.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 
 /** Example configurations for tests. */
 public final class Configurations {
@@ -62,6 +63,26 @@
         return read(SMALL.replace("tokens_per_second = 100\n", "tokens_per_second = " + tokensPerSecond + "\n"));
     }
 
+    /** The small configuration with keys. */
+    public static Configuration withKeys(Map<String, KeyRecord> keys) {
+        Configuration small = small();
+        return new Configuration(
+                small.teams(),
+                small.profiles(),
+                small.models(),
+                small.routes(),
+                small.upstreams(),
+                small.weightStore(),
+                keys);
+    }
+
+    /** The small configuration with another rate of its team, as an installed revision. */
+    public static InstalledConfiguration revision(long revision, int tokensPerSecond) {
+        byte[] content = ConfigurationCodec.encode(withRate(tokensPerSecond));
+        return InstalledConfiguration.of(
+                revision, "change-" + revision, Digests.sha256Text(content), Compression.deflate(content));
+    }
+
     static Configuration read(String text) {
         try {
             Path file = Files.createTempFile("configuration", ".toml");
