Put the entry process together: callers, routing, attempts, answers, planned stop

Cause: the parts stood side by side; a request must go end to end through separate processes. Change: EntryNode, one facade over the strict server, identification, attempts with retry policy and quarantine, watched answers, configuration feed, health pages and the planned stop; the entry daemon over it.

--- /dev/null
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -0,0 +1,211 @@
+package org.pollenhoist.entry;
+
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import org.pollenhoist.caller.EntryMetrics;
+import org.pollenhoist.caller.RunningRequests;
+import org.pollenhoist.caller.StrictHttpServer;
+import org.pollenhoist.common.DecisionLog;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.configuration.ConfigurationTable;
+import org.pollenhoist.configuration.InstalledConfiguration;
+import org.pollenhoist.platform.HttpPlatformService;
+import org.pollenhoist.request.CrashQuarantine;
+import org.pollenhoist.request.DrainPhase;
+import org.pollenhoist.request.IdempotencyTable;
+import org.pollenhoist.request.RetryBudget;
+import org.pollenhoist.request.RetryPolicy;
+import org.pollenhoist.routing.Router;
+import org.pollenhoist.routing.RoutingPolicy;
+import org.pollenhoist.routing.UpstreamTable;
+import org.pollenhoist.settings.CallerSettings;
+import org.pollenhoist.settings.EntrySettings;
+import org.pollenhoist.upstream.EngineReports;
+import org.pollenhoist.upstream.UpstreamClient;
+import org.pollenhoist.vm.Peer;
+import org.pollenhoist.vm.PeerMesh;
+import ratpack.func.Action;
+import ratpack.registry.RegistrySpec;
+import ratpack.server.RatpackServerSpec;
+import ratpack.server.ServerConfig;
+import ratpack.server.ServerConfigBuilder;
+
+/**
+ * An entry process, to be embedded or run as a daemon.
+ *
+ * <p>Example: {@code EntryNode node = EntryNode.start(EntrySettings.load(path)); ... node.stopGracefully();}
+ */
+public final class EntryNode {
+
+    private static final DecisionLog LOG = DecisionLog.of("entry");
+
+    private static final int MAXIMUM_LINE_BYTES = 8 * 1024;
+
+    /** Lets the last answers leave the process after their requests have ended. */
+    private static final long FLUSH_MILLISECONDS = 100;
+
+    private final EntrySettings settings;
+
+    private final ConfigurationTable configuration = new ConfigurationTable();
+
+    private final RunningRequests running = new RunningRequests();
+
+    private final EntryMetrics metrics = new EntryMetrics();
+
+    private final UpstreamTable upstreams = new UpstreamTable();
+
+    private final PeerMesh mesh;
+
+    private final HttpPlatformService platform;
+
+    private final ConfigurationFeed feed;
+
+    private final PlannedStop plannedStop;
+
+    private final StrictHttpServer server;
+
+    private EntryNode(EntrySettings settings) throws Exception {
+        this.settings = settings;
+        long incarnation = new SecureRandom().nextLong();
+        Peer self = new Peer(settings.vm().name(), settings.vm().failureDomain(), incarnation);
+        InetSocketAddress peerAddress = new InetSocketAddress(
+                settings.peers().address(), settings.peers().port());
+        this.mesh = PeerMesh.start(self, peerAddress, settings.peers().seeds());
+        this.platform = HttpPlatformService.at(
+                new InetSocketAddress(
+                        settings.platform().address(), settings.platform().port()),
+                settings.platform().timeout());
+        this.feed = ConfigurationFeed.start(settings, configuration, platform, mesh);
+        this.plannedStop =
+                new PlannedStop(settings.shutdown(), running::count, () -> true, this::entered, MonotonicTime.read());
+        this.server = StrictHttpServer.of(this::define);
+        configuration.addListener(this::installed);
+    }
+
+    /**
+     * Starts an entry process: it listens for peers and callers, and is ready once it has a configuration.
+     *
+     * @param settings its settings
+     * @return the running process
+     * @throws Exception where an address is taken or Ratpack can't start
+     */
+    public static EntryNode start(EntrySettings settings) throws Exception {
+        EntryNode node = new EntryNode(settings);
+        node.server.start();
+        LOG.event(
+                "started",
+                "vm",
+                settings.vm().name(),
+                "failure_domain",
+                settings.vm().failureDomain());
+        return node;
+    }
+
+    private void define(RatpackServerSpec spec) throws Exception {
+        EntryParts parts = parts();
+        HealthHandlers health =
+                new HealthHandlers(settings.vm(), configuration, feed::isReady, plannedStop::phase, running, metrics);
+        ReportPoller poller = new ReportPoller(configuration, upstreams, EngineReports.create());
+        spec.serverConfig(serverConfig())
+                .registryOf((Action<RegistrySpec>) registry -> registry.add(poller))
+                .handlers(chain -> chain.insert(health).all(new CallerHandler(parts)));
+    }
+
+    private ServerConfigBuilder serverConfig() throws Exception {
+        CallerSettings callers = settings.callers();
+        return ServerConfig.builder()
+                .address(new InetSocketAddress(callers.address(), callers.port()).getAddress())
+                .port(callers.port())
+                .development(false)
+                .registerShutdownHook(false)
+                .maxInitialLineLength(Math.min(MAXIMUM_LINE_BYTES, callers.maximumHeaderBytes()))
+                .maxHeaderSize(callers.maximumHeaderBytes())
+                .maxContentLength(callers.maximumBodyBytes())
+                .idleTimeout(callers.idleTimeout());
+    }
+
+    private EntryParts parts() throws Exception {
+        RetryBudget budget = new RetryBudget();
+        return new EntryParts(
+                settings,
+                () -> configuration.current().filter(any -> feed.isReady()).map(EntryNode::inForce),
+                feed::sinceContact,
+                () -> plannedStop.phase().closesConnections(),
+                (team, tokens, now) ->
+                        CompletableFuture.completedFuture(new TokenGate.Decision.Admitted((used, end) -> {})),
+                upstreams,
+                new Router(upstreams, RoutingPolicy.standard(), RandomGenerator.of("SplittableRandom")),
+                new RetryPolicy(budget),
+                budget,
+                new CrashQuarantine(settings.vm().name(), notice -> {}),
+                new IdempotencyTable(),
+                UpstreamClient.create(),
+                running,
+                metrics);
+    }
+
+    private static InForce inForce(InstalledConfiguration installed) {
+        return new InForce(installed.revision(), installed.configuration());
+    }
+
+    private void installed(InstalledConfiguration inForce) {
+        upstreams.install(inForce.configuration().upstreams().values());
+        int ended = running.abortWhereKeyIsNotInForce(
+                digest -> inForce.configuration().keys().containsKey(digest));
+        LOG.event("configuration_in_force", "revision", inForce.revision(), "requests_ended", ended);
+    }
+
+    private void entered(DrainPhase phase) {
+        if (!phase.acceptsConnections()) {
+            server.closeListener();
+        }
+    }
+
+    /**
+     * Stops without cutting a request, and returns when all is ended.
+     *
+     * @throws Exception where Ratpack can't stop
+     */
+    public void stopGracefully() throws Exception {
+        plannedStop.run();
+        running.abortAll("this VM stops");
+        Thread.sleep(FLUSH_MILLISECONDS);
+        server.stop();
+        feed.close();
+        platform.close();
+        mesh.close();
+        LOG.event("stopped", "vm", settings.vm().name());
+    }
+
+    /**
+     * Returns the port on which callers are served.
+     *
+     * @return the port, also where the settings left it to the system
+     */
+    public int callerPort() {
+        return server.getBindPort();
+    }
+
+    /**
+     * Returns how long ago the configuration was last confirmed.
+     *
+     * @param now the present time
+     * @return the duration
+     */
+    public Duration sinceContact(MonotonicTime now) {
+        return feed.sinceContact(now);
+    }
+
+    /**
+     * Returns the revision in force.
+     *
+     * @return the revision, or empty before the first
+     */
+    public Optional<Long> revision() {
+        return configuration.current().map(InstalledConfiguration::revision);
+    }
+}
--- a/library/src/main/java/org/pollenhoist/vm/PeerListener.java
+++ b/library/src/main/java/org/pollenhoist/vm/PeerListener.java
@@ -23,4 +23,12 @@
      * @param now the present time
      */
     default void onConnected(Peer peer, MonotonicTime now) {}
+
+    /**
+     * Learns that a peer can no longer be reached.
+     *
+     * @param peer the peer
+     * @param now the present time
+     */
+    default void onDisconnected(Peer peer, MonotonicTime now) {}
 }
--- a/library/src/main/java/org/pollenhoist/vm/PeerMesh.java
+++ b/library/src/main/java/org/pollenhoist/vm/PeerMesh.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.VmName;
@@ -150,6 +151,15 @@
         return Set.copyOf(connections.keySet());
     }
 
+    /**
+     * Returns the peers that are connected now.
+     *
+     * @return the peers
+     */
+    public Set<Peer> peers() {
+        return connections.values().stream().map(Connection::peer).collect(Collectors.toUnmodifiableSet());
+    }
+
     /**
      * Returns the peer of a name where it is connected.
      *
@@ -184,6 +194,8 @@
         boolean wasCurrent = connections.remove(peer.vm(), new Connection(peer, channel));
         if (wasCurrent) {
             LOG.event("peer_disconnected", "vm", peer.vm(), "failure_domain", peer.failureDomain());
+            MonotonicTime now = MonotonicTime.read();
+            listeners.forEach(listener -> listener.onDisconnected(peer, now));
         }
     }
 
