--- a/library/src/main/java/org/pollenhoist/limit/Lender.java
+++ b/library/src/main/java/org/pollenhoist/limit/Lender.java
@@ -121,7 +121,7 @@
         if (request.isUrgent()) {
             double unused =
                     share.bucket().capacity() - Math.max(0, share.bucket().level());
-            long unusedParts = Parts.within(unused, share.limit().burstTokens()) - 1;
+            long unusedParts = Parts.within(unused, share.limit().burstTokens());
             return new Portion(0, Math.max(0, Math.min(request.wantedBurstParts(), unusedParts)));
         }
         long spare = share.active().rateParts() - keptRateParts(now);
--- a/library/src/main/java/org/pollenhoist/limit/TeamShare.java
+++ b/library/src/main/java/org/pollenhoist/limit/TeamShare.java
@@ -12,6 +12,9 @@
 /** This process's share of one team's limit. Every method holds the monitor of this object. */
 final class TeamShare {
 
+    /** Tokens by which rounding may leave a level short; the level goes below zero by as much. */
+    private static final double ROUNDING_TOKENS = 1e-6;
+
     private final TeamName team;
     private final ShareSettings settings;
     private final long incarnation;
@@ -75,7 +78,7 @@
 
     private Admission decide(WaitingRequest waiting, MonotonicTime now) {
         double bound = waiting.boundTokens();
-        if (bound <= bucket.level()) {
+        if (bound <= bucket.level() + ROUNDING_TOKENS) {
             waiting.markDecided();
             return new Admission.Admitted(new Reservation(team, bound, bucket.reserve(bound)));
         }
