Prove the crash quarantine over a fleet and share its verdicts in the entry process

Cause: a trial's end was not tied to the trial, so that another request of the same content could free it; crashed copies still counted as copies; the notices went nowhere.

Change: trials carry a number; copies are counted without the crashed upstreams; the entry process sends and receives notices over the mesh.

Conclusion: the bound of two holds for repeats that are sent after the first answer and notices that arrive within 100 ms; copies already running when the first upstream crashes, and lost notices, can take more.

--- a/library/src/main/java/org/pollenhoist/entry/AttemptLoop.java
+++ b/library/src/main/java/org/pollenhoist/entry/AttemptLoop.java
@@ -38,6 +38,8 @@
 
     private final TokenMeter meter;
 
+    private Admission admission = new Admission.Unrestricted();
+
     private AttemptLoop(EntryParts parts, Flow flow, TokenMeter meter) {
         this.parts = parts;
         this.flow = flow;
@@ -52,8 +54,8 @@
 
     private Promise<FlowOutcome> attempt(RequestProgress progress) {
         MonotonicTime now = MonotonicTime.read();
-        int copies = parts.upstreams().copies(flow.target());
-        Admission admission = parts.quarantine().admit(flow.fingerprint(), copies, now);
+        admission = parts.quarantine()
+                .admit(flow.fingerprint(), without -> parts.upstreams().copies(flow.target(), without), now);
         return switch (admission) {
             case Admission.Unrestricted free -> choose(progress, Set.of(), now);
             case Admission.Trial trial -> choose(progress, trial.excluded(), now);
@@ -70,7 +72,7 @@
                 parts.router().choose(flow.routingRequest(parts).excluding(excluded), now);
         return switch (decision) {
             case RoutingDecision.NoUpstream none -> {
-                parts.quarantine().abandonTrial(flow.fingerprint());
+                endTrial();
                 yield giveUp(parts.retryPolicy().noUpstream(progress, none.retryAfter()));
             }
             case RoutingDecision.Chosen chosen -> send(progress.attempting(chosen.upstream()), chosen, now);
@@ -81,7 +83,7 @@
         Upstream upstream = flow.identified().configuration().upstreams().get(chosen.upstream());
         if (upstream == null) {
             chosen.inFlight().release(now);
-            parts.quarantine().abandonTrial(flow.fingerprint());
+            endTrial();
             return after(progress, new AttemptResult.NotSent(AttemptResult.Proof.NOTHING_WRITTEN));
         }
         return parts.client()
@@ -101,19 +103,20 @@
         AttemptResult result = switch (attempt) {
             case UpstreamAttempt.NotSent notSent -> {
                 parts.upstreams().recordConnectFailure(chosen.upstream(), now);
-                parts.quarantine().abandonTrial(flow.fingerprint());
+                endTrial();
                 yield new AttemptResult.NotSent(AttemptResult.Proof.CONNECTION_REFUSED);
             }
             case UpstreamAttempt.StatedNotRun stated -> {
-                parts.quarantine().abandonTrial(flow.fingerprint());
+                endTrial();
                 yield new AttemptResult.NotSent(AttemptResult.Proof.UPSTREAM_STATEMENT);
             }
             case UpstreamAttempt.Broken broken -> {
                 parts.quarantine().recordBreak(flow.fingerprint(), chosen.upstream(), now);
+                endTrial();
                 yield new AttemptResult.FailedBeforeAnswer();
             }
             case UpstreamAttempt.TimedOut timedOut -> {
-                parts.quarantine().abandonTrial(flow.fingerprint());
+                endTrial();
                 yield new AttemptResult.TimedOut();
             }
             case UpstreamAttempt.Answered answered -> throw new IllegalStateException("an answer is handled before");
@@ -145,6 +148,12 @@
         };
     }
 
+    private void endTrial() {
+        if (admission instanceof Admission.Trial trial) {
+            parts.quarantine().endTrial(flow.fingerprint(), trial);
+        }
+    }
+
     private Promise<FlowOutcome> giveUp(NextStep.GiveUp giveUp) {
         String message = switch (giveUp.code()) {
             case OUTCOME_UNKNOWN -> "the upstream broke off; the request may have run";
@@ -208,6 +217,7 @@
             MonotonicTime now = MonotonicTime.read();
             inFlight.release(now);
             parts.quarantine().recordSuccess(flow.fingerprint(), now);
+            endTrial();
         }
 
         @Override
@@ -216,6 +226,7 @@
             inFlight.release(now);
             parts.metrics().countAttempt("AnswerBroke");
             parts.quarantine().recordBreak(flow.fingerprint(), upstream, now);
+            endTrial();
         }
 
         @Override
@@ -226,7 +237,7 @@
         @Override
         public void onCancelled() {
             inFlight.release(MonotonicTime.read());
-            parts.quarantine().abandonTrial(flow.fingerprint());
+            endTrial();
         }
     }
 }
--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -26,6 +26,7 @@
 import org.pollenhoist.settings.EntrySettings;
 import org.pollenhoist.upstream.EngineReports;
 import org.pollenhoist.upstream.UpstreamClient;
+import org.pollenhoist.vm.CrashVerdictExchange;
 import org.pollenhoist.vm.Peer;
 import org.pollenhoist.vm.PeerMesh;
 import ratpack.func.Action;
@@ -58,6 +59,8 @@
 
     private final UpstreamTable upstreams = new UpstreamTable();
 
+    private final CrashQuarantine quarantine;
+
     private final PeerMesh mesh;
 
     private final HttpPlatformService platform;
@@ -82,6 +85,8 @@
         this.feed = ConfigurationFeed.start(settings, configuration, platform, mesh);
         this.plannedStop =
                 new PlannedStop(settings.shutdown(), running::count, () -> true, this::entered, MonotonicTime.read());
+        this.quarantine = new CrashQuarantine(settings.vm().name(), notice -> CrashVerdictExchange.send(mesh, notice));
+        mesh.addListener(CrashVerdictExchange.receiver(quarantine));
         this.server = StrictHttpServer.of(this::define);
         configuration.addListener(this::installed);
     }
@@ -141,7 +146,7 @@
                 new Router(upstreams, RoutingPolicy.standard(), RandomGenerator.of("SplittableRandom")),
                 new RetryPolicy(budget),
                 budget,
-                new CrashQuarantine(settings.vm().name(), notice -> {}),
+                quarantine,
                 new IdempotencyTable(),
                 UpstreamClient.create(),
                 running,
--- a/library/src/main/java/org/pollenhoist/request/Admission.java
+++ b/library/src/main/java/org/pollenhoist/request/Admission.java
@@ -13,9 +13,10 @@
     /**
      * It is suspect and may run once more, as the only request of its kind in the fleet.
      *
+     * @param number tells the trials of one process apart
      * @param excluded the upstreams that crashed under it
      */
-    record Trial(Set<UpstreamName> excluded) implements Admission {
+    record Trial(long number, Set<UpstreamName> excluded) implements Admission {
 
         /** Copies the set. */
         public Trial {
--- a/library/src/main/java/org/pollenhoist/request/CrashCase.java
+++ b/library/src/main/java/org/pollenhoist/request/CrashCase.java
@@ -11,13 +11,15 @@
 /** What is known of one suspect request. Not thread-safe: guarded by the quarantine's lock. */
 final class CrashCase {
 
+    private static final long NO_TRIAL = 0;
+
     private final Set<UpstreamName> upstreams = new TreeSet<>();
     private MonotonicTime liveUntil;
     private VmName claimant;
     private MonotonicTime claimedUntil;
     private MonotonicTime trialAllowedFrom;
     private boolean isAnnounced;
-    private boolean isTrialRunning;
+    private long runningTrial = NO_TRIAL;
 
     void addCrash(UpstreamName upstream, MonotonicTime until) {
         upstreams.add(upstream);
@@ -71,26 +73,33 @@
     /** Another VM claims the trial: the lower name wins unless the trial here runs already. */
     void hearClaim(VmName other, VmName self, MonotonicTime until) {
         boolean isOwnClaim = claimant != null && claimant.equals(self);
-        if (isOwnClaim && (isTrialRunning || self.compareTo(other) < 0)) {
+        if (isOwnClaim && (isTrialRunning() || self.compareTo(other) < 0)) {
             return;
         }
         claimant = other;
         claimedUntil = until;
     }
 
-    boolean startTrial() {
-        if (isTrialRunning) {
+    /** Starts a trial under a positive number. Returns false where one runs already. */
+    boolean startTrial(long number) {
+        if (isTrialRunning()) {
             return false;
         }
-        isTrialRunning = true;
+        runningTrial = number;
         return true;
     }
 
-    void endTrial() {
-        isTrialRunning = false;
+    void endTrial(long number) {
+        if (runningTrial == number) {
+            runningTrial = NO_TRIAL;
+        }
+    }
+
+    private boolean isTrialRunning() {
+        return runningTrial != NO_TRIAL;
     }
 
     private boolean isClaimed(MonotonicTime now) {
-        return claimant != null && (isTrialRunning || now.isBefore(claimedUntil));
+        return claimant != null && (isTrialRunning() || now.isBefore(claimedUntil));
     }
 }
--- a/library/src/main/java/org/pollenhoist/request/CrashQuarantine.java
+++ b/library/src/main/java/org/pollenhoist/request/CrashQuarantine.java
@@ -19,8 +19,8 @@
  * different requests is blamed in their place.
  *
  * <p>The VM that wants to run a suspect request once more claims the trial, waits until a competing claim would have
- * arrived, and yields to the one with the lower name. Thread-safe; one lock, a leaf, which is not held while notices
- * are sent.
+ * arrived, and yields to the one with the lower name. Thread-safe; one lock, which is held while copies are counted
+ * (lock order: this one, then the table of upstreams) and not held while notices are sent.
  */
 public final class CrashQuarantine {
 
@@ -29,8 +29,13 @@
     private static final int MAXIMUM_CASES = 10_000;
     private static final Duration CASE_LIFETIME = Duration.ofMinutes(10);
 
-    /** Twice the longest delay of a notice between two VMs that the bound on crashes allows for. */
-    static final Duration CLAIM_SETTLING = Duration.ofMillis(200);
+    /**
+     * How long the caller's answer is held back after a break, so that a repeat of the request through another VM finds
+     * the suspicion there. The bound on crashes holds where notices arrive within this time.
+     */
+    public static final Duration ANSWER_DELAY = Duration.ofMillis(100);
+
+    private static final Duration CLAIM_SETTLING = ANSWER_DELAY.multipliedBy(2);
 
     private static final Duration CLAIM_LIFETIME = Duration.ofSeconds(30);
     private static final Duration RETRY_AFTER = Duration.ofSeconds(2);
@@ -47,6 +52,7 @@
         }
     };
     private final Map<UpstreamName, UpstreamCrashes> crashesByUpstream = new HashMap<>();
+    private long lastTrial;
 
     /**
      * Creates an empty quarantine.
@@ -63,12 +69,11 @@
      * Decides whether a request may run.
      *
      * @param fingerprint the request
-     * @param copies how many upstreams hold what it needs, not counting those that crashed under it
+     * @param copies counts the upstreams that hold what it needs
      * @param now the present time
-     * @return the decision; after a {@link Admission.Trial} exactly one of {@link #recordBreak}, {@link #recordSuccess}
-     *     and {@link #abandonTrial} is to follow
+     * @return the decision; after a {@link Admission.Trial} {@link #endTrial} is to follow once the attempt has ended
      */
-    public Admission admit(RequestFingerprint fingerprint, int copies, MonotonicTime now) {
+    public Admission admit(RequestFingerprint fingerprint, CopyCount copies, MonotonicTime now) {
         CrashNotice notice = null;
         Admission admission;
         synchronized (lock) {
@@ -109,7 +114,6 @@
                 cases.put(fingerprint, changed);
             }
             changed.addCrash(upstream, now.plus(CASE_LIFETIME));
-            changed.endTrial();
             notice = notice(fingerprint, changed, now);
         }
         LOG.event(
@@ -142,15 +146,16 @@
     }
 
     /**
-     * Notes that a trial ended without showing anything, for example since no upstream could be reached.
+     * Notes that the attempt of a trial has ended, in whatever way; what it showed is recorded before.
      *
      * @param fingerprint the request
+     * @param trial the trial, as it was admitted
      */
-    public void abandonTrial(RequestFingerprint fingerprint) {
+    public void endTrial(RequestFingerprint fingerprint, Admission.Trial trial) {
         synchronized (lock) {
             CrashCase found = cases.get(fingerprint);
             if (found != null) {
-                found.endTrial();
+                found.endTrial(trial.number());
             }
         }
     }
@@ -198,7 +203,7 @@
         }
     }
 
-    private Admission decide(CrashCase found, int copies, MonotonicTime now) {
+    private Admission decide(CrashCase found, CopyCount copies, MonotonicTime now) {
         if (isVerdict(found, now)) {
             found.prolong(now.plus(CASE_LIFETIME));
             return new Admission.Quarantined(CASE_LIFETIME);
@@ -206,7 +211,7 @@
         if (blamedUpstreams(found, now) == 0) {
             return new Admission.Unrestricted();
         }
-        if (copies <= 1 || found.isTriedElsewhere(self, now)) {
+        if (copies.copies(found.upstreams()) <= 1 || found.isTriedElsewhere(self, now)) {
             return new Admission.Refused(RETRY_AFTER);
         }
         return found.claim(self, now, CLAIM_SETTLING, CLAIM_LIFETIME)
@@ -214,11 +219,12 @@
                 .orElseGet(() -> startTrial(found));
     }
 
-    private static Admission startTrial(CrashCase found) {
-        if (!found.startTrial()) {
+    private Admission startTrial(CrashCase found) {
+        long number = ++lastTrial;
+        if (!found.startTrial(number)) {
             return new Admission.Refused(RETRY_AFTER);
         }
-        return new Admission.Trial(found.upstreams());
+        return new Admission.Trial(number, found.upstreams());
     }
 
     private boolean isVerdict(CrashCase found, MonotonicTime now) {
--- a/library/src/main/java/org/pollenhoist/routing/UpstreamTable.java
+++ b/library/src/main/java/org/pollenhoist/routing/UpstreamTable.java
@@ -160,12 +160,14 @@
      * Returns how many upstreams hold the target, not counting those that leave, whether or not they can be reached.
      *
      * @param target the target
+     * @param without upstreams that do not count
      * @return the number of copies
      */
-    public int copies(RoutingTarget target) {
+    public int copies(RoutingTarget target, Set<UpstreamName> without) {
         synchronized (lock) {
             return (int) entries.values().stream()
                     .filter(entry -> isInPool(entry, target) && !entry.isLeaving() && entry.holds(target))
+                    .filter(entry -> !without.contains(entry.definition().name()))
                     .count();
         }
     }
--- /dev/null
+++ b/library/src/test/java/org/pollenhoist/request/CrashQuarantineTest.java
@@ -0,0 +1,162 @@
+package org.pollenhoist.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.pollenhoist.request.PoisonousFleet.POISON;
+
+import java.time.Duration;
+import java.util.EnumSet;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.common.UpstreamName;
+import org.pollenhoist.common.VmName;
+
+class CrashQuarantineTest {
+
+    private static final UpstreamName FIRST = UpstreamName.of("scribe-1");
+    private static final UpstreamName SECOND = UpstreamName.of("scribe-2");
+    private static final CopyCount MANY = without -> 13 - without.size();
+    private static final int SEEDS = 300;
+
+    private final CrashQuarantine quarantine = new CrashQuarantine(VmName.of("vm-1"), notice -> {});
+
+    private static MonotonicTime at(long milliseconds) {
+        return MonotonicTime.of(Duration.ofMillis(milliseconds));
+    }
+
+    private static RequestFingerprint request(int number) {
+        return RequestFingerprint.of("POST", "/", new byte[] {(byte) number});
+    }
+
+    @Nested
+    class Admit {
+
+        @Test
+        void should_admit_freely_when_nothing_crashed() {
+            assertThat(quarantine.admit(POISON, MANY, at(0))).isEqualTo(new Admission.Unrestricted());
+        }
+
+        @Test
+        void should_admit_one_trial_elsewhere_after_settling_when_one_upstream_crashed() {
+            quarantine.recordBreak(POISON, FIRST, at(0));
+            assertThat(quarantine.admit(POISON, MANY, at(1))).isEqualTo(new Admission.AskAgain(Duration.ofMillis(200)));
+            assertThat(quarantine.admit(POISON, MANY, at(201))).isEqualTo(new Admission.Trial(1, Set.of(FIRST)));
+            assertThat(quarantine.admit(POISON, MANY, at(202))).isInstanceOf(Admission.Refused.class);
+        }
+
+        @Test
+        void should_never_try_on_the_last_copy_when_suspect() {
+            quarantine.recordBreak(POISON, FIRST, at(0));
+            CopyCount lastCopy = without -> 2 - without.size();
+            assertThat(quarantine.admit(POISON, lastCopy, at(300))).isInstanceOf(Admission.Refused.class);
+        }
+
+        @Test
+        void should_give_the_same_final_answer_at_once_when_two_upstreams_crashed() {
+            quarantine.recordBreak(POISON, FIRST, at(0));
+            quarantine.recordBreak(POISON, SECOND, at(500));
+            Admission first = quarantine.admit(POISON, MANY, at(501));
+            assertThat(first).isEqualTo(new Admission.Quarantined(Duration.ofMinutes(10)));
+            assertThat(quarantine.admit(POISON, MANY, at(502))).isEqualTo(first);
+        }
+
+        @Test
+        void should_admit_freely_again_when_a_trial_ended_well() {
+            quarantine.recordBreak(POISON, FIRST, at(0));
+            quarantine.recordSuccess(POISON, at(400));
+            assertThat(quarantine.admit(POISON, MANY, at(401))).isEqualTo(new Admission.Unrestricted());
+        }
+
+        @Test
+        void should_yield_to_the_lower_name_when_two_vms_claim_the_trial() {
+            quarantine.recordBreak(POISON, FIRST, at(0));
+            quarantine.admit(POISON, MANY, at(1));
+            quarantine.receive(claim("vm-0"), at(50));
+            assertThat(quarantine.admit(POISON, MANY, at(300))).isInstanceOf(Admission.Refused.class);
+        }
+
+        @Test
+        void should_keep_the_claim_when_the_other_name_is_higher() {
+            quarantine.recordBreak(POISON, FIRST, at(0));
+            quarantine.admit(POISON, MANY, at(1));
+            quarantine.receive(claim("vm-2"), at(50));
+            assertThat(quarantine.admit(POISON, MANY, at(300))).isInstanceOf(Admission.Trial.class);
+        }
+
+        private CrashNotice claim(String vm) {
+            return new CrashNotice(
+                    POISON, Set.of(FIRST), java.util.Optional.of(VmName.of(vm)), false, Duration.ofMinutes(1));
+        }
+    }
+
+    @Nested
+    class FaultyUpstream {
+
+        @Test
+        void should_be_blamed_in_place_of_the_requests_when_it_crashes_under_different_ones() {
+            for (int crash = 0; crash < 3; crash++) {
+                quarantine.recordBreak(request(crash), FIRST, at(2_000L * crash));
+            }
+            assertThat(quarantine.isFaulty(FIRST, at(6_000))).isTrue();
+            assertThat(quarantine.admit(request(0), MANY, at(6_000))).isEqualTo(new Admission.Unrestricted());
+        }
+
+        @Test
+        void should_not_be_blamed_when_one_request_was_there_at_each_crash() {
+            for (int crash = 0; crash < 3; crash++) {
+                quarantine.recordBreak(request(crash), FIRST, at(2_000L * crash));
+                quarantine.recordBreak(POISON, FIRST, at(2_000L * crash + 10));
+            }
+            assertThat(quarantine.isFaulty(FIRST, at(6_000))).isFalse();
+        }
+    }
+
+    @Nested
+    class Fleet {
+
+        private int worst(int callers, int copies, double lossRate, Set<PoisonousFleet.Mutant> mutants) {
+            int worst = 0;
+            for (long seed = 1; seed <= SEEDS; seed++) {
+                PoisonousFleet fleet = new PoisonousFleet(seed, copies, lossRate, mutants);
+                fleet.run(callers);
+                worst = Math.max(worst, fleet.crashed().size());
+            }
+            return worst;
+        }
+
+        @Test
+        void should_lose_two_upstreams_at_most_when_notices_arrive_in_time() {
+            assertThat(worst(1, 13, 0, Set.of())).isEqualTo(2);
+            assertThat(worst(6, 13, 0, Set.of())).isEqualTo(2);
+        }
+
+        @Test
+        void should_keep_the_last_copy() {
+            assertThat(worst(6, 2, 0, Set.of())).isEqualTo(1);
+        }
+
+        @Test
+        void should_answer_repeats_with_the_verdict_when_it_is_reached() {
+            PoisonousFleet fleet = new PoisonousFleet(1, 13, 0, Set.of());
+            fleet.run(6);
+            assertThat(fleet.quarantinedAnswers()).isPositive();
+        }
+
+        /** Under loss the bound is weaker: each VM that hears nothing may lose upstreams of its own. */
+        @Test
+        void should_lose_few_upstreams_when_a_tenth_of_the_notices_is_lost() {
+            int worst = worst(6, 13, 0.1, Set.of());
+            System.out.println("crash_quarantine loss=0.1 seeds=" + SEEDS + " worst_upstreams=" + worst);
+            assertThat(worst).isLessThan(8);
+        }
+
+        @ParameterizedTest
+        @EnumSource(PoisonousFleet.Mutant.class)
+        void should_lose_more_when_a_mechanism_is_left_out(PoisonousFleet.Mutant mutant) {
+            assertThat(worst(6, 13, 0, EnumSet.of(mutant))).isGreaterThan(2);
+        }
+    }
+}
