Register bookings with two VMs of their key's home domain before they run

Cause: a repeat with the same Idempotency-Key through another VM could not be told from a first request.

Ways weighed: a record of the platform per booking (out: one write a request, and bookings would stop with the platform); one registrar by rendezvous hashing (its death makes every key of its range unknown); two registrars, each of which vouches only where it would know of every earlier run.

--- a/library/src/main/java/org/pollenhoist/request/IdempotencyTable.java
+++ b/library/src/main/java/org/pollenhoist/request/IdempotencyTable.java
@@ -4,6 +4,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.pollenhoist.common.MonotonicTime;
 
@@ -21,7 +22,7 @@
     private static final long MAXIMUM_ALL_ANSWER_BYTES = 4L * 1024 * 1024;
 
     private final Object lock = new Object();
-    private final Map<IdempotencyKey, Entry> entries = new LinkedHashMap<>();
+    private final Map<RequestFingerprint, Entry> entries = new LinkedHashMap<>();
     private long nextNumber;
     private long answerBytes;
 
@@ -52,10 +53,10 @@
     public IdempotencyOutcome begin(IdempotencyKey key, RequestFingerprint request, MonotonicTime now) {
         synchronized (lock) {
             forgetOld(now);
-            Entry entry = entries.get(key);
+            Entry entry = entries.get(key.digest());
             if (entry == null) {
                 entry = new Entry(nextNumber++, request);
-                entries.put(key, entry);
+                entries.put(key.digest(), entry);
                 return new IdempotencyOutcome.Fresh(new IdempotencyTicket(key, entry.number));
             }
             if (!entry.request.equals(request)) {
@@ -65,6 +66,20 @@
         }
     }
 
+    /**
+     * Looks a stored answer up for another VM.
+     *
+     * @param digest the digest of the caller's key
+     * @return the answer; empty where none is kept
+     */
+    public Optional<StoredAnswer> find(RequestFingerprint digest) {
+        synchronized (lock) {
+            Entry entry = entries.get(digest);
+            boolean isKept = entry != null && entry.outcome instanceof IdempotencyOutcome.Finished;
+            return isKept ? Optional.of(((IdempotencyOutcome.Finished) entry.outcome).answer()) : Optional.empty();
+        }
+    }
+
     /**
      * Records the whole answer of a request. A later end of the same ticket changes nothing.
      *
@@ -90,16 +105,17 @@
 
     private void end(IdempotencyTicket ticket, IdempotencyOutcome outcome, MonotonicTime now) {
         Entry entry;
+        RequestFingerprint digest = ticket.key().digest();
         synchronized (lock) {
-            entry = entries.get(ticket.key());
+            entry = entries.get(digest);
             if (entry == null || entry.number != ticket.number() || entry.outcome != null) {
                 return;
             }
-            entries.remove(ticket.key());
+            entries.remove(digest);
             if (!(outcome instanceof IdempotencyOutcome.NotRun)) {
                 entry.outcome = outcome;
                 entry.endedAt = now;
-                entries.put(ticket.key(), entry);
+                entries.put(digest, entry);
                 answerBytes += bytes(outcome);
                 forgetAnswers();
             }
--- /dev/null
+++ b/library/src/main/java/org/pollenhoist/request/OutcomeRecord.java
@@ -0,0 +1,24 @@
+package org.pollenhoist.request;
+
+import org.pollenhoist.common.MonotonicTime;
+
+/**
+ * A registrar's record of one key.
+ *
+ * @param digest the key's digest
+ * @param request the request's fingerprint
+ * @param runner the process that runs or ran it
+ * @param state RUNNING, FINISHED or OUTCOME_LOST
+ * @param since when it was registered
+ */
+public record OutcomeRecord(
+        RequestFingerprint digest,
+        RequestFingerprint request,
+        RegistrarAnswer.Runner runner,
+        RegistrarAnswer.State state,
+        MonotonicTime since) {
+
+    OutcomeRecord in(RegistrarAnswer.State newState) {
+        return new OutcomeRecord(digest, request, runner, newState, since);
+    }
+}
