--- a/library/src/main/java/org/pollenhoist/platform/HttpPlatformService.java
+++ b/library/src/main/java/org/pollenhoist/platform/HttpPlatformService.java
@@ -12,34 +12,22 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import org.pollenhoist.common.ErrorCode;
 import org.pollenhoist.common.FailureDomain;
 import org.pollenhoist.common.PollenhoistException;
-import ratpack.exec.ExecController;
-import ratpack.exec.internal.DefaultExecController;
-import ratpack.http.client.HttpClient;
-import ratpack.http.client.RequestSpec;
 
 /**
  * The platform's key-value service over HTTP, in the format that docs/WIRE-FORMATS.md states. The only class that knows
  * it.
  *
- * <p>Every call runs on a connection of its own, which is closed after the answer or the time-out. A connection that
- * went silent or on which an answer is late is therefore never used again.
- *
  * <p>Methods block their thread: never call them on a thread that serves events. Safe for use by several threads.
  */
 public final class HttpPlatformService implements PlatformService, AutoCloseable {
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final int CLIENT_THREADS = 1;
-    private static final int MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
-    private static final Duration WAIT_BEYOND_TIMEOUT = Duration.ofMillis(250);
+    private static final String DOMAIN_HEADER = "X-Failure-Domain";
     private static final int OK = 200;
     private static final int NO_CONTENT = 204;
     private static final int NOT_FOUND = 404;
@@ -47,14 +35,12 @@
     private static final int TOO_LARGE = 413;
 
     private final String root;
-    private final Duration timeout;
-    private final ExecController controller;
-    private final HttpClient client;
+    private final Map<String, String> headers;
+    private final BlockingHttpClient client;
 
-    private HttpPlatformService(String root, Duration timeout, ExecController controller, HttpClient client) {
+    private HttpPlatformService(String root, Map<String, String> headers, BlockingHttpClient client) {
         this.root = root;
-        this.timeout = timeout;
-        this.controller = controller;
+        this.headers = headers;
         this.client = client;
     }
 
@@ -66,27 +52,31 @@
      * @return the client, to be closed by the caller
      */
     public static HttpPlatformService at(InetSocketAddress address, Duration timeout) {
-        ExecController controller = new DefaultExecController(CLIENT_THREADS);
-        try {
-            HttpClient client = HttpClient.of(spec -> spec.execController(controller)
-                    .poolSize(0)
-                    .connectTimeout(timeout)
-                    .readTimeout(timeout)
-                    .maxContentLength(MAXIMUM_ANSWER_BYTES)
-                    .useJdkAddressResolver());
-            String host = address.getAddress().getHostAddress();
-            String literal = host.contains(":") ? "[" + host + "]" : host;
-            return new HttpPlatformService("http://" + literal + ":" + address.getPort(), timeout, controller, client);
-        } catch (Exception exception) {
-            controller.close();
-            throw new PollenhoistException(ErrorCode.INTERNAL, "HTTP client can't be made", exception);
-        }
+        return at(address, timeout, Map.of());
+    }
+
+    /**
+     * Returns a client that says where it stands.
+     *
+     * @param address IP number and TCP port of the service
+     * @param timeout how long each call may take; a watch may take its wait besides
+     * @param failureDomain the failure domain of the caller
+     * @return the client, to be closed by the caller
+     */
+    public static HttpPlatformService at(InetSocketAddress address, Duration timeout, FailureDomain failureDomain) {
+        return at(address, timeout, Map.of(DOMAIN_HEADER, failureDomain.value()));
+    }
+
+    private static HttpPlatformService at(InetSocketAddress address, Duration timeout, Map<String, String> headers) {
+        String host = address.getAddress().getHostAddress();
+        String literal = host.contains(":") ? "[" + host + "]" : host;
+        String root = "http://" + literal + ":" + address.getPort();
+        return new HttpPlatformService(root, headers, BlockingHttpClient.withTimeout(timeout));
     }
 
     @Override
     public void close() {
         client.close();
-        controller.close();
     }
 
     @Override
@@ -113,16 +103,17 @@
         byte[] body = json(JsonNodeFactory.instance
                 .objectNode()
                 .put("content", Base64.getEncoder().encodeToString(content)));
-        return write("PUT", "/v1/values?key=" + encoded(key) + "&expectedVersion=" + expectedVersion + lease, body);
+        return write(
+                key, "PUT", "/v1/values?key=" + encoded(key) + "&expectedVersion=" + expectedVersion + lease, body);
     }
 
     @Override
     public WriteOutcome remove(String key, long expectedVersion) {
-        return write("DELETE", "/v1/values?key=" + encoded(key) + "&expectedVersion=" + expectedVersion, null);
+        return write(key, "DELETE", "/v1/values?key=" + encoded(key) + "&expectedVersion=" + expectedVersion, null);
     }
 
     /** A 5xx proves nothing about a write: the service may fail between the write and its answer. */
-    private WriteOutcome write(String method, String target, byte[] body) {
+    private WriteOutcome write(String key, String method, String target, byte[] body) {
         try {
             Answer answer = answer(method, target, Duration.ZERO, body);
             return switch (answer.status()) {
@@ -130,6 +121,10 @@
                     new WriteOutcome.Written(answer.json().path("version").asLong());
                 case CONFLICT ->
                     new WriteOutcome.Conflict(answer.json().path("version").asLong());
+                // The lease has ended: nothing was written, whatever version stands.
+                case NOT_FOUND ->
+                    new WriteOutcome.Conflict(
+                            read(key).map(StoredValue::version).orElse(0L));
                 case TOO_LARGE ->
                     throw new PollenhoistException(
                             ErrorCode.INTERNAL,
@@ -196,39 +191,9 @@
     }
 
     private Answer answer(String method, String target, Duration beyondTimeout, byte[] body) {
-        String call = method + " " + target;
-        Duration readTimeout = timeout.plus(beyondTimeout);
-        CompletableFuture<Answer> future = new CompletableFuture<>();
-        controller
-                .fork()
-                .onError(future::completeExceptionally)
-                .start(execution -> client.request(
-                                URI.create(root + target), spec -> describe(spec, method, readTimeout, body))
-                        .then(response -> future.complete(new Answer(
-                                call,
-                                response.getStatusCode(),
-                                response.getBody().getBytes()))));
-        return await(call, future, readTimeout.plus(timeout).plus(WAIT_BEYOND_TIMEOUT));
-    }
-
-    private static void describe(RequestSpec spec, String method, Duration readTimeout, byte[] body) {
-        spec.method(method).readTimeout(readTimeout).redirects(0);
-        if (body != null) {
-            spec.getBody().type("application/json").bytes(body);
-        }
-    }
-
-    private static Answer await(String call, CompletableFuture<Answer> future, Duration patience) {
-        try {
-            return future.get(patience.toMillis(), TimeUnit.MILLISECONDS);
-        } catch (ExecutionException exception) {
-            throw PlatformUnavailableException.noAnswer(call, String.valueOf(exception.getCause()));
-        } catch (TimeoutException exception) {
-            throw PlatformUnavailableException.noAnswer(call, "nothing after " + patience.toMillis() + " ms");
-        } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
-            throw PlatformUnavailableException.noAnswer(call, "the waiting thread was interrupted");
-        }
+        BlockingHttpClient.Call call = new BlockingHttpClient.Call(method, URI.create(root + target), headers, body);
+        BlockingHttpClient.Answer answer = client.answer(call, beyondTimeout);
+        return new Answer(BlockingHttpClient.describe(call), answer.status(), answer.body());
     }
 
     private static Listing listing(JsonNode body) {
