Keep an answer's execution until the answer has ended

Cause: a streamed completion gave its head and then nothing, until the stall timer ended it after 10 s. Ratpack ends the body of an answer with the execution that asked for it, and ours ended when the head was handed over. The clients also need the server's execution controller, without which the process did not start. Ruled out: the engine stand-in (asked directly, it streamed at once) and the watching of the body (no part reached it). Change: the execution waits for the end of the answer; the HTTP clients are created with the server's controller.

--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -28,8 +28,8 @@
 import org.pollenhoist.upstream.UpstreamClient;
 import org.pollenhoist.vm.Peer;
 import org.pollenhoist.vm.PeerMesh;
-import ratpack.func.Action;
-import ratpack.registry.RegistrySpec;
+import ratpack.exec.ExecController;
+import ratpack.registry.Registry;
 import ratpack.server.RatpackServerSpec;
 import ratpack.server.ServerConfig;
 import ratpack.server.ServerConfigBuilder;
@@ -106,13 +106,19 @@
     }
 
     private void define(RatpackServerSpec spec) throws Exception {
-        EntryParts parts = parts();
         HealthHandlers health =
                 new HealthHandlers(settings.vm(), configuration, feed::isReady, plannedStop::phase, running, metrics);
-        ReportPoller poller = new ReportPoller(configuration, upstreams, EngineReports.create());
         spec.serverConfig(serverConfig())
-                .registryOf((Action<RegistrySpec>) registry -> registry.add(poller))
-                .handlers(chain -> chain.insert(health).all(new CallerHandler(parts)));
+                .registry(base -> Registry.single(poller(base.get(ExecController.class))))
+                .handlers(chain -> chain.insert(health).all(callerHandler(chain.getRegistry())));
+    }
+
+    private ReportPoller poller(ExecController executions) throws Exception {
+        return new ReportPoller(configuration, upstreams, EngineReports.create(executions));
+    }
+
+    private CallerHandler callerHandler(Registry registry) throws Exception {
+        return new CallerHandler(parts(UpstreamClient.create(registry.get(ExecController.class))));
     }
 
     private ServerConfigBuilder serverConfig() throws Exception {
@@ -128,7 +134,7 @@
                 .idleTimeout(callers.idleTimeout());
     }
 
-    private EntryParts parts() throws Exception {
+    private EntryParts parts(UpstreamClient client) {
         RetryBudget budget = new RetryBudget();
         return new EntryParts(
                 settings,
@@ -143,7 +149,7 @@
                 budget,
                 new CrashQuarantine(settings.vm().name(), notice -> {}),
                 new IdempotencyTable(),
-                UpstreamClient.create(),
+                client,
                 running,
                 metrics);
     }
--- a/library/src/main/java/org/pollenhoist/entry/FlowRunner.java
+++ b/library/src/main/java/org/pollenhoist/entry/FlowRunner.java
@@ -105,6 +105,15 @@
         if (!isWanted) {
             settle();
         }
+        if (isWanted && result instanceof FlowOutcome.Streaming streaming) {
+            keepExecutionUntilEnd(streaming.body());
+        }
+    }
+
+    /** Ratpack ends the connection of an answer with the execution that asked for it. */
+    private static void keepExecutionUntilEnd(AnswerStream body) {
+        Promise.<Boolean>async(downstream -> body.whenEnded(() -> downstream.success(true)))
+                .then(ended -> {});
     }
 
     private void afterOutcome(FlowOutcome result) {
--- a/library/src/main/java/org/pollenhoist/upstream/AnswerStream.java
+++ b/library/src/main/java/org/pollenhoist/upstream/AnswerStream.java
@@ -1,6 +1,8 @@
 package org.pollenhoist.upstream;
 
 import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
 import org.reactivestreams.Publisher;
@@ -62,7 +64,7 @@
 
     private Throwable earlyFailure;
 
-    private Runnable whenEnded = () -> {};
+    private final List<Runnable> whenEnded = new ArrayList<>();
 
     private AnswerStream(Observer observer, Supplier<ByteBuf> errorPart, MonotonicTime now) {
         this.observer = observer;
@@ -96,7 +98,7 @@
             action.run();
             return;
         }
-        whenEnded = action;
+        whenEnded.add(action);
     }
 
     /**
@@ -131,7 +133,7 @@
         }
         isEnded = true;
         observer.onAborted(reason);
-        whenEnded.run();
+        whenEnded.forEach(Runnable::run);
         endVisibly(new AnswerBrokenException(reason));
     }
 
@@ -145,13 +147,13 @@
             upstream.cancel();
         }
         observer.onCancelled();
-        whenEnded.run();
+        whenEnded.forEach(Runnable::run);
     }
 
     private void breakOff(Throwable failure) {
         isEnded = true;
         observer.onBroken(String.valueOf(failure.getMessage()));
-        whenEnded.run();
+        whenEnded.forEach(Runnable::run);
         endVisibly(failure);
     }
 
@@ -224,7 +226,7 @@
             if (!isEnded) {
                 isEnded = true;
                 observer.onWhole();
-                whenEnded.run();
+                whenEnded.forEach(Runnable::run);
                 downstream.onComplete();
             }
         }
--- a/library/src/main/java/org/pollenhoist/upstream/EngineReports.java
+++ b/library/src/main/java/org/pollenhoist/upstream/EngineReports.java
@@ -13,6 +13,7 @@
 import org.pollenhoist.common.PollenhoistException;
 import org.pollenhoist.configuration.Upstream;
 import org.pollenhoist.routing.UpstreamReport;
+import ratpack.exec.ExecController;
 import ratpack.exec.Promise;
 import ratpack.http.client.HttpClient;
 
@@ -34,12 +35,15 @@
     /**
      * Creates a reader.
      *
+     * @param executions where its work runs
      * @return the reader
      * @throws Exception where Ratpack can't create its client
      */
-    public static EngineReports create() throws Exception {
-        return new EngineReports(
-                HttpClient.of(spec -> spec.poolSize(1).connectTimeout(TIMEOUT).readTimeout(TIMEOUT)));
+    public static EngineReports create(ExecController executions) throws Exception {
+        return new EngineReports(HttpClient.of(spec -> spec.execController(executions)
+                .poolSize(1)
+                .connectTimeout(TIMEOUT)
+                .readTimeout(TIMEOUT)));
     }
 
     /**
--- a/library/src/main/java/org/pollenhoist/upstream/UpstreamClient.java
+++ b/library/src/main/java/org/pollenhoist/upstream/UpstreamClient.java
@@ -6,6 +6,7 @@
 import java.net.URI;
 import java.time.Duration;
 import org.pollenhoist.configuration.Upstream;
+import ratpack.exec.ExecController;
 import ratpack.exec.Promise;
 import ratpack.http.client.HttpClient;
 import ratpack.http.client.HttpClientReadTimeoutException;
@@ -46,14 +47,17 @@
     /**
      * Creates a client.
      *
+     * @param executions where its work runs
      * @return the client
      * @throws Exception where Ratpack can't create its clients
      */
-    public static UpstreamClient create() throws Exception {
-        HttpClient keptAlive = HttpClient.of(spec -> spec.poolSize(IDLE_CONNECTIONS_PER_UPSTREAM)
+    public static UpstreamClient create(ExecController executions) throws Exception {
+        HttpClient keptAlive = HttpClient.of(spec -> spec.execController(executions)
+                .poolSize(IDLE_CONNECTIONS_PER_UPSTREAM)
                 .idleTimeout(MAXIMUM_IDLE)
                 .connectTimeout(CONNECT_TIMEOUT));
-        HttpClient fresh = HttpClient.of(spec -> spec.poolSize(0).connectTimeout(CONNECT_TIMEOUT));
+        HttpClient fresh = HttpClient.of(
+                spec -> spec.execController(executions).poolSize(0).connectTimeout(CONNECT_TIMEOUT));
         return new UpstreamClient(keptAlive, fresh);
     }
 
