--- /dev/null
+++ b/command-line/src/main/java/org/pollenhoist/commandline/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.pollenhoist.commandline;
