--- a/library/src/main/java/org/pollenhoist/entry/CallerHandler.java
+++ b/library/src/main/java/org/pollenhoist/entry/CallerHandler.java
@@ -114,7 +114,7 @@
                 identifier,
                 identified,
                 request,
-                HeaderRules.toUpstream(received.getHeaders(), scrubber),
+                HeaderRules.toUpstream(received.getHeaders(), scrubber, identified.priority()),
                 RequestFingerprint.of(method, fingerprintPath, request.body()),
                 arrival.plus(deadline));
     }
--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -67,6 +67,8 @@
 
     private final ConfigurationFeed feed;
 
+    private final LeavingWatch leavingWatch;
+
     private final PlannedStop plannedStop;
 
     private final StrictHttpServer server;
@@ -83,6 +85,7 @@
                         settings.platform().address(), settings.platform().port()),
                 settings.platform().timeout());
         this.feed = ConfigurationFeed.start(settings, configuration, platform, mesh);
+        this.leavingWatch = LeavingWatch.start(platform, upstreams);
         this.plannedStop =
                 new PlannedStop(settings.shutdown(), running::count, () -> true, this::entered, MonotonicTime.read());
         this.quarantine = new CrashQuarantine(settings.vm().name(), notice -> CrashVerdictExchange.send(mesh, notice));
@@ -186,6 +189,7 @@
         running.abortAll("this VM stops");
         Thread.sleep(FLUSH_MILLISECONDS);
         server.stop();
+        leavingWatch.close();
         feed.close();
         platform.close();
         mesh.close();
--- a/library/src/main/java/org/pollenhoist/entry/HeaderRules.java
+++ b/library/src/main/java/org/pollenhoist/entry/HeaderRules.java
@@ -23,6 +23,8 @@
             "traceparent",
             "tracestate");
 
+    private static final String PRIORITY = "X-Priority";
+
     private static final Set<String> NOT_TO_CALLER = Set.of(
             "connection",
             "content-length",
@@ -37,7 +39,7 @@
 
     private HeaderRules() {}
 
-    static List<UpstreamRequest.Header> toUpstream(Headers received, KeyScrubber scrubber) {
+    static List<UpstreamRequest.Header> toUpstream(Headers received, KeyScrubber scrubber, int priority) {
         List<UpstreamRequest.Header> chosen = new ArrayList<>();
         for (String name : TO_UPSTREAM) {
             String value = received.get(name);
@@ -45,6 +47,7 @@
                 chosen.add(new UpstreamRequest.Header(name, value));
             }
         }
+        chosen.add(new UpstreamRequest.Header(PRIORITY, Integer.toString(priority)));
         return chosen;
     }
 
