--- a/experiments/src/main/java/org/pollenhoist/experiments/EntryLatencyExperiment.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/EntryLatencyExperiment.java
@@ -1,10 +1,6 @@
 package org.pollenhoist.experiments;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.URI;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
@@ -16,6 +12,7 @@
 import org.pollenhoist.experiments.processes.FleetMember;
 import org.pollenhoist.experiments.processes.FleetPlan;
 import org.pollenhoist.experiments.processes.HttpCalls;
+import org.pollenhoist.experiments.processes.WorkFolder;
 
 /** Measures in real time, over real processes, what the entry process adds to the direct call to an engine. */
 public final class EntryLatencyExperiment implements Experiment {
@@ -46,7 +43,7 @@
         FleetPlan plan = FleetPlan.thalassa(1)
                 .withEngines(1, "--first-token-millis", "0", "--cached-first-token-millis", "0", "--token-millis", "0");
         progress.report("starting one entry process and its surroundings");
-        try (Fleet fleet = Fleet.start(plan, workDirectory())) {
+        try (Fleet fleet = Fleet.start(plan, WorkFolder.create())) {
             String key = fleet.requireCommand("keys", "give", "crews").strip();
             return measure(fleet, key, seed, length, progress);
         }
@@ -109,12 +106,4 @@
     private static Histogram histogram() {
         return new Histogram(HIGHEST_LATENCY.toNanos(), SIGNIFICANT_DIGITS);
     }
-
-    private static Path workDirectory() {
-        try {
-            return Files.createTempDirectory("pollenhoist-experiment");
-        } catch (IOException e) {
-            throw new UncheckedIOException("no folder for logs", e);
-        }
-    }
 }
--- a/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
@@ -13,6 +13,6 @@
      * @return the experiments
      */
     public static List<Experiment> all() {
-        return List.of(new EntryLatencyExperiment());
+        return List.of(new EntryLatencyExperiment(), new FleetCostExperiment());
     }
 }
--- a/library/src/main/java/org/pollenhoist/caller/EntryMetrics.java
+++ b/library/src/main/java/org/pollenhoist/caller/EntryMetrics.java
@@ -1,12 +1,16 @@
 package org.pollenhoist.caller;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.util.function.LongSupplier;
 
 /** What an entry process counts, under the names that the operators' pages explain. */
 public final class EntryMetrics {
@@ -85,6 +89,30 @@
         running.set(count);
     }
 
+    /**
+     * Has the bytes to and from peers shown, and the memory in use.
+     *
+     * @param sentBytes reads how many bytes were sent since the start
+     * @param receivedBytes reads how many bytes were received since the start
+     */
+    public void showPeerTraffic(LongSupplier sentBytes, LongSupplier receivedBytes) {
+        CounterWithCallback.builder()
+                .name("pollenhoist_peer_bytes_total")
+                .help("Bytes to and from other processes of the fleet.")
+                .labelNames("direction")
+                .callback(sample -> {
+                    sample.call((double) sentBytes.getAsLong(), "sent");
+                    sample.call((double) receivedBytes.getAsLong(), "received");
+                })
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("pollenhoist_heap_used_bytes")
+                .help("Heap in use, garbage included, in bytes.")
+                .callback(sample -> sample.call((double)
+                        ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed()))
+                .register(registry);
+    }
+
     /**
      * Returns the registry, so that further parts add their own.
      *
--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -80,6 +80,7 @@
         InetSocketAddress peerAddress = new InetSocketAddress(
                 settings.peers().address(), settings.peers().port());
         this.mesh = PeerMesh.start(self, peerAddress, settings.peers().seeds());
+        metrics.showPeerTraffic(mesh::sentBytes, mesh::receivedBytes);
         this.platform = HttpPlatformService.at(
                 new InetSocketAddress(
                         settings.platform().address(), settings.platform().port()),
--- a/library/src/main/java/org/pollenhoist/vm/PeerMesh.java
+++ b/library/src/main/java/org/pollenhoist/vm/PeerMesh.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.traffic.GlobalTrafficShapingHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -50,6 +51,9 @@
     private final EventLoopGroup eventLoops =
             new NioEventLoopGroup(EVENT_LOOP_THREADS, new DefaultThreadFactory("peer-mesh", true));
 
+    /** Counts only; it shapes nothing. */
+    private final GlobalTrafficShapingHandler traffic = new GlobalTrafficShapingHandler(eventLoops, 0);
+
     private final List<PeerListener> listeners = new CopyOnWriteArrayList<>();
 
     /** Each entry is replaced whole; no lock is held while a listener runs. */
@@ -123,6 +127,7 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
+                channel.pipeline().addLast(traffic);
                 PeerFrames.addCodec(channel.pipeline(), SILENCE_MILLISECONDS);
                 channel.pipeline().addLast(new PeerConnectionHandler(PeerMesh.this, PeerFrames.hello(self)));
             }
@@ -204,6 +209,24 @@
         listeners.forEach(listener -> listener.onFrame(sender, frame, now));
     }
 
+    /**
+     * Returns how many bytes peers have sent to this process.
+     *
+     * @return bytes since the start
+     */
+    public long receivedBytes() {
+        return traffic.trafficCounter().cumulativeReadBytes();
+    }
+
+    /**
+     * Returns how many bytes this process has sent to peers.
+     *
+     * @return bytes since the start
+     */
+    public long sentBytes() {
+        return traffic.trafficCounter().cumulativeWrittenBytes();
+    }
+
     @Override
     public void close() {
         isClosed = true;
