--- a/library/src/test/java/org/pollenhoist/platform/InMemoryPlatform.java
+++ b/library/src/test/java/org/pollenhoist/platform/InMemoryPlatform.java
@@ -127,6 +127,18 @@
         return history.stream().filter(value -> value.key().equals(key)).toList();
     }
 
+    /** Returns the values as they stood after each change, oldest first. */
+    public synchronized List<Map<String, StoredValue>> snapshots() {
+        return List.copyOf(snapshots);
+    }
+
+    /** Returns a platform that holds the last value ever written to each key, also those that were removed. */
+    public synchronized InMemoryPlatform withRemovedValues() {
+        InMemoryPlatform all = new InMemoryPlatform();
+        history.forEach(value -> all.values.put(value.key(), value));
+        return all;
+    }
+
     public synchronized int calls() {
         return calls;
     }
