--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -26,10 +26,11 @@
 import org.pollenhoist.settings.EntrySettings;
 import org.pollenhoist.upstream.EngineReports;
 import org.pollenhoist.upstream.UpstreamClient;
+import org.pollenhoist.vm.CrashVerdictExchange;
 import org.pollenhoist.vm.Peer;
 import org.pollenhoist.vm.PeerMesh;
-import ratpack.func.Action;
-import ratpack.registry.RegistrySpec;
+import ratpack.exec.ExecController;
+import ratpack.registry.Registry;
 import ratpack.server.RatpackServerSpec;
 import ratpack.server.ServerConfig;
 import ratpack.server.ServerConfigBuilder;
@@ -58,12 +59,16 @@
 
     private final UpstreamTable upstreams = new UpstreamTable();
 
+    private final CrashQuarantine quarantine;
+
     private final PeerMesh mesh;
 
     private final HttpPlatformService platform;
 
     private final ConfigurationFeed feed;
 
+    private final LeavingWatch leavingWatch;
+
     private final PlannedStop plannedStop;
 
     private final StrictHttpServer server;
@@ -80,8 +85,11 @@
                         settings.platform().address(), settings.platform().port()),
                 settings.platform().timeout());
         this.feed = ConfigurationFeed.start(settings, configuration, platform, mesh);
+        this.leavingWatch = LeavingWatch.start(platform, upstreams);
         this.plannedStop =
                 new PlannedStop(settings.shutdown(), running::count, () -> true, this::entered, MonotonicTime.read());
+        this.quarantine = new CrashQuarantine(settings.vm().name(), notice -> CrashVerdictExchange.send(mesh, notice));
+        mesh.addListener(CrashVerdictExchange.receiver(quarantine));
         this.server = StrictHttpServer.of(this::define);
         configuration.addListener(this::installed);
     }
@@ -106,13 +114,19 @@
     }
 
     private void define(RatpackServerSpec spec) throws Exception {
-        EntryParts parts = parts();
         HealthHandlers health =
                 new HealthHandlers(settings.vm(), configuration, feed::isReady, plannedStop::phase, running, metrics);
-        ReportPoller poller = new ReportPoller(configuration, upstreams, EngineReports.create());
         spec.serverConfig(serverConfig())
-                .registryOf((Action<RegistrySpec>) registry -> registry.add(poller))
-                .handlers(chain -> chain.insert(health).all(new CallerHandler(parts)));
+                .registry(base -> Registry.single(poller(base.get(ExecController.class))))
+                .handlers(chain -> chain.insert(health).all(callerHandler(chain.getRegistry())));
+    }
+
+    private ReportPoller poller(ExecController executions) throws Exception {
+        return new ReportPoller(configuration, upstreams, EngineReports.create(executions));
+    }
+
+    private CallerHandler callerHandler(Registry registry) throws Exception {
+        return new CallerHandler(parts(UpstreamClient.create(registry.get(ExecController.class))));
     }
 
     private ServerConfigBuilder serverConfig() throws Exception {
@@ -128,7 +142,7 @@
                 .idleTimeout(callers.idleTimeout());
     }
 
-    private EntryParts parts() throws Exception {
+    private EntryParts parts(UpstreamClient client) {
         RetryBudget budget = new RetryBudget();
         return new EntryParts(
                 settings,
@@ -141,9 +155,9 @@
                 new Router(upstreams, RoutingPolicy.standard(), RandomGenerator.of("SplittableRandom")),
                 new RetryPolicy(budget),
                 budget,
-                new CrashQuarantine(settings.vm().name(), notice -> {}),
+                quarantine,
                 new IdempotencyTable(),
-                UpstreamClient.create(),
+                client,
                 running,
                 metrics);
     }
@@ -175,6 +189,7 @@
         running.abortAll("this VM stops");
         Thread.sleep(FLUSH_MILLISECONDS);
         server.stop();
+        leavingWatch.close();
         feed.close();
         platform.close();
         mesh.close();
