--- a/library/src/main/java/org/pollenhoist/placement/DemandDrivenPolicy.java
+++ b/library/src/main/java/org/pollenhoist/placement/DemandDrivenPolicy.java
@@ -176,8 +176,24 @@
             Move.Reason reason =
                     !isFirst ? Move.Reason.SPARE_COPY : isReachable ? Move.Reason.NEW_VERSION : Move.Reason.NO_COPY;
             double gain = isFirst ? RoomFinder.GAIN_OF_FIRST_COPY : RoomFinder.GAIN_OF_SPARE_COPY;
-            rooms.find(model, gain, Comparator.comparingLong(EngineDraft::freeBytes))
-                    .ifPresent(room -> take(room, model, reason));
+            Optional<RoomFinder.Room> room = rooms.find(model, gain, Comparator.comparingLong(EngineDraft::freeBytes));
+            room.ifPresent(found -> take(found, model, reason));
+            if (room.isEmpty() && reason == Move.Reason.NEW_VERSION && draft.steadyCopies(model.name()) > 1) {
+                giveUpOldCopy(model);
+            }
+        }
+
+        /** Makes room for the new version by giving up one of several copies of the old one. */
+        private void giveUpOldCopy(Model model) {
+            for (EngineDraft engine : draft.engines()) {
+                for (EngineItem item : engine.state().steadyItems()) {
+                    boolean isModel = item.kind() == EngineItem.Kind.MODEL;
+                    if (isModel && item.name().equals(model.name().value())) {
+                        draft.unload(engine, item, Move.Reason.EVICTED);
+                        return;
+                    }
+                }
+            }
         }
 
         private boolean take(RoomFinder.Room room, Model model, Move.Reason reason) {
--- a/library/src/main/java/org/pollenhoist/placement/LeaderLease.java
+++ b/library/src/main/java/org/pollenhoist/placement/LeaderLease.java
@@ -84,6 +84,15 @@
         return isHolder && now.isBefore(heldUntil);
     }
 
+    /**
+     * Returns when the lease ends unless it is renewed, by this process's own clock.
+     *
+     * @return the end of the lease
+     */
+    MonotonicTime heldUntil() {
+        return heldUntil;
+    }
+
     /**
      * Returns the identifier under which the platform knows the lease.
      *
--- a/library/src/main/java/org/pollenhoist/placement/LedgerTable.java
+++ b/library/src/main/java/org/pollenhoist/placement/LedgerTable.java
@@ -89,8 +89,12 @@
         }
     }
 
-    /** Takes in a report that was asked for after the ledger was taken over or written. */
-    void apply(Upstream upstream, EngineReport report, MonotonicTime now) {
+    /**
+     * Takes in a report that was asked for after the ledger was taken over or written.
+     *
+     * @return false where the report is older than one taken in before
+     */
+    boolean apply(Upstream upstream, EngineReport report, MonotonicTime now) {
         Entry entry = entries.get(upstream.name());
         Set<String> expired = new HashSet<>();
         entry.settledSince.forEach((order, since) -> {
@@ -98,6 +102,9 @@
                 expired.add(order);
             }
         });
+        if (entry.current.isNewerThan(report)) {
+            return false;
+        }
         entry.current = entry.current.afterReport(report, upstream.refusesOldFencing(), expired);
         Set<String> settled = new HashSet<>();
         for (LedgerOrder order : entry.current.orders()) {
@@ -107,6 +114,7 @@
             }
         }
         entry.settledSince.keySet().retainAll(settled);
+        return true;
     }
 
     /**
--- a/library/src/main/java/org/pollenhoist/placement/MoveGuard.java
+++ b/library/src/main/java/org/pollenhoist/placement/MoveGuard.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import org.pollenhoist.common.ModelName;
@@ -152,14 +153,15 @@
         if (!state.ledger().isUnloadSafe(unload.item())) {
             return Optional.of(Refusal.ORDER_PENDING);
         }
-        boolean isHeld = state.ledger().residents().containsKey(unload.item());
-        if (isHeld && !isSteadyElsewhere(unload)) {
+        if (!isSteadyElsewhere(domain, upstreams, unload)) {
             return Optional.of(Refusal.LAST_COPY);
         }
         return Optional.empty();
     }
 
-    private boolean isSteadyElsewhere(Move.Unload unload) {
+    /** Tells whether the model still answers after an unload, as far as is known. */
+    static boolean isSteadyElsewhere(
+            DomainState domain, Map<UpstreamName, UpstreamState> upstreams, Move.Unload unload) {
         ModelName model = ModelName.of(unload.item().modelName());
         if (!domain.models().containsKey(model) || domain.heldElsewhere().contains(model)) {
             return true;
--- a/library/src/main/java/org/pollenhoist/placement/PlacementCoordinator.java
+++ b/library/src/main/java/org/pollenhoist/placement/PlacementCoordinator.java
@@ -102,7 +102,7 @@
         LoadBudget available = budget(input, taken, now);
         MoveGuard.Admission admission = MoveGuard.admit(state, proposal.moves(), available, new Numbers());
         budget = Optional.of(admission.budget());
-        writeAndSend(admission, now);
+        writeAndSend(state, admission, now);
         logVerdicts(admission);
         plans.publish(
                 PlacementPlan.of(state, admission, input.configurationRevision(), input.demand()),
@@ -154,8 +154,7 @@
         Map<UpstreamName, EngineReport> received = engineControl.reports(engines);
         for (Upstream engine : engines) {
             EngineReport report = received.get(engine.name());
-            if (report != null) {
-                ledgers.apply(engine, report, now);
+            if (report != null && ledgers.apply(engine, report, now)) {
                 reports.put(engine.name(), new TimedReport(report, now));
             }
         }
@@ -170,20 +169,16 @@
             upstreams.put(engine.name(), UpstreamState.of(engine, ledgers.ledger(engine.name()), report));
         }
         HomeDomains homes = HomeDomains.of(input.configuration());
-        TreeSet<ModelName> heldElsewhere = new TreeSet<>();
-        for (PlacementPlan plan : plans.others()) {
-            if (plan.configurationRevision() >= input.configurationRevision()) {
-                FailureDomain other = FailureDomain.of(plan.domain());
-                plan.readyModels().stream()
-                        .filter(model -> homes.firstHome(model).equals(Optional.of(other)))
-                        .forEach(heldElsewhere::add);
-            }
-        }
         Map<ModelName, Double> demand = plans.own()
                 .map(plan -> DomainDemand.of(input.demand(), plan, plans.others()))
                 .orElse(input.demand());
         return new DomainState(
-                domain, upstreams, input.configuration().models(), homes.requiredCopies(domain), heldElsewhere, demand);
+                domain,
+                upstreams,
+                input.configuration().models(),
+                homes.requiredCopies(domain),
+                HeldElsewhere.of(homes, plans.others(), input.configurationRevision()),
+                demand);
     }
 
     private LoadBudget budget(RoundInput input, List<Upstream> engines, MonotonicTime now) {
@@ -194,6 +189,11 @@
         StoreShare share = StoreShare.of(input.configuration().weightStore(), domains, domain);
         int modelLoads = 0;
         int adapterLoads = 0;
+        if (engines.size() < engines(input.configuration()).size()) {
+            // A ledger that can't be read may hold as many loads as the store allows.
+            modelLoads = share.modelLoadsInFlight();
+            adapterLoads = share.adapterLoadsInFlight();
+        }
         for (Upstream engine : engines) {
             for (LedgerOrder order : ledgers.ledger(engine.name()).openLoads()) {
                 boolean isModel = order.order().item().kind() == EngineItem.Kind.MODEL;
@@ -217,7 +217,7 @@
         }
     }
 
-    private void writeAndSend(MoveGuard.Admission admission, MonotonicTime now) {
+    private void writeAndSend(DomainState state, MoveGuard.Admission admission, MonotonicTime now) {
         List<UpstreamState> written = new ArrayList<>();
         for (UpstreamState upstream : admission.upstreams().values()) {
             if (ledgers.writeIfChanged(upstream.name(), upstream.ledger())) {
@@ -228,11 +228,12 @@
                 return;
             }
         }
-        written.forEach(upstream -> sendOrders(upstream, now));
+        written.forEach(upstream -> sendOrders(state, admission, upstream, now));
         sentAt.values().removeIf(sent -> now.since(sent).compareTo(settings.forgetSendsAfter()) > 0);
     }
 
-    private void sendOrders(UpstreamState upstream, MonotonicTime now) {
+    private void sendOrders(
+            DomainState state, MoveGuard.Admission admission, UpstreamState upstream, MonotonicTime now) {
         if (upstream.report().isEmpty() || !ledgers.isTaken(upstream.name())) {
             return;
         }
@@ -241,11 +242,36 @@
             boolean isForThisIncarnation = order.incarnation().equals(report.incarnation());
             boolean isListed = report.orderState(order.order().identifier()).isPresent();
             if (order.isOpen() && isForThisIncarnation && !isListed && isTimeToSend(order, now)) {
-                send(upstream, order, now);
+                sendIfStillSafe(state, admission, upstream, order, now);
             }
         }
     }
 
+    /** An unload that was decided on some time ago waits where the model's other copies have been lost since. */
+    private void sendIfStillSafe(
+            DomainState state,
+            MoveGuard.Admission admission,
+            UpstreamState upstream,
+            LedgerOrder order,
+            MonotonicTime now) {
+        EngineItem item = order.order().item();
+        Move.Unload unload = new Move.Unload(upstream.name(), item, Move.Reason.EVICTED);
+        if (order.order().isLoad() || MoveGuard.isSteadyElsewhere(state, admission.upstreams(), unload)) {
+            send(upstream, order, now);
+        } else {
+            LOG.event(
+                    "order_withheld",
+                    "order",
+                    order.order().identifier(),
+                    "upstream",
+                    upstream.name(),
+                    "item",
+                    item.name(),
+                    "reason",
+                    MoveGuard.Refusal.LAST_COPY.text());
+        }
+    }
+
     private boolean isTimeToSend(LedgerOrder order, MonotonicTime now) {
         MonotonicTime sent = sentAt.get(order.order().identifier());
         return sent == null || now.since(sent).compareTo(settings.resendAfter()) >= 0;
@@ -253,7 +279,8 @@
 
     private void send(UpstreamState upstream, LedgerOrder order, MonotonicTime now) {
         boolean isFirst = sentAt.put(order.order().identifier(), now) == null;
-        OrderAnswer answer = engineControl.send(upstream.upstream(), order.incarnation(), order.order());
+        OrderAnswer answer =
+                engineControl.send(upstream.upstream(), order.incarnation(), order.order(), lease.heldUntil());
         LOG.event(
                 "order_sent",
                 "order",
--- a/library/src/main/java/org/pollenhoist/placement/PlacementDraft.java
+++ b/library/src/main/java/org/pollenhoist/placement/PlacementDraft.java
@@ -45,7 +45,9 @@
             boolean isGoing = ledger.isUnloadPending(item);
             long bytes = Math.max(committed.get(item), Footprint.bytes(model));
             engine.takeBytes(bytes);
-            engine.occupied().add(model.name());
+            if (item.version().equals(model.version())) {
+                engine.occupied().add(model.name());
+            }
             covered.add(item);
             covered.addAll(Footprint.adapterItems(model));
             if (isGoing) {
--- a/library/src/main/java/org/pollenhoist/placement/PlacementPlan.java
+++ b/library/src/main/java/org/pollenhoist/placement/PlacementPlan.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import org.pollenhoist.common.FailureDomain;
 import org.pollenhoist.common.ModelName;
 import org.pollenhoist.upstream.EngineItem;
@@ -134,10 +133,19 @@
      * @return their names
      */
     public Set<ModelName> readyModels() {
-        Set<ModelName> ready = new TreeSet<>();
+        return readyCopies().keySet();
+    }
+
+    /**
+     * Returns how many copies of each model answer in this domain.
+     *
+     * @return the number of copies of each model that has any
+     */
+    public Map<ModelName, Integer> readyCopies() {
+        Map<ModelName, Integer> ready = new TreeMap<>();
         copies.stream()
                 .filter(copy -> copy.state().equals("ready"))
-                .forEach(copy -> ready.add(ModelName.of(copy.model())));
+                .forEach(copy -> ready.merge(ModelName.of(copy.model()), 1, Integer::sum));
         return ready;
     }
 
--- a/library/src/main/java/org/pollenhoist/placement/RoomFinder.java
+++ b/library/src/main/java/org/pollenhoist/placement/RoomFinder.java
@@ -64,7 +64,9 @@
         long bytes = Footprint.bytes(model);
         List<EngineDraft> candidates = draft.engines(model).stream()
                 .filter(engine -> !engine.occupied().contains(model.name()))
-                .sorted(preference.reversed())
+                .sorted(Comparator.comparing((EngineDraft engine) -> engine.state()
+                                .isSteady(EngineItem.Kind.MODEL, model.name().value()))
+                        .thenComparing(preference.reversed()))
                 .toList();
         Optional<Room> free = candidates.stream()
                 .filter(engine -> engine.freeBytes() >= bytes)
--- a/library/src/main/java/org/pollenhoist/placement/UpstreamLedger.java
+++ b/library/src/main/java/org/pollenhoist/placement/UpstreamLedger.java
@@ -78,6 +78,10 @@
                 && orders.equals(other.orders);
     }
 
+    boolean isNewerThan(EngineReport report) {
+        return report.incarnation().equals(incarnation) && report.sequence() < sequence;
+    }
+
     /**
      * Takes in a report that was asked for after this ledger was known. A report that is not newer than the last one
      * changes nothing.
--- a/library/src/main/java/org/pollenhoist/upstream/EngineControl.java
+++ b/library/src/main/java/org/pollenhoist/upstream/EngineControl.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.UpstreamName;
 import org.pollenhoist.configuration.Upstream;
 
@@ -39,7 +40,8 @@
      * @param engine the engine
      * @param incarnation the incarnation that the order is for
      * @param order the order
+     * @param notAfter after this time the order is not sent any more; read on the clock just before it is sent
      * @return the engine's answer
      */
-    OrderAnswer send(Upstream engine, String incarnation, EngineOrder order);
+    OrderAnswer send(Upstream engine, String incarnation, EngineOrder order, MonotonicTime notAfter);
 }
--- a/library/src/main/java/org/pollenhoist/upstream/HttpEngineControl.java
+++ b/library/src/main/java/org/pollenhoist/upstream/HttpEngineControl.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.pollenhoist.common.ErrorCode;
+import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.PollenhoistException;
 import org.pollenhoist.common.UpstreamName;
 import org.pollenhoist.configuration.Upstream;
@@ -124,7 +125,7 @@
     }
 
     @Override
-    public OrderAnswer send(Upstream engine, String incarnation, EngineOrder order) {
+    public OrderAnswer send(Upstream engine, String incarnation, EngineOrder order, MonotonicTime notAfter) {
         Session session = sessions.get(engine.name());
         if (session == null || !session.isUsable(engine)) {
             return new OrderAnswer.Unanswered("not sent, no open connection");
@@ -132,8 +133,12 @@
         if (!session.incarnation().equals(incarnation)) {
             return new OrderAnswer.OtherIncarnation(session.incarnation());
         }
+        byte[] content = EngineMessages.order(order);
+        if (notAfter.isBefore(MonotonicTime.read())) {
+            return new OrderAnswer.TooLate();
+        }
         Optional<EngineConnection.Answer> answer =
-                await(session.connection().request(HttpMethod.POST, "/control/orders", EngineMessages.order(order)));
+                await(session.connection().request(HttpMethod.POST, "/control/orders", content));
         if (answer.isEmpty()) {
             end(engine.name());
             return new OrderAnswer.Unanswered("no answer");
--- a/library/src/main/java/org/pollenhoist/upstream/OrderAnswer.java
+++ b/library/src/main/java/org/pollenhoist/upstream/OrderAnswer.java
@@ -26,6 +26,9 @@
      */
     record OtherIncarnation(String actualIncarnation) implements OrderAnswer {}
 
+    /** The time until which the order was to be sent has passed; nothing was sent. */
+    record TooLate() implements OrderAnswer {}
+
     /**
      * No usable answer came; the order may have arrived or may arrive later.
      *
@@ -44,6 +47,7 @@
             case RefusedOldFencing refused -> "refused_old_fencing";
             case RefusedNoMemory refused -> "refused_no_memory";
             case OtherIncarnation other -> "other_incarnation";
+            case TooLate late -> "too_late";
             case Unanswered unanswered -> "unanswered";
         };
     }
