--- a/library/src/main/java/org/pollenhoist/upstream/package-info.java
+++ b/library/src/main/java/org/pollenhoist/upstream/package-info.java
@@ -1,2 +1,2 @@
-/** Upstreams as a peer: model engines with their reports and orders, and plain services. */
+/** Upstreams as a peer: model engines and plain services, called over HTTP/1.1. */
 package org.pollenhoist.upstream;
