--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -29,8 +29,8 @@
 import org.pollenhoist.vm.CrashVerdictExchange;
 import org.pollenhoist.vm.Peer;
 import org.pollenhoist.vm.PeerMesh;
-import ratpack.func.Action;
-import ratpack.registry.RegistrySpec;
+import ratpack.exec.ExecController;
+import ratpack.registry.Registry;
 import ratpack.server.RatpackServerSpec;
 import ratpack.server.ServerConfig;
 import ratpack.server.ServerConfigBuilder;
@@ -67,6 +67,8 @@
 
     private final ConfigurationFeed feed;
 
+    private final LeavingWatch leavingWatch;
+
     private final PlannedStop plannedStop;
 
     private final StrictHttpServer server;
@@ -78,11 +80,13 @@
         InetSocketAddress peerAddress = new InetSocketAddress(
                 settings.peers().address(), settings.peers().port());
         this.mesh = PeerMesh.start(self, peerAddress, settings.peers().seeds());
+        metrics.showPeerTraffic(mesh::sentBytes, mesh::receivedBytes);
         this.platform = HttpPlatformService.at(
                 new InetSocketAddress(
                         settings.platform().address(), settings.platform().port()),
                 settings.platform().timeout());
         this.feed = ConfigurationFeed.start(settings, configuration, platform, mesh);
+        this.leavingWatch = LeavingWatch.start(platform, upstreams);
         this.plannedStop =
                 new PlannedStop(settings.shutdown(), running::count, () -> true, this::entered, MonotonicTime.read());
         this.quarantine = new CrashQuarantine(settings.vm().name(), notice -> CrashVerdictExchange.send(mesh, notice));
@@ -111,13 +115,19 @@
     }
 
     private void define(RatpackServerSpec spec) throws Exception {
-        EntryParts parts = parts();
         HealthHandlers health =
                 new HealthHandlers(settings.vm(), configuration, feed::isReady, plannedStop::phase, running, metrics);
-        ReportPoller poller = new ReportPoller(configuration, upstreams, EngineReports.create());
         spec.serverConfig(serverConfig())
-                .registryOf((Action<RegistrySpec>) registry -> registry.add(poller))
-                .handlers(chain -> chain.insert(health).all(new CallerHandler(parts)));
+                .registry(base -> Registry.single(poller(base.get(ExecController.class))))
+                .handlers(chain -> chain.insert(health).all(callerHandler(chain.getRegistry())));
+    }
+
+    private ReportPoller poller(ExecController executions) throws Exception {
+        return new ReportPoller(configuration, upstreams, EngineReports.create(executions));
+    }
+
+    private CallerHandler callerHandler(Registry registry) throws Exception {
+        return new CallerHandler(parts(UpstreamClient.create(registry.get(ExecController.class))));
     }
 
     private ServerConfigBuilder serverConfig() throws Exception {
@@ -133,7 +143,7 @@
                 .idleTimeout(callers.idleTimeout());
     }
 
-    private EntryParts parts() throws Exception {
+    private EntryParts parts(UpstreamClient client) {
         RetryBudget budget = new RetryBudget();
         return new EntryParts(
                 settings,
@@ -148,7 +158,7 @@
                 budget,
                 quarantine,
                 new IdempotencyTable(),
-                UpstreamClient.create(),
+                client,
                 running,
                 metrics);
     }
@@ -180,6 +190,7 @@
         running.abortAll("this VM stops");
         Thread.sleep(FLUSH_MILLISECONDS);
         server.stop();
+        leavingWatch.close();
         feed.close();
         platform.close();
         mesh.close();
