Ask each engine for its load from one VM and spread the digests

Cause: every VM asked every engine twice a second; at 330 VMs before 2,200 replicas that is 1.4 million reports a second. Change: PollingPlan gives each engine to one VM of its failure domain by rendezvous hashing, or to the reachable ones where the domain has none up, and has stale engines asked directly; LoadExchange sends the digests over the mesh. Ruled out: asking only through the assigned VM, since it may be cut off from the engine while the peer is not.

--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -118,12 +118,12 @@
         HealthHandlers health =
                 new HealthHandlers(settings.vm(), configuration, feed::isReady, plannedStop::phase, running, metrics);
         spec.serverConfig(serverConfig())
-                .registry(base -> Registry.single(poller(base.get(ExecController.class))))
+                .registry(base -> Registry.single(loadExchange(base.get(ExecController.class))))
                 .handlers(chain -> chain.insert(health).all(callerHandler(chain.getRegistry())));
     }
 
-    private ReportPoller poller(ExecController executions) throws Exception {
-        return new ReportPoller(configuration, upstreams, EngineReports.create(executions));
+    private LoadExchange loadExchange(ExecController executions) throws Exception {
+        return new LoadExchange(settings.vm(), configuration, upstreams, EngineReports.create(executions), mesh);
     }
 
     private CallerHandler callerHandler(Registry registry) throws Exception {
