Measure the spread of configurations and check its history under faults

A simulated fleet runs the product's decisions in simulated time: domains are cut off from each other and from the platform, messages get lost, reads answer from before and VMs restart without memory.

--- a/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
@@ -1,6 +1,7 @@
 package org.pollenhoist.experiments;
 
 import java.util.List;
+import org.pollenhoist.experiments.configuration.ConfigurationSpreadExperiment;
 
 /** All experiments that the tool knows. */
 public final class Experiments {
@@ -13,6 +14,6 @@
      * @return the experiments
      */
     public static List<Experiment> all() {
-        return List.of(new EntryLatencyExperiment());
+        return List.of(new EntryLatencyExperiment(), new ConfigurationSpreadExperiment());
     }
 }
