--- a/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
@@ -1,6 +1,8 @@
 package org.pollenhoist.experiments;
 
+import java.util.ArrayList;
 import java.util.List;
+import org.pollenhoist.experiments.configuration.ConfigurationSpreadExperiment;
 
 /** All experiments that the tool knows. */
 public final class Experiments {
@@ -13,6 +15,10 @@
      * @return the experiments
      */
     public static List<Experiment> all() {
-        return List.of(new EntryLatencyExperiment(), new FleetCostExperiment());
+        List<Experiment> experiments = new ArrayList<>();
+        experiments.add(new EntryLatencyExperiment());
+        experiments.add(new FleetCostExperiment());
+        experiments.add(new ConfigurationSpreadExperiment());
+        return List.copyOf(experiments);
     }
 }
