Pass on the end of an answer that is empty

Cause: an answer without a body may end before its reader subscribes; the watched body then failed with a null pointer and the request hung until its deadline.

--- a/library/src/main/java/org/pollenhoist/upstream/AnswerStream.java
+++ b/library/src/main/java/org/pollenhoist/upstream/AnswerStream.java
@@ -172,6 +172,8 @@
         subscriber.onSubscribe(new Demand());
         if (earlyFailure != null) {
             subscriber.onError(earlyFailure);
+        } else if (isEnded) {
+            subscriber.onComplete();
         }
     }
 
@@ -227,7 +229,9 @@
                 isEnded = true;
                 observer.onWhole();
                 whenEnded.forEach(Runnable::run);
-                downstream.onComplete();
+                if (downstream != null) {
+                    downstream.onComplete();
+                }
             }
         }
     }
