--- a/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
@@ -14,6 +14,6 @@
      * @return the experiments
      */
     public static List<Experiment> all() {
-        return List.of(new EntryLatencyExperiment(), new ConfigurationSpreadExperiment());
+        return List.of(new EntryLatencyExperiment(), new FleetCostExperiment(), new ConfigurationSpreadExperiment());
     }
 }
