--- a/experiments/src/main/java/org/pollenhoist/experiments/configuration/SimulatedStore.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/configuration/SimulatedStore.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,10 +20,17 @@
 
     private final List<Map<String, StoredValue>> states = new ArrayList<>(List.of(Map.of()));
 
+    private final Map<String, Integer> latestChanges = new HashMap<>();
+
     int revision() {
         return states.size() - 1;
     }
 
+    /** The revision of the latest change of a key. */
+    int latestChangeOf(String key) {
+        return latestChanges.getOrDefault(key, 0);
+    }
+
     private Map<String, StoredValue> state(int revision) {
         return states.get(revision);
     }
@@ -44,6 +52,7 @@
             next.put(key, value);
         }
         states.add(next);
+        latestChanges.put(key, revision());
     }
 
     /** Returns a client that always gets an answer. */
--- a/experiments/src/main/java/org/pollenhoist/experiments/configuration/SimulatedVm.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/configuration/SimulatedVm.java
@@ -141,7 +141,7 @@
             }
             return List.of();
         }
-        if (store.revision() > watchedRevision) {
+        if (store.latestChangeOf(ConfigurationStore.HEAD_KEY) > watchedRevision) {
             spread.onPlatformAnswer(now);
             Listing listing = client.watched(ConfigurationStore.HEAD_KEY);
             startWatch(milliseconds, store.revision());
