Carry registrations of bookings between VMs and run each key once in the data path

Cause: the registry's decisions were not connected to the mesh, and the entry process did not use idempotency keys.

Change: vm.OutcomeExchange asks registrars, answers, hands records to VMs that start; entry.IdempotentRun wraps the attempts of work that must not be repeated; entry.OutcomeStart writes two markers per VM name in the platform's service (none per request), so that a fresh fleet can vouch from its start.

A registry now keeps all registrations of a key; the key is free only when all have gone.

Requests with a key are refused as unknown, never run again, where neither registrar can vouch.

--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -4,19 +4,24 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.pollenhoist.caller.EntryMetrics;
 import org.pollenhoist.caller.RunningRequests;
 import org.pollenhoist.caller.StrictHttpServer;
 import org.pollenhoist.common.DecisionLog;
+import org.pollenhoist.common.FailureDomain;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.configuration.ConfigurationTable;
 import org.pollenhoist.configuration.InstalledConfiguration;
+import org.pollenhoist.configuration.Upstream;
 import org.pollenhoist.platform.HttpPlatformService;
 import org.pollenhoist.request.CrashQuarantine;
 import org.pollenhoist.request.DrainPhase;
 import org.pollenhoist.request.IdempotencyTable;
+import org.pollenhoist.request.OutcomeRegistry;
 import org.pollenhoist.request.RetryBudget;
 import org.pollenhoist.request.RetryPolicy;
 import org.pollenhoist.routing.Router;
@@ -27,6 +32,7 @@
 import org.pollenhoist.upstream.EngineReports;
 import org.pollenhoist.upstream.UpstreamClient;
 import org.pollenhoist.vm.CrashVerdictExchange;
+import org.pollenhoist.vm.OutcomeExchange;
 import org.pollenhoist.vm.Peer;
 import org.pollenhoist.vm.PeerMesh;
 import ratpack.exec.ExecController;
@@ -61,6 +67,12 @@
 
     private final CrashQuarantine quarantine;
 
+    private final IdempotencyTable idempotency = new IdempotencyTable();
+
+    private final OutcomeExchange outcomes;
+
+    private final OutcomeStart outcomeStart;
+
     private final PeerMesh mesh;
 
     private final HttpPlatformService platform;
@@ -91,6 +103,10 @@
                 new PlannedStop(settings.shutdown(), running::count, () -> true, this::entered, MonotonicTime.read());
         this.quarantine = new CrashQuarantine(settings.vm().name(), notice -> CrashVerdictExchange.send(mesh, notice));
         mesh.addListener(CrashVerdictExchange.receiver(quarantine));
+        OutcomeRegistry registry = new OutcomeRegistry(settings.vm().name(), MonotonicTime.read());
+        this.outcomes = new OutcomeExchange(self, mesh, registry, idempotency, this::failureDomains);
+        mesh.addListener(outcomes);
+        this.outcomeStart = OutcomeStart.begin(self, platform, registry);
         this.server = StrictHttpServer.of(this::define);
         configuration.addListener(this::installed);
     }
@@ -157,12 +173,20 @@
                 new RetryPolicy(budget),
                 budget,
                 quarantine,
-                new IdempotencyTable(),
+                idempotency,
+                outcomes,
                 client,
                 running,
                 metrics);
     }
 
+    private Set<FailureDomain> failureDomains() {
+        return configuration.current().stream()
+                .flatMap(installed -> installed.configuration().upstreams().values().stream())
+                .map(Upstream::failureDomain)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     private static InForce inForce(InstalledConfiguration installed) {
         return new InForce(installed.revision(), installed.configuration());
     }
@@ -191,6 +215,7 @@
         Thread.sleep(FLUSH_MILLISECONDS);
         server.stop();
         leavingWatch.close();
+        outcomeStart.close();
         feed.close();
         platform.close();
         mesh.close();
--- a/library/src/main/java/org/pollenhoist/entry/EntryParts.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryParts.java
@@ -15,6 +15,7 @@
 import org.pollenhoist.routing.UpstreamTable;
 import org.pollenhoist.settings.EntrySettings;
 import org.pollenhoist.upstream.UpstreamClient;
+import org.pollenhoist.vm.OutcomeExchange;
 
 /**
  * What all requests of one entry process share.
@@ -30,6 +31,7 @@
  * @param retryBudget bounds them
  * @param quarantine keeps requests from crashing one upstream after the other
  * @param idempotency what became of requests with an idempotency key
+ * @param outcomes asks other VMs about them
  * @param client sends to upstreams
  * @param running the requests that run now
  * @param metrics what is counted
@@ -46,6 +48,7 @@
         RetryBudget retryBudget,
         CrashQuarantine quarantine,
         IdempotencyTable idempotency,
+        OutcomeExchange outcomes,
         UpstreamClient client,
         RunningRequests running,
         EntryMetrics metrics) {}
--- a/library/src/main/java/org/pollenhoist/entry/FlowRunner.java
+++ b/library/src/main/java/org/pollenhoist/entry/FlowRunner.java
@@ -94,7 +94,7 @@
     private Promise<FlowOutcome> attempts(MonotonicTime arrival) {
         parts.metrics().observeDecision(MonotonicTime.read().secondsSince(arrival));
         isSent = true;
-        return AttemptLoop.run(parts, flow, meter);
+        return IdempotentRun.of(parts, flow, () -> AttemptLoop.run(parts, flow, meter));
     }
 
     private void complete(FlowOutcome result) {
--- a/library/src/main/java/org/pollenhoist/request/OutcomeRecord.java
+++ b/library/src/main/java/org/pollenhoist/request/OutcomeRecord.java
@@ -18,6 +18,10 @@
         RegistrarAnswer.State state,
         MonotonicTime since) {
 
+    boolean isRunBy(RegistrarAnswer.Runner process) {
+        return runner.equals(process) && state == RegistrarAnswer.State.RUNNING;
+    }
+
     OutcomeRecord in(RegistrarAnswer.State newState) {
         return new OutcomeRecord(digest, request, runner, newState, since);
     }
--- a/library/src/main/java/org/pollenhoist/request/OutcomeRegistry.java
+++ b/library/src/main/java/org/pollenhoist/request/OutcomeRegistry.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -31,17 +32,23 @@
     public static final int REGISTRARS = 2;
 
     private static final Duration REMEMBERED = Duration.ofHours(1);
+    private static final Duration BETWEEN_FORGETTING = Duration.ofMinutes(1);
 
     /** How far back a registrar has to know; covers the time in which VMs may still differ about the members. */
     private static final Duration NEEDED = PROMISED.plus(Duration.ofSeconds(30));
 
     private final VmName self;
     private final Object lock = new Object();
-    private final Map<RequestFingerprint, OutcomeRecord> records = new LinkedHashMap<>();
+    /** Several records of one key may come together by taking over; the key is free only when all have gone. */
+    private final Map<RequestFingerprint, List<OutcomeRecord>> recordsByKey = new LinkedHashMap<>();
+
     private final Map<VmName, MonotonicTime> lastSeen = new HashMap<>();
-    private final Set<VmName> takenOverWhole = new HashSet<>();
+    private final Map<VmName, Standing> takenOver = new HashMap<>();
     private final MonotonicTime startedAt;
-    private boolean startedEmpty;
+    private MonotonicTime lastForgotten;
+    private boolean isFirstOfDomain;
+    private boolean isFirstOfName;
+    private boolean hasVouched;
 
     /**
      * Creates the registry of a process that has just started and knows of nothing before.
@@ -52,13 +59,20 @@
     public OutcomeRegistry(VmName self, MonotonicTime now) {
         this.self = self;
         this.startedAt = now;
+        this.lastForgotten = now;
         lastSeen.put(self, now);
     }
 
-    /** Notes that the failure domain had no process before this one, so that nothing was ever registered there. */
-    public void startEmpty() {
+    /**
+     * Notes what the platform's markers say of processes before this one.
+     *
+     * @param isFirst whether no process of this VM's name ever ran before
+     * @param isFirstOfAll whether no process of the failure domain did, so that nothing was ever registered there
+     */
+    public void started(boolean isFirst, boolean isFirstOfAll) {
         synchronized (lock) {
-            startedEmpty = true;
+            isFirstOfName = isFirst;
+            isFirstOfDomain = isFirstOfAll;
         }
     }
 
@@ -88,14 +102,17 @@
     public RegistrarAnswer register(
             RequestFingerprint digest, RequestFingerprint request, RegistrarAnswer.Runner runner, MonotonicTime now) {
         synchronized (lock) {
-            forgetOld(now);
-            OutcomeRecord known = records.get(digest);
-            if (known != null) {
-                boolean isSame = known.request().equals(request);
-                RegistrarAnswer.State state = isSame ? known.state() : RegistrarAnswer.State.OTHER_REQUEST;
-                return new RegistrarAnswer(state, Optional.of(known.runner()), true);
+            if (now.since(lastForgotten).compareTo(BETWEEN_FORGETTING) >= 0) {
+                lastForgotten = now;
+                forgetOld(now);
+            }
+            Optional<OutcomeRecord> known = known(digest);
+            if (known.isPresent()) {
+                boolean isSame = known.get().request().equals(request);
+                RegistrarAnswer.State state = isSame ? known.get().state() : RegistrarAnswer.State.OTHER_REQUEST;
+                return new RegistrarAnswer(state, Optional.of(known.get().runner()), true);
             }
-            records.put(digest, new OutcomeRecord(digest, request, runner, RegistrarAnswer.State.RUNNING, now));
+            add(new OutcomeRecord(digest, request, runner, RegistrarAnswer.State.RUNNING, now));
             return new RegistrarAnswer(RegistrarAnswer.State.NEVER_SEEN, Optional.empty(), vouches(digest, now));
         }
     }
@@ -109,14 +126,15 @@
      */
     public void ended(RequestFingerprint digest, RegistrarAnswer.Runner runner, RegistrarAnswer.State state) {
         synchronized (lock) {
-            OutcomeRecord known = records.get(digest);
-            if (known == null || !known.runner().equals(runner) || known.state() != RegistrarAnswer.State.RUNNING) {
-                return;
-            }
-            if (state == RegistrarAnswer.State.NEVER_SEEN) {
-                records.remove(digest);
+            List<OutcomeRecord> known = recordsByKey.getOrDefault(digest, new ArrayList<>());
+            boolean isProvedNotRun = state == RegistrarAnswer.State.NEVER_SEEN;
+            if (isProvedNotRun) {
+                known.removeIf(record -> record.isRunBy(runner));
             } else {
-                records.put(digest, known.in(state));
+                known.replaceAll(record -> record.isRunBy(runner) ? record.in(state) : record);
+            }
+            if (known.isEmpty()) {
+                recordsByKey.remove(digest);
             }
         }
     }
@@ -128,22 +146,23 @@
      */
     public List<OutcomeRecord> records() {
         synchronized (lock) {
-            return new ArrayList<>(records.values());
+            return recordsByKey.values().stream().flatMap(List::stream).toList();
         }
     }
 
     /**
-     * Tells whether this process knows all registrations of its keys within the promised time.
+     * Returns what this process knows.
      *
      * @param now the present time
-     * @return true where it started empty, has been up for long enough, or took over from all other members
+     * @return WHOLE where it was the first of its failure domain, has been up for long enough, or took over from all
+     *     other members, one of them whole and none of them partial
      */
-    public boolean isWhole(MonotonicTime now) {
+    public Standing standing(MonotonicTime now) {
         synchronized (lock) {
-            Set<VmName> others = new HashSet<>(members(now));
-            others.remove(self);
-            boolean isTakenOverFromAll = !others.isEmpty() && takenOverWhole.containsAll(others);
-            return knowsSinceStart(now) || isTakenOverFromAll;
+            if (isWhole(now)) {
+                return Standing.WHOLE;
+            }
+            return isFirstOfName && !hasVouched ? Standing.NEW : Standing.PARTIAL;
         }
     }
 
@@ -152,14 +171,26 @@
      *
      * @param member the other member
      * @param taken its records
-     * @param isWhole whether it knows all registrations of its keys
+     * @param standing what it knew at that time
      */
-    public void takeOver(VmName member, Collection<OutcomeRecord> taken, boolean isWhole) {
+    public void takeOver(VmName member, Collection<OutcomeRecord> taken, Standing standing) {
         synchronized (lock) {
-            taken.forEach(record -> records.putIfAbsent(record.digest(), record));
-            if (isWhole) {
-                takenOverWhole.add(member);
-            }
+            taken.forEach(this::add);
+            takenOver.merge(member, standing, (old, latest) -> old == Standing.WHOLE ? old : latest);
+        }
+    }
+
+    /** The record that tells most: one that has ended, before one that is only registered. */
+    private Optional<OutcomeRecord> known(RequestFingerprint digest) {
+        return recordsByKey.getOrDefault(digest, List.of()).stream()
+                .max(Comparator.comparing(record -> record.state() != RegistrarAnswer.State.RUNNING));
+    }
+
+    private void add(OutcomeRecord added) {
+        List<OutcomeRecord> known = recordsByKey.computeIfAbsent(added.digest(), digest -> new ArrayList<>());
+        boolean isKnown = known.stream().anyMatch(record -> record.runner().equals(added.runner()));
+        if (!isKnown) {
+            known.add(added);
         }
     }
 
@@ -167,12 +198,22 @@
         List<VmName> firstTwo = Rendezvous.rank(digest.high(), members(now)).stream()
                 .limit(REGISTRARS)
                 .toList();
-        boolean isOneOfThem = firstTwo.contains(self);
-        return isOneOfThem && (knowsSinceStart(now) || firstTwo.stream().anyMatch(takenOverWhole::contains));
+        boolean vouches = firstTwo.contains(self)
+                && (isWhole(now) || firstTwo.stream().anyMatch(member -> takenOver.get(member) == Standing.WHOLE));
+        hasVouched |= vouches;
+        return vouches;
     }
 
-    private boolean knowsSinceStart(MonotonicTime now) {
-        return startedEmpty || now.since(startedAt).compareTo(NEEDED) >= 0;
+    private boolean isWhole(MonotonicTime now) {
+        return isFirstOfDomain || now.since(startedAt).compareTo(NEEDED) >= 0 || hasTakenOverFromAll(now);
+    }
+
+    private boolean hasTakenOverFromAll(MonotonicTime now) {
+        Set<VmName> others = new HashSet<>(members(now));
+        others.remove(self);
+        boolean isNoneMissing = others.stream()
+                .allMatch(member -> takenOver.getOrDefault(member, Standing.PARTIAL) != Standing.PARTIAL);
+        return isNoneMissing && takenOver.containsValue(Standing.WHOLE);
     }
 
     private Set<VmName> members(MonotonicTime now) {
@@ -183,12 +224,9 @@
     }
 
     private void forgetOld(MonotonicTime now) {
-        var oldestFirst = records.values().iterator();
-        while (oldestFirst.hasNext()) {
-            if (now.since(oldestFirst.next().since()).compareTo(REMEMBERED) <= 0) {
-                return;
-            }
-            oldestFirst.remove();
-        }
+        recordsByKey.values().removeIf(known -> {
+            known.removeIf(record -> now.since(record.since()).compareTo(REMEMBERED) > 0);
+            return known.isEmpty();
+        });
     }
 }
--- a/library/src/test/java/org/pollenhoist/request/BookingFleet.java
+++ b/library/src/test/java/org/pollenhoist/request/BookingFleet.java
@@ -73,10 +73,11 @@
     void run(long betweenDeaths) {
         for (int vm = 0; vm < VMS; vm++) {
             EntryVm first = new EntryVm(VmName.of("vm-" + vm));
-            first.registry.startEmpty();
+            first.registry.started(true, vm == 0);
             processes.put(first.name, first);
         }
         processes.values().forEach(this::meetAll);
+        processes.values().forEach(this::takeOver);
         long last = 120_000;
         for (int booking = 0; booking < BOOKINGS; booking++) {
             int number = booking;
@@ -216,7 +217,8 @@
             }
             after(
                     LONGEST_DELAY_MILLISECONDS + random.nextInt(LONGEST_DELAY_MILLISECONDS),
-                    () -> fresh.registry.takeOver(other.name, other.registry.records(), other.registry.isWhole(now())));
+                    () -> fresh.registry.takeOver(
+                            other.name, other.registry.records(), other.registry.standing(now())));
         }
     }
 
--- a/library/src/test/java/org/pollenhoist/request/OutcomeRegistryTest.java
+++ b/library/src/test/java/org/pollenhoist/request/OutcomeRegistryTest.java
@@ -35,7 +35,7 @@
 
         @Test
         void should_vouch_when_nothing_was_ever_registered_before_it() {
-            registry.startEmpty();
+            registry.started(true, true);
             assertThat(registry.register(DIGEST, REQUEST, RUNNER, START).vouches())
                     .isTrue();
         }
@@ -69,23 +69,33 @@
         @Test
         void should_vouch_when_the_other_registrar_knew_all() {
             registry.memberSeen(RUNNER.vm(), START);
-            registry.takeOver(RUNNER.vm(), List.of(), true);
+            registry.takeOver(RUNNER.vm(), List.of(), Standing.WHOLE);
             assertThat(registry.register(DIGEST, REQUEST, RUNNER, START).vouches())
                     .isTrue();
-            assertThat(registry.isWhole(START)).isTrue();
+            assertThat(registry.standing(START)).isEqualTo(Standing.WHOLE);
         }
 
         @Test
         void should_not_vouch_when_the_other_registrar_did_not_know_all() {
             registry.memberSeen(RUNNER.vm(), START);
-            registry.takeOver(RUNNER.vm(), List.of(), false);
+            registry.takeOver(RUNNER.vm(), List.of(), Standing.PARTIAL);
             assertThat(registry.register(DIGEST, REQUEST, RUNNER, START).vouches())
                     .isFalse();
         }
 
+        @Test
+        void should_keep_a_record_taken_over_when_a_registration_came_in_between_and_ended() {
+            OutcomeRecord earlier = new OutcomeRecord(DIGEST, REQUEST, RUNNER, RegistrarAnswer.State.FINISHED, START);
+            registry.register(DIGEST, REQUEST, OTHER, START);
+            registry.takeOver(RUNNER.vm(), List.of(earlier), Standing.WHOLE);
+            registry.ended(DIGEST, OTHER, RegistrarAnswer.State.NEVER_SEEN);
+            assertThat(registry.register(DIGEST, REQUEST, OTHER, START).state())
+                    .isEqualTo(RegistrarAnswer.State.FINISHED);
+        }
+
         @Test
         void should_never_vouch_for_a_key_of_two_other_members() {
-            registry.startEmpty();
+            registry.started(true, true);
             registry.memberSeen(RUNNER.vm(), START);
             registry.memberSeen(OTHER.vm(), START);
             long foreign = 0;
@@ -143,7 +153,7 @@
     @Nested
     class History {
 
-        private static final int SEEDS = 200;
+        private static final int SEEDS = 400;
 
         @ParameterizedTest
         @ValueSource(longs = {3_000, 20_000, 60_000})
