Have a few VMs of each domain read the platform's list and tell the others

Ruled out: a longer interval, which new work for a leaving upstream would follow. Change: two VMs of each failure domain read, by rendezvous hashing, and send what they find with the load digests; a reader that is not heard for 10 s no longer counts.

--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -98,7 +98,7 @@
                         settings.platform().address(), settings.platform().port()),
                 settings.platform().timeout());
         this.feed = ConfigurationFeed.start(settings, configuration, platform, mesh);
-        this.leavingWatch = LeavingWatch.start(platform, upstreams);
+        this.leavingWatch = LeavingWatch.start(settings.vm(), platform, upstreams, mesh);
         this.plannedStop =
                 new PlannedStop(settings.shutdown(), running::count, () -> true, this::entered, MonotonicTime.read());
         this.quarantine = new CrashQuarantine(settings.vm().name(), notice -> CrashVerdictExchange.send(mesh, notice));
