--- a/library/src/main/java/org/pollenhoist/limit/Borrower.java
+++ b/library/src/main/java/org/pollenhoist/limit/Borrower.java
@@ -27,8 +27,14 @@
 
     private static final double WANTED_DEMAND = 1.4;
 
+    /** Multiple of the demand that is wanted while the level is low, so that it recovers. */
+    private static final double WANTED_AT_LOW_LEVEL = 1.8;
+
+    /** Part of the capacity below which the level is low. */
+    private static final double LOW_LEVEL = 0.3;
+
     /** A loan is given back where the rest is above this multiple; the distance to SCARCE_DEMAND is the hysteresis. */
-    private static final double AMPLE_DEMAND = 1.6;
+    private static final double AMPLE_DEMAND = 2.0;
 
     /** Rate that a peer is expected to keep, as a multiple of its demand. */
     private static final double PEER_KEEPS = 1.25;
@@ -36,6 +42,18 @@
     /** Demand that a question also covers, in seconds, so that the next requests need not ask. */
     private static final double AHEAD_SECONDS = 0.25;
 
+    /** Tokens asked for beyond what is missing, so that parts that were rounded down on the way still suffice. */
+    private static final double SLACK_TOKENS = 1;
+
+    /** A loan that was not extended is given back this long before it ends, so that its tokens are not lost. */
+    private static final long LAST_CALL_NANOSECONDS = 2_000_000_000L;
+
+    /** Difference of levels, as parts of capacity, from which tokens are evened out. */
+    private static final double UNEVEN = 0.2;
+
+    /** Demand that evening out covers at most, in seconds. */
+    private static final double EVENED_SECONDS = 2;
+
     /** Rate below which a missing part is not worth a message, as a part of the team's rate. */
     private static final long LEAST_RATE_PARTS = Parts.WHOLE / 1000;
 
@@ -82,8 +100,13 @@
 
     private List<Outgoing> openRound(WaitingRequest waiting, long time) {
         double bound = waiting.boundTokens();
-        double missingCapacity = Math.max(0, bound - share.bucket().capacity());
-        double missing = bound - share.bucket().level();
+        double missingCapacity = Math.max(
+                0,
+                bound
+                        + SLACK_TOKENS
+                        + share.bucket().probableReturns()
+                        - share.bucket().capacity());
+        double missing = bound + SLACK_TOKENS - share.bucket().level();
         double ahead = share.demand().at(time) * AHEAD_SECONDS;
         double room =
                 share.bucket().capacity() + missingCapacity - share.bucket().level();
@@ -93,12 +116,12 @@
         List<Outgoing> messages = new ArrayList<>();
         double remaining = wanted;
         double remainingCapacity = missingCapacity;
-        for (Candidate candidate : candidates(missingCapacity, time)) {
-            if (remaining <= 0 && remainingCapacity <= 0) {
+        for (Candidate candidate : share.peers().byLevel(time, unknownPeerTokens())) {
+            if (remaining <= 0) {
                 break;
             }
-            double tokens = Math.max(0, Math.min(remaining, candidate.amount()));
-            double capacity = Math.min(remainingCapacity, candidate.amount());
+            double tokens = Math.min(remaining, candidate.amount());
+            double capacity = Math.min(remainingCapacity, tokens);
             messages.add(question(candidate.peer(), 0, parts(capacity), tokens, true, time));
             remaining -= tokens;
             remainingCapacity -= capacity;
@@ -106,12 +129,8 @@
         return messages;
     }
 
-    private List<Candidate> candidates(double missingCapacity, long time) {
-        double unknown = share.limit().burstTokens() / (share.peers().size() + 1);
-        if (missingCapacity > 0) {
-            return share.peers().byCapacity(unknown);
-        }
-        return share.peers().byLevel(time, unknown);
+    private double unknownPeerTokens() {
+        return share.limit().burstTokens() / (share.peers().size() + 1);
     }
 
     private long parts(double capacity) {
@@ -140,7 +159,7 @@
         }
         long endsAt = question.sentAt() + loan.duration().toNanos();
         Portion total = new Portion(loan.lentRateParts(), loan.lentBurstParts());
-        share.book().take(from, loan.lenderIncarnation(), total, endsAt, loan.sequence());
+        share.book().take(from, loan, total, endsAt);
         share.book().dropEnded(share.bucket().refilledAt());
         share.resize(share.bucket().refilledAt());
         share.bucket().add(loan.tokens());
@@ -154,14 +173,36 @@
         List<Outgoing> messages = new ArrayList<>();
         tendLoans(messages, time);
         askForRate(messages, time);
+        askForTokens(messages, time);
         return messages;
     }
 
+    /** Evens out levels before a request has to wait, and before a full peer's refill is lost. */
+    private void askForTokens(List<Outgoing> messages, long time) {
+        double capacity = share.bucket().capacity();
+        List<Candidate> fullest = share.peers().byFullness(time);
+        if (capacity <= 0 || fullest.isEmpty() || share.demand().at(time) <= 0) {
+            return;
+        }
+        Candidate donor = fullest.get(0);
+        double difference = donor.amount() - share.bucket().level() / capacity;
+        if (difference < UNEVEN) {
+            return;
+        }
+        double smaller = Math.min(capacity, share.peers().capacity(donor.peer()));
+        double soon = share.demand().at(time) * EVENED_SECONDS;
+        double wanted = Math.min(soon, Math.min(share.bucket().spareRoom(), smaller * difference / 2));
+        if (wanted > SLACK_TOKENS) {
+            messages.add(question(donor.peer(), 0, 0, wanted, false, time));
+        }
+    }
+
     private void tendLoans(List<Outgoing> messages, long time) {
         double demand = share.demand().at(time);
         long half = share.settings().loanDuration().toNanos() / 2;
         for (Loan loan : List.copyOf(share.book().taken())) {
-            if (isDispensable(loan, demand) && isFree(loan, time)) {
+            boolean endsNow = loan.endsAt() - time < LAST_CALL_NANOSECONDS;
+            if ((endsNow || isDispensable(loan, demand)) && isFree(loan, time)) {
                 messages.add(giveBack(loan));
             } else if (loan.endsAt() - time < half) {
                 messages.add(question(loan.peer(), 0, 0, 0, false, time));
@@ -175,7 +216,8 @@
                 share.limit().tokensPerSecond());
         boolean isRateAmple = loan.portion().rateParts() == 0 || ampleRate >= AMPLE_DEMAND * demand;
         boolean isCapacityUsed = share.bucket().level() > share.bucket().capacity() / 2 && demand > ampleRate / 2;
-        return isRateAmple && !isCapacityUsed;
+        double capacityLeft = share.active().burstParts() * share.bucket().spareFraction();
+        return isRateAmple && !isCapacityUsed && loan.portion().burstParts() <= capacityLeft;
     }
 
     private boolean isFree(Loan loan, long time) {
@@ -198,10 +240,12 @@
     private void askForRate(List<Outgoing> messages, long time) {
         double demand = share.demand().at(time);
         double rate = share.bucket().tokensPerSecond();
-        if (rate >= SCARCE_DEMAND * demand) {
+        boolean isLevelLow = share.bucket().level() < LOW_LEVEL * share.bucket().capacity();
+        double wanted = isLevelLow ? WANTED_AT_LOW_LEVEL * demand : WANTED_DEMAND * demand;
+        if (rate >= (isLevelLow ? WANTED_DEMAND : SCARCE_DEMAND) * demand) {
             return;
         }
-        double missing = Math.min(WANTED_DEMAND * demand, share.limit().tokensPerSecond()) - rate;
+        double missing = Math.min(wanted, share.limit().tokensPerSecond()) - rate;
         int asked = 0;
         for (Candidate candidate : share.peers().bySpareRate(PEER_KEEPS)) {
             long parts = Parts.holding(
--- a/library/src/main/java/org/pollenhoist/limit/HomeLeaseSettings.java
+++ b/library/src/main/java/org/pollenhoist/limit/HomeLeaseSettings.java
@@ -8,6 +8,7 @@
  * @param floatDuration how long the half that others may take over soon lasts
  * @param floorDuration how long the other half lasts
  * @param renewalInterval how often the short lease is renewed and the record read
+ * @param retryInterval how soon a renewal that failed is tried again
  * @param floorRenewalInterval how often the long lease is renewed
  * @param margin how much earlier the holder counts a lease as ended than the platform
  * @param quarantine how long parts of a process that has ended stay unused, since loans of its may still run
@@ -16,6 +17,7 @@
         Duration floatDuration,
         Duration floorDuration,
         Duration renewalInterval,
+        Duration retryInterval,
         Duration floorRenewalInterval,
         Duration margin,
         Duration quarantine) {
@@ -31,6 +33,7 @@
                 Duration.ofMinutes(15),
                 Duration.ofHours(24),
                 Duration.ofMinutes(3).plusSeconds(45),
+                Duration.ofSeconds(15),
                 Duration.ofHours(1),
                 Duration.ofSeconds(15),
                 Duration.ofSeconds(35));
--- a/library/src/main/java/org/pollenhoist/limit/HomeShareKeeper.java
+++ b/library/src/main/java/org/pollenhoist/limit/HomeShareKeeper.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -21,7 +22,7 @@
 
 /**
  * Keeps a process's home share in the platform's record and in the table of shares. Not thread-safe: one thread calls
- * {@link #step} at each renewal interval.
+ * {@link #step} again after the time that the last call returned.
  */
 public final class HomeShareKeeper {
 
@@ -93,12 +94,14 @@
     /**
      * Renews the leases, takes over what others left, and evens out the home shares of the failure domain. Where the
      * platform can't be reached, nothing changes: the share that is held ends by itself.
+     *
+     * @return how long to wait before the next step
      */
-    public void step() {
+    public Duration step() {
         try {
             if (leases.keep()) {
                 publish();
-                update(read());
+                return update(read()) ? settings.renewalInterval() : settings.retryInterval();
             }
         } catch (PollenhoistException failure) {
             LOG.event(
@@ -108,6 +111,7 @@
                     "reason",
                     failure.code().text());
         }
+        return settings.retryInterval();
     }
 
     /** Gives the home share up before a planned stop. */
@@ -147,25 +151,28 @@
         return prefix + "record";
     }
 
-    private void update(Snapshot snapshot) {
+    /** Returns whether the record stands as wanted. */
+    private boolean update(Snapshot snapshot) {
         if (snapshot.version() < knownVersion) {
             // A read that was answered from before would bring back parts that were given away since.
-            return;
+            return false;
         }
         if (mustFence && !write(snapshot, snapshot.record())) {
-            return;
+            return false;
         }
         Snapshot current = mustFence ? snapshot.afterWrite() : snapshot;
         mustFence = false;
         knownVersion = Math.max(knownVersion, current.version());
         confirm(current.record(), 0);
         HomeRecord wanted = withGift(withOwnEntry(withoutEnded(current)));
-        if (!wanted.equals(current.record()) && write(current, wanted)) {
+        boolean isWritten = !wanted.equals(current.record()) && write(current, wanted);
+        if (isWritten) {
             confirm(wanted, current.record().untouched() - wanted.untouched());
         }
         publish();
         LOG.event(
                 "home_share", "parts", heldParts(), "members", wanted.members().size(), "version", knownVersion);
+        return isWritten || wanted.equals(current.record());
     }
 
     private void confirm(HomeRecord record, long untouchedParts) {
--- a/library/src/main/java/org/pollenhoist/limit/Lender.java
+++ b/library/src/main/java/org/pollenhoist/limit/Lender.java
@@ -13,6 +13,9 @@
     /** Rate that a lender keeps, as a multiple of its own demand. */
     private static final double KEPT_DEMAND = 1.25;
 
+    /** Part of the level that is given to a peer in which no request waits yet. */
+    private static final double GIVEN_AHEAD = 0.5;
+
     /** Divisors of the loan duration that are tried in turn where parts are not free for all of it. */
     private static final int[] DURATION_DIVISORS = {1, 3, 10};
 
@@ -39,13 +42,16 @@
         Offer offer = offer(request, now);
         double accompanying = request.isUrgent() ? 0 : accompanyingTokens(offer.added());
         share.bucket().remove(accompanying);
-        Portion total = book(from, request, offer, now);
+        long sequence = nextSequence++;
+        Optional<Loan> loan = book(from, request, offer, sequence, now);
+        Portion total = loan.map(Loan::portion).orElse(Portion.NONE);
         return new ShareMessage.Loan(
                 share.team(),
                 request.borrowerIncarnation(),
                 request.request(),
                 share.incarnation(),
-                nextSequence - 1,
+                sequence,
+                loan.map(Loan::sequence).orElse(0L),
                 total.rateParts(),
                 total.burstParts(),
                 offer.duration(),
@@ -54,9 +60,8 @@
     }
 
     private double tokensFor(ShareMessage.Request request) {
-        return request.isUrgent()
-                ? Math.max(0, Math.min(request.wantedTokens(), share.bucket().level()))
-                : 0;
+        double available = share.bucket().level() * (request.isUrgent() ? 1 : GIVEN_AHEAD);
+        return Math.max(0, Math.min(request.wantedTokens(), available));
     }
 
     /** Capacity that is lent takes its part of the level along, so that the lender loses nothing to its new cap. */
@@ -100,15 +105,13 @@
         return free.covers(Portion.NONE) ? Optional.of(new Offer(wanted.least(free), duration)) : Optional.empty();
     }
 
-    private Portion book(VmName from, ShareMessage.Request request, Offer offer, MonotonicTime now) {
-        long sequence = nextSequence++;
-        Optional<Loan> known = share.book().findGiven(request.borrowerIncarnation());
-        if (known.isEmpty() && offer.added().isEmpty()) {
-            return Portion.NONE;
+    private Optional<Loan> book(
+            VmName from, ShareMessage.Request request, Offer offer, long sequence, MonotonicTime now) {
+        if (offer.duration().isZero()) {
+            return share.book().findGiven(request.borrowerIncarnation());
         }
-        long endsAt = offer.duration().isZero() ? Long.MIN_VALUE : endOf(offer.duration(), now);
-        Loan loan = share.book().lend(from, request.borrowerIncarnation(), offer.added(), endsAt, sequence);
-        return loan.portion();
+        long endsAt = endOf(offer.duration(), now);
+        return Optional.of(share.book().lend(from, request.borrowerIncarnation(), offer.added(), endsAt, sequence));
     }
 
     private long endOf(Duration duration, MonotonicTime now) {
@@ -126,7 +129,9 @@
         }
         long spare = share.active().rateParts() - keptRateParts(now);
         long rate = Math.max(0, Math.min(request.wantedRateParts(), spare));
-        long burst = Math.min(rate, Math.max(0, share.active().burstParts()));
+        long spareBurst = (long)
+                (Math.max(0, share.active().burstParts()) * share.bucket().spareFraction());
+        long burst = Math.min(rate, spareBurst);
         return new Portion(rate, burst);
     }
 
--- a/library/src/main/java/org/pollenhoist/limit/LoanBook.java
+++ b/library/src/main/java/org/pollenhoist/limit/LoanBook.java
@@ -50,7 +50,7 @@
         private final VmName peer;
         private final long peerIncarnation;
         private Portion portion = Portion.NONE;
-        private long endsAt;
+        private long endsAt = Long.MIN_VALUE;
         private long sequence;
 
         Loan(VmName peer, long peerIncarnation) {
@@ -162,9 +162,10 @@
         return sequence > lastSequenceByLender.getOrDefault(lenderIncarnation, 0L);
     }
 
-    /** Books a loan that arrived. The caller has checked that it is new and not over. */
-    void take(VmName lender, long lenderIncarnation, Portion total, long endsAt, long sequence) {
-        lastSequenceByLender.put(lenderIncarnation, sequence);
+    /** Books a loan that arrived. The caller has checked that it is new. */
+    void take(VmName lender, ShareMessage.Loan message, Portion total, long endsAt) {
+        long lenderIncarnation = message.lenderIncarnation();
+        lastSequenceByLender.put(lenderIncarnation, message.sequence());
         Optional<Loan> known = find(taken, lenderIncarnation);
         if (known.isEmpty() && total.isEmpty()) {
             return;
@@ -172,7 +173,7 @@
         Loan loan = known.orElseGet(() -> start(taken, lender, lenderIncarnation));
         loan.portion = total;
         loan.endsAt = Math.max(loan.endsAt, endsAt);
-        loan.sequence = sequence;
+        loan.sequence = message.loanSequence();
     }
 
     /** Ends a loan that was given where its last answer is the one that the borrower names. */
--- a/library/src/main/java/org/pollenhoist/limit/PeerView.java
+++ b/library/src/main/java/org/pollenhoist/limit/PeerView.java
@@ -74,16 +74,21 @@
         return candidates(known -> known.isTold ? level(known, now) : unknownPeer);
     }
 
+    /** Returns the peers by how full they probably are, as a part of their capacity, the fullest first. */
+    List<Candidate> byFullness(long now) {
+        return candidates(known -> known.capacity <= 0 ? 0 : level(known, now) / known.capacity);
+    }
+
+    /** Returns the capacity that a peer told, in tokens. */
+    double capacity(VmName peer) {
+        return peers.get(peer).capacity;
+    }
+
     /** Returns the peers that probably have rate to spare, in tokens per second, the richest first. */
     List<Candidate> bySpareRate(double headroomFactor) {
         return candidates(known -> known.rate - headroomFactor * known.demand);
     }
 
-    /** Returns the peers that probably have capacity, in tokens, the richest first. */
-    List<Candidate> byCapacity(double unknownPeer) {
-        return candidates(known -> known.isTold ? known.capacity : unknownPeer);
-    }
-
     private List<Candidate> candidates(ToDoubleFunction<Known> amount) {
         List<Candidate> candidates = new ArrayList<>();
         peers.forEach((peer, known) -> {
--- a/library/src/main/java/org/pollenhoist/limit/ShareFrames.java
+++ b/library/src/main/java/org/pollenhoist/limit/ShareFrames.java
@@ -68,6 +68,7 @@
                 .setRequest(loan.request())
                 .setLenderIncarnation(loan.lenderIncarnation())
                 .setSequence(loan.sequence())
+                .setLoanSequence(loan.loanSequence())
                 .setLentRateParts(loan.lentRateParts())
                 .setLentBurstParts(loan.lentBurstParts())
                 .setDurationMilliseconds((int) loan.duration().toMillis())
@@ -80,7 +81,7 @@
         return ShareReturn.newBuilder()
                 .setTeam(back.team().value())
                 .setLenderIncarnation(back.lenderIncarnation())
-                .setSequence(back.sequence())
+                .setLoanSequence(back.loanSequence())
                 .setTokens(back.tokens())
                 .build();
     }
@@ -116,6 +117,7 @@
                 loan.getRequest(),
                 loan.getLenderIncarnation(),
                 loan.getSequence(),
+                loan.getLoanSequence(),
                 loan.getLentRateParts(),
                 loan.getLentBurstParts(),
                 Duration.ofMillis(loan.getDurationMilliseconds()),
@@ -125,7 +127,7 @@
 
     private static ShareMessage message(ShareReturn back) {
         return new ShareMessage.Return(
-                TeamName.of(back.getTeam()), back.getLenderIncarnation(), back.getSequence(), back.getTokens());
+                TeamName.of(back.getTeam()), back.getLenderIncarnation(), back.getLoanSequence(), back.getTokens());
     }
 
     private static ShareMessage message(ShareStatus status) {
--- a/library/src/main/java/org/pollenhoist/limit/ShareMessage.java
+++ b/library/src/main/java/org/pollenhoist/limit/ShareMessage.java
@@ -36,6 +36,7 @@
      * @param request the question
      * @param lenderIncarnation the sending process
      * @param sequence grows with every answer of the sender for this team
+     * @param loanSequence the answer that last changed the loan
      * @param lentRateParts all parts of the rate now lent to the borrower, also earlier ones
      * @param lentBurstParts all parts of the burst now lent to the borrower, also earlier ones
      * @param duration how long the loan lasts, counted by the borrower from the sending of its question
@@ -48,6 +49,7 @@
             long request,
             long lenderIncarnation,
             long sequence,
+            long loanSequence,
             long lentRateParts,
             long lentBurstParts,
             Duration duration,
@@ -60,10 +62,10 @@
      *
      * @param team the team
      * @param lenderIncarnation the process that lent
-     * @param sequence the last answer that the sender took in; any other voids this message
+     * @param loanSequence the answer that last changed the loan as the sender knows it; any other voids this message
      * @param tokens tokens that go back, up to the lender's capacity
      */
-    record Return(TeamName team, long lenderIncarnation, long sequence, double tokens) implements ShareMessage {}
+    record Return(TeamName team, long lenderIncarnation, long loanSequence, double tokens) implements ShareMessage {}
 
     /**
      * What the sender holds and needs.
--- a/library/src/main/java/org/pollenhoist/limit/TeamShare.java
+++ b/library/src/main/java/org/pollenhoist/limit/TeamShare.java
@@ -12,8 +12,8 @@
 /** This process's share of one team's limit. Every method holds the monitor of this object. */
 final class TeamShare {
 
-    /** Tokens by which rounding may leave a level short; the level goes below zero by as much. */
-    private static final double ROUNDING_TOKENS = 1e-6;
+    /** Part of the burst by which rounding may leave a level short; the level goes below zero by as much. */
+    private static final double ROUNDING = 1e-8;
 
     private final TeamName team;
     private final ShareSettings settings;
@@ -78,7 +78,7 @@
 
     private Admission decide(WaitingRequest waiting, MonotonicTime now) {
         double bound = waiting.boundTokens();
-        if (bound <= bucket.level() + ROUNDING_TOKENS) {
+        if (bound <= bucket.level() + ROUNDING * limit.burstTokens()) {
             waiting.markDecided();
             return new Admission.Admitted(new Reservation(team, bound, bucket.reserve(bound)));
         }
@@ -135,7 +135,7 @@
 
     synchronized void onReturn(VmName from, long borrowerIncarnation, ShareMessage.Return message, MonotonicTime now) {
         advance(now);
-        if (message.lenderIncarnation() == incarnation && book.endGiven(borrowerIncarnation, message.sequence())) {
+        if (message.lenderIncarnation() == incarnation && book.endGiven(borrowerIncarnation, message.loanSequence())) {
             resize(bucket.refilledAt());
             bucket.add(message.tokens());
         }
--- a/library/src/main/java/org/pollenhoist/limit/TokenBucket.java
+++ b/library/src/main/java/org/pollenhoist/limit/TokenBucket.java
@@ -11,13 +11,16 @@
 
     private static final double NANOSECONDS_PER_SECOND = 1e9;
 
+    /** Part of reserved tokens that is expected to come back. */
+    private static final double KEPT_FOR_RETURNS = 0.5;
+
     private final Outstanding oldest = new Outstanding(0);
     private Outstanding newest = oldest;
     private double capacity;
     private double tokensPerSecond;
     private double level;
     private long refilledAt;
-    private int outstandingCount;
+    private double outstandingTokens;
 
     TokenBucket(long now) {
         this.refilledAt = now;
@@ -48,8 +51,21 @@
         return tokensPerSecond;
     }
 
-    int outstandingCount() {
-        return outstandingCount;
+    /** Returns the unused capacity that is not kept for what running reservations will probably give back. */
+    double spareRoom() {
+        double room = capacity - Math.max(0, level);
+        return Math.max(0, room - probableReturns());
+    }
+
+    /** Returns the tokens that running reservations will probably give back. */
+    double probableReturns() {
+        return KEPT_FOR_RETURNS * outstandingTokens;
+    }
+
+    /** Returns the part of this bucket that can go without taking the room for probable returns. */
+    double spareFraction() {
+        double room = capacity - Math.max(0, level);
+        return outstandingTokens <= 0 ? 1 : room <= 0 ? 0 : spareRoom() / room;
     }
 
     long refilledAt() {
@@ -90,7 +106,7 @@
         reservation.previous = newest;
         newest.next = reservation;
         newest = reservation;
-        outstandingCount++;
+        outstandingTokens += bound;
         noteRoom();
         return reservation;
     }
@@ -137,7 +153,7 @@
         } else {
             reservation.next.previous = reservation.previous;
         }
-        outstandingCount--;
+        outstandingTokens -= reservation.bound;
     }
 
     private void noteRoom() {
--- a/library/src/test/java/org/pollenhoist/limit/ShareTableTest.java
+++ b/library/src/test/java/org/pollenhoist/limit/ShareTableTest.java
@@ -182,7 +182,7 @@
         @Test
         void should_ignore_a_loan_when_it_answers_an_earlier_process() {
             ShareMessage.Loan loan = new ShareMessage.Loan(
-                    CREWS, 99, 1, SECOND_INCARNATION, 1, 1000, 1000, Duration.ofSeconds(30), 50, 0);
+                    CREWS, 99, 1, SECOND_INCARNATION, 1, 1, 1000, 1000, Duration.ofSeconds(30), 50, 0);
 
             first.onMessage(SECOND, SECOND_INCARNATION, loan, at(0));
 
