--- /dev/null
+++ b/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
@@ -0,0 +1,24 @@
+package org.pollenhoist.experiments;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.pollenhoist.experiments.configuration.ConfigurationSpreadExperiment;
+
+/** All experiments that the tool knows. */
+public final class Experiments {
+
+    private Experiments() {}
+
+    /**
+     * Returns all experiments in the order in which they are listed and run.
+     *
+     * @return the experiments
+     */
+    public static List<Experiment> all() {
+        List<Experiment> experiments = new ArrayList<>();
+        experiments.add(new EntryLatencyExperiment());
+        experiments.add(new FleetCostExperiment());
+        experiments.add(new ConfigurationSpreadExperiment());
+        return List.copyOf(experiments);
+    }
+}
