--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -84,7 +84,8 @@
         this.platform = HttpPlatformService.at(
                 new InetSocketAddress(
                         settings.platform().address(), settings.platform().port()),
-                settings.platform().timeout());
+                settings.platform().timeout(),
+                settings.vm().failureDomain());
         this.feed = ConfigurationFeed.start(settings, configuration, platform, mesh);
         this.leavingWatch = LeavingWatch.start(platform, upstreams);
         this.plannedStop =
