--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -96,7 +96,8 @@
         this.platform = HttpPlatformService.at(
                 new InetSocketAddress(
                         settings.platform().address(), settings.platform().port()),
-                settings.platform().timeout());
+                settings.platform().timeout(),
+                settings.vm().failureDomain());
         this.feed = ConfigurationFeed.start(settings, configuration, platform, mesh);
         this.leavingWatch = LeavingWatch.start(settings.vm(), platform, upstreams, mesh);
         this.plannedStop =
