Hold a broken answer back until other VMs have heard of the suspicion

Cause: a caller that repeats a poisonous request at once through another VM could reach it before the notice: without the delay the fleet history loses more than two upstreams (mutant NO_ANSWER_DELAY in CrashQuarantineTest).

Conclusion: the data path keeps the assumption of the checked history.

--- a/library/src/main/java/org/pollenhoist/upstream/AnswerStream.java
+++ b/library/src/main/java/org/pollenhoist/upstream/AnswerStream.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
 import org.reactivestreams.Publisher;
@@ -52,6 +53,8 @@
 
     private final Supplier<ByteBuf> errorPart;
 
+    private final Consumer<Runnable> afterBreak;
+
     private Subscriber<? super ByteBuf> downstream;
 
     private Subscription upstream;
@@ -66,9 +69,11 @@
 
     private final List<Runnable> whenEnded = new ArrayList<>();
 
-    private AnswerStream(Observer observer, Supplier<ByteBuf> errorPart, MonotonicTime now) {
+    private AnswerStream(
+            Observer observer, Supplier<ByteBuf> errorPart, Consumer<Runnable> afterBreak, MonotonicTime now) {
         this.observer = observer;
         this.errorPart = errorPart;
+        this.afterBreak = afterBreak;
         this.lastProgress = now;
     }
 
@@ -78,12 +83,17 @@
      * @param source the body
      * @param observer learns how it goes on
      * @param errorPart makes the last part of an answer that broke off, so that its reader sees the error
+     * @param afterBreak runs the visible end of an answer that broke off, on the event loop, at once or later
      * @param now the present time
      * @return the watched body, for one subscriber
      */
     public static AnswerStream watch(
-            Publisher<? extends ByteBuf> source, Observer observer, Supplier<ByteBuf> errorPart, MonotonicTime now) {
-        AnswerStream watched = new AnswerStream(observer, errorPart, now);
+            Publisher<? extends ByteBuf> source,
+            Observer observer,
+            Supplier<ByteBuf> errorPart,
+            Consumer<Runnable> afterBreak,
+            MonotonicTime now) {
+        AnswerStream watched = new AnswerStream(observer, errorPart, afterBreak, now);
         source.subscribe(watched.new Relay());
         return watched;
     }
@@ -154,7 +164,7 @@
         isEnded = true;
         observer.onBroken(String.valueOf(failure.getMessage()));
         whenEnded.forEach(Runnable::run);
-        endVisibly(failure);
+        afterBreak.accept(() -> endVisibly(failure));
     }
 
     private void endVisibly(Throwable failure) {
