--- a/library/src/main/java/org/pollenhoist/upstream/AnswerStream.java
+++ b/library/src/main/java/org/pollenhoist/upstream/AnswerStream.java
@@ -182,6 +182,8 @@
         subscriber.onSubscribe(new Demand());
         if (earlyFailure != null) {
             subscriber.onError(earlyFailure);
+        } else if (isEnded) {
+            subscriber.onComplete();
         }
     }
 
@@ -237,7 +239,9 @@
                 isEnded = true;
                 observer.onWhole();
                 whenEnded.forEach(Runnable::run);
-                downstream.onComplete();
+                if (downstream != null) {
+                    downstream.onComplete();
+                }
             }
         }
     }
