--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -4,19 +4,24 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.pollenhoist.caller.EntryMetrics;
 import org.pollenhoist.caller.RunningRequests;
 import org.pollenhoist.caller.StrictHttpServer;
 import org.pollenhoist.common.DecisionLog;
+import org.pollenhoist.common.FailureDomain;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.configuration.ConfigurationTable;
 import org.pollenhoist.configuration.InstalledConfiguration;
+import org.pollenhoist.configuration.Upstream;
 import org.pollenhoist.platform.HttpPlatformService;
 import org.pollenhoist.request.CrashQuarantine;
 import org.pollenhoist.request.DrainPhase;
 import org.pollenhoist.request.IdempotencyTable;
+import org.pollenhoist.request.OutcomeRegistry;
 import org.pollenhoist.request.RetryBudget;
 import org.pollenhoist.request.RetryPolicy;
 import org.pollenhoist.routing.Router;
@@ -27,6 +32,7 @@
 import org.pollenhoist.upstream.EngineReports;
 import org.pollenhoist.upstream.UpstreamClient;
 import org.pollenhoist.vm.CrashVerdictExchange;
+import org.pollenhoist.vm.OutcomeExchange;
 import org.pollenhoist.vm.Peer;
 import org.pollenhoist.vm.PeerMesh;
 import ratpack.exec.ExecController;
@@ -61,12 +67,20 @@
 
     private final CrashQuarantine quarantine;
 
+    private final IdempotencyTable idempotency = new IdempotencyTable();
+
+    private final OutcomeExchange outcomes;
+
+    private final OutcomeStart outcomeStart;
+
     private final PeerMesh mesh;
 
     private final HttpPlatformService platform;
 
     private final ConfigurationFeed feed;
 
+    private final LeavingWatch leavingWatch;
+
     private final PlannedStop plannedStop;
 
     private final StrictHttpServer server;
@@ -78,15 +92,21 @@
         InetSocketAddress peerAddress = new InetSocketAddress(
                 settings.peers().address(), settings.peers().port());
         this.mesh = PeerMesh.start(self, peerAddress, settings.peers().seeds());
+        metrics.showPeerTraffic(mesh::sentBytes, mesh::receivedBytes);
         this.platform = HttpPlatformService.at(
                 new InetSocketAddress(
                         settings.platform().address(), settings.platform().port()),
                 settings.platform().timeout());
         this.feed = ConfigurationFeed.start(settings, configuration, platform, mesh);
+        this.leavingWatch = LeavingWatch.start(platform, upstreams);
         this.plannedStop =
                 new PlannedStop(settings.shutdown(), running::count, () -> true, this::entered, MonotonicTime.read());
         this.quarantine = new CrashQuarantine(settings.vm().name(), notice -> CrashVerdictExchange.send(mesh, notice));
         mesh.addListener(CrashVerdictExchange.receiver(quarantine));
+        OutcomeRegistry registry = new OutcomeRegistry(settings.vm().name(), MonotonicTime.read());
+        this.outcomes = new OutcomeExchange(self, mesh, registry, idempotency, this::failureDomains);
+        mesh.addListener(outcomes);
+        this.outcomeStart = OutcomeStart.begin(self, platform, registry);
         this.server = StrictHttpServer.of(this::define);
         configuration.addListener(this::installed);
     }
@@ -114,12 +134,12 @@
         HealthHandlers health =
                 new HealthHandlers(settings.vm(), configuration, feed::isReady, plannedStop::phase, running, metrics);
         spec.serverConfig(serverConfig())
-                .registry(base -> Registry.single(poller(base.get(ExecController.class))))
+                .registry(base -> Registry.single(loadExchange(base.get(ExecController.class))))
                 .handlers(chain -> chain.insert(health).all(callerHandler(chain.getRegistry())));
     }
 
-    private ReportPoller poller(ExecController executions) throws Exception {
-        return new ReportPoller(configuration, upstreams, EngineReports.create(executions));
+    private LoadExchange loadExchange(ExecController executions) throws Exception {
+        return new LoadExchange(settings.vm(), configuration, upstreams, EngineReports.create(executions), mesh);
     }
 
     private CallerHandler callerHandler(Registry registry) throws Exception {
@@ -153,12 +173,20 @@
                 new RetryPolicy(budget),
                 budget,
                 quarantine,
-                new IdempotencyTable(),
+                idempotency,
+                outcomes,
                 client,
                 running,
                 metrics);
     }
 
+    private Set<FailureDomain> failureDomains() {
+        return configuration.current().stream()
+                .flatMap(installed -> installed.configuration().upstreams().values().stream())
+                .map(Upstream::failureDomain)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     private static InForce inForce(InstalledConfiguration installed) {
         return new InForce(installed.revision(), installed.configuration());
     }
@@ -186,6 +214,8 @@
         running.abortAll("this VM stops");
         Thread.sleep(FLUSH_MILLISECONDS);
         server.stop();
+        leavingWatch.close();
+        outcomeStart.close();
         feed.close();
         platform.close();
         mesh.close();
