Drain a VM when operators ask for it

Cause: 'pollenhoist drain' wrote a record that no process read. Change: two VMs of each failure domain read the records every 2 s and tell the VM that is meant, which removes its record, so that its successor of the same name does not drain at once, and walks through its planned stop. Ruled out: a watch for each VM, which the platform would count 330 times at the target size.

--- a/daemons/src/main/java/org/pollenhoist/daemons/entry/EntryDaemon.java
+++ b/daemons/src/main/java/org/pollenhoist/daemons/entry/EntryDaemon.java
@@ -47,6 +47,7 @@
             return 1;
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "planned-stop"));
+        node.whenAskedToDrain(() -> new Thread(() -> System.exit(0), "drain").start());
         new CountDownLatch(1).await();
         return 0;
     }
--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -73,6 +73,8 @@
 
     private final OutcomeStart outcomeStart;
 
+    private volatile Runnable whenAskedToDrain = () -> {};
+
     private final PeerMesh mesh;
 
     private final HttpPlatformService platform;
@@ -81,6 +83,8 @@
 
     private final LeavingWatch leavingWatch;
 
+    private final DrainWatch drainWatch;
+
     private final PlannedStop plannedStop;
 
     private final StrictHttpServer server;
@@ -99,6 +103,7 @@
                 settings.platform().timeout(),
                 settings.vm().failureDomain());
         this.feed = ConfigurationFeed.start(settings, configuration, platform, mesh);
+        this.drainWatch = DrainWatch.start(settings.vm(), platform, mesh, () -> whenAskedToDrain.run());
         this.leavingWatch = LeavingWatch.start(settings.vm(), platform, upstreams, mesh);
         this.plannedStop =
                 new PlannedStop(settings.shutdown(), running::count, () -> true, this::entered, MonotonicTime.read());
@@ -215,6 +220,7 @@
         running.abortAll("this VM stops");
         Thread.sleep(FLUSH_MILLISECONDS);
         server.stop();
+        drainWatch.close();
         leavingWatch.close();
         outcomeStart.close();
         feed.close();
@@ -223,6 +229,15 @@
         LOG.event("stopped", "vm", settings.vm().name());
     }
 
+    /**
+     * Has an action run once when operators ask this VM to drain.
+     *
+     * @param action typically ends the process by way of {@link #stopGracefully()}; must not wait for it
+     */
+    public void whenAskedToDrain(Runnable action) {
+        whenAskedToDrain = action;
+    }
+
     /**
      * Returns the port on which callers are served.
      *
--- a/library/src/main/java/org/pollenhoist/operator/VmDrain.java
+++ b/library/src/main/java/org/pollenhoist/operator/VmDrain.java
@@ -12,6 +12,11 @@
 
     private static final byte[] CONTENT = "{\"drain\":true}".getBytes(StandardCharsets.UTF_8);
 
+    /** What the keys of all VMs' records begin with. */
+    public static final String PREFIX = "vms/";
+
+    private static final String SUFFIX = "/drain";
+
     private VmDrain() {}
 
     /**
@@ -21,7 +26,30 @@
      * @return the key
      */
     public static String keyOf(VmName vm) {
-        return "vms/" + vm + "/drain";
+        return PREFIX + vm + SUFFIX;
+    }
+
+    /**
+     * Returns the VM whose record a key names.
+     *
+     * @param key a key below {@link #PREFIX}
+     * @return the VM, or empty where the key is of another kind
+     */
+    public static Optional<VmName> vmOf(String key) {
+        if (!key.startsWith(PREFIX) || !key.endsWith(SUFFIX)) {
+            return Optional.empty();
+        }
+        return Optional.of(VmName.of(key.substring(PREFIX.length(), key.length() - SUFFIX.length())));
+    }
+
+    /**
+     * Removes a VM's record, as that VM does when it begins to drain.
+     *
+     * @param platform the platform's service
+     * @param vm the VM
+     */
+    public static void take(PlatformService platform, VmName vm) {
+        platform.read(keyOf(vm)).ifPresent(record -> platform.remove(keyOf(vm), record.version()));
     }
 
     /**
