--- a/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.pollenhoist.experiments.configuration.ConfigurationRolloutExperiment;
 import org.pollenhoist.experiments.configuration.ConfigurationSpreadExperiment;
 
 /** All experiments that the tool knows. */
@@ -18,7 +19,7 @@
         List<Experiment> experiments = new ArrayList<>();
         experiments.add(new EntryLatencyExperiment());
         experiments.add(new FleetCostExperiment());
-        experiments.add(new ConfigurationSpreadExperiment());
+        experiments.add(new ConfigurationSpreadExperiment(), new ConfigurationRolloutExperiment());
         return List.copyOf(experiments);
     }
 }
