--- a/library/src/main/java/org/pollenhoist/caller/EntryMetrics.java
+++ b/library/src/main/java/org/pollenhoist/caller/EntryMetrics.java
@@ -7,6 +7,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import org.pollenhoist.common.ModelName;
 
 /** What an entry process counts, under the names that the operators' pages explain. */
 public final class EntryMetrics {
@@ -40,6 +41,22 @@
             .help("Requests that run now.")
             .register(registry);
 
+    private final Gauge modelSequences = Gauge.builder()
+            .name("pollenhoist_model_sequences")
+            .help("Requests that run or wait now, by model; placement reads it as demand.")
+            .labelNames("model")
+            .register(registry);
+
+    /**
+     * Notes that requests for a model have begun or ended.
+     *
+     * @param model the model
+     * @param change 1 for a begun request, -1 for an ended one
+     */
+    public void changeModelSequences(ModelName model, int change) {
+        modelSequences.labelValues(model.value()).inc(change);
+    }
+
     /**
      * Counts a request that has ended.
      *
--- a/library/src/main/java/org/pollenhoist/entry/FlowRunner.java
+++ b/library/src/main/java/org/pollenhoist/entry/FlowRunner.java
@@ -57,6 +57,7 @@
 
     Promise<FlowOutcome> run(MonotonicTime arrival) {
         running = parts.running().add(flow.identified().keyDigest(), reason -> eventLoop.execute(() -> abort(reason)));
+        changeModelSequences(1);
         watch = eventLoop.scheduleAtFixedRate(
                 this::watch, WATCH_MILLISECONDS, WATCH_MILLISECONDS, TimeUnit.MILLISECONDS);
         outcome.whenComplete((result, failure) -> afterOutcome(result));
@@ -133,9 +134,16 @@
     private void finish() {
         watch.cancel(false);
         running.close();
+        changeModelSequences(-1);
         settle();
     }
 
+    private void changeModelSequences(int change) {
+        if (flow.request() instanceof CallerRequest.ModelCall call) {
+            parts.metrics().changeModelSequences(call.model(), change);
+        }
+    }
+
     private void settle() {
         double used = isSent ? used() : 0;
         reservation.settle(used, MonotonicTime.read());
--- a/library/src/main/java/org/pollenhoist/placement/DemandDrivenPolicy.java
+++ b/library/src/main/java/org/pollenhoist/placement/DemandDrivenPolicy.java
@@ -20,14 +20,14 @@
  */
 public final class DemandDrivenPolicy implements PlacementPolicy {
 
-    private final PlacementSettings settings;
+    private final PolicySettings settings;
 
     /**
      * Creates the policy.
      *
      * @param settings how it weighs
      */
-    public DemandDrivenPolicy(PlacementSettings settings) {
+    public DemandDrivenPolicy(PolicySettings settings) {
         this.settings = settings;
     }
 
@@ -90,6 +90,7 @@
             replaceVersions();
             addRequiredCopies();
             addCopiesForDemand();
+            addPreferredCopies();
             addAdapters();
             return new Proposal(draft.moves(), new PolicyMemory(estimates, waitingSince, memory.copySince()));
         }
@@ -196,7 +197,20 @@
             }
         }
 
-        private boolean take(RoomFinder.Room room, Model model, Move.Reason reason) {
+        /** Spare copies fill memory that is free; they evict nothing. */
+        private void addPreferredCopies() {
+            state.preferredCopies().forEach((name, count) -> {
+                Model model = state.models().get(name);
+                int wanted = state.requiredCopies(name) + count;
+                if (model != null && draft.plannedCopies(name) < wanted) {
+                    rooms.find(model, 0, Comparator.comparingLong(EngineDraft::freeBytes))
+                            .filter(room -> room instanceof RoomFinder.Room.Free)
+                            .ifPresent(room -> take(room, model, Move.Reason.SPARE_COPY));
+                }
+            });
+        }
+
+        private void take(RoomFinder.Room room, Model model, Move.Reason reason) {
             MonotonicTime since = waiting(model.name());
             switch (room) {
                 case RoomFinder.Room.Free free -> {
@@ -212,7 +226,6 @@
                     reserve(eviction.engine(), model);
                 }
             }
-            return true;
         }
 
         private void reserve(EngineDraft engine, Model model) {
@@ -236,6 +249,7 @@
                         rooms.find(model, gain, Comparator.comparingDouble(EngineDraft::spareSequences));
                 if (room.isEmpty() || !isUseful(room.get())) {
                     exhausted.add(model.name());
+                    relocateForRoom(model, gain);
                     continue;
                 }
                 waitingSince.put(model.name(), since);
@@ -243,6 +257,32 @@
             }
         }
 
+        /**
+         * Makes room on an engine with capacity to spare: another model that has its only copy there gets one on a
+         * further engine, after which the copy here may go.
+         */
+        private void relocateForRoom(Model wanted, double gain) {
+            Optional<EngineDraft> engine = draft.engines(wanted).stream()
+                    .filter(candidate -> !candidate.occupied().contains(wanted.name()))
+                    .filter(candidate -> candidate.spareSequences() >= settings.minimumGain())
+                    .max(Comparator.comparingDouble(EngineDraft::spareSequences));
+            if (engine.isEmpty()) {
+                return;
+            }
+            for (ModelName name : List.copyOf(engine.get().copies())) {
+                Model other = state.models().get(name);
+                boolean isOnlyCopy = draft.plannedCopies(name) == 1 && draft.steadyCopies(name) == 1;
+                double price = spread.worth(name, engine.get()) + settings.minimumGain();
+                Optional<RoomFinder.Room> room = isOnlyCopy && gain > price
+                        ? rooms.find(other, gain - price, Comparator.comparingDouble(EngineDraft::spareSequences))
+                        : Optional.empty();
+                if (room.isPresent()) {
+                    take(room.get(), other, Move.Reason.RELOCATION);
+                    return;
+                }
+            }
+        }
+
         private boolean isUseful(RoomFinder.Room room) {
             EngineDraft engine = switch (room) {
                 case RoomFinder.Room.Free free -> free.engine();
--- a/library/src/main/java/org/pollenhoist/placement/DemandEstimate.java
+++ b/library/src/main/java/org/pollenhoist/placement/DemandEstimate.java
@@ -19,7 +19,7 @@
      * @param now the present time
      * @return the new estimate
      */
-    public DemandEstimate with(double measured, PlacementSettings settings, MonotonicTime now) {
+    public DemandEstimate with(double measured, PolicySettings settings, MonotonicTime now) {
         double seconds = Math.max(0, now.secondsSince(updatedAt));
         double constant = measured > sequences
                 ? settings.riseTime().toMillis()
--- a/library/src/main/java/org/pollenhoist/placement/DomainState.java
+++ b/library/src/main/java/org/pollenhoist/placement/DomainState.java
@@ -16,6 +16,7 @@
  * @param upstreams its engines by name
  * @param models the configured models by name
  * @param requiredCopies how many copies of each model the domain must hold as far as memory allows; absent for none
+ * @param preferredCopies how many copies beyond these it holds where nothing else needs the memory
  * @param heldElsewhere the models of which another failure domain must hold a copy and says that it does
  * @param demand the concurrent sequences that each model is asked for at present
  */
@@ -24,6 +25,7 @@
         SortedMap<UpstreamName, UpstreamState> upstreams,
         SortedMap<ModelName, Model> models,
         Map<ModelName, Integer> requiredCopies,
+        Map<ModelName, Integer> preferredCopies,
         Set<ModelName> heldElsewhere,
         Map<ModelName, Double> demand) {
 
@@ -32,6 +34,7 @@
         upstreams = new TreeMap<>(upstreams);
         models = new TreeMap<>(models);
         requiredCopies = Map.copyOf(requiredCopies);
+        preferredCopies = Map.copyOf(preferredCopies);
         heldElsewhere = Set.copyOf(heldElsewhere);
         demand = Map.copyOf(demand);
     }
--- a/library/src/main/java/org/pollenhoist/placement/HeldElsewhere.java
+++ b/library/src/main/java/org/pollenhoist/placement/HeldElsewhere.java
@@ -10,13 +10,11 @@
 
 /**
  * The models that a domain need not hold itself. Its first home, which never gives up its last copy, must hold one by
- * the same or a later configuration, and a second copy must answer elsewhere: what is known of other domains is
- * seconds old, and one of their upstreams may have been lost since.
+ * the same or a later configuration, and where memory holds two copies of each model, a second copy must answer
+ * elsewhere: what is known of other domains is seconds old, and one of their upstreams may have been lost since.
  */
 final class HeldElsewhere {
 
-    private static final int COPIES_TO_RELY_ON = 2;
-
     private HeldElsewhere() {}
 
     static Set<ModelName> of(HomeDomains homes, Collection<PlacementPlan> others, long configurationRevision) {
@@ -33,7 +31,7 @@
                             homes.firstHome(model).filter(other::equals).isPresent())
                     .forEach(heldAtFirstHome::add);
         }
-        heldAtFirstHome.removeIf(model -> copies.getOrDefault(model, 0) < COPIES_TO_RELY_ON);
+        heldAtFirstHome.removeIf(model -> copies.getOrDefault(model, 0) < homes.requiredCopies(model));
         return heldAtFirstHome;
     }
 }
--- a/library/src/main/java/org/pollenhoist/placement/HomeDomains.java
+++ b/library/src/main/java/org/pollenhoist/placement/HomeDomains.java
@@ -21,18 +21,23 @@
  * Which failure domains must hold a copy of which model. Worked out from the configuration alone, so that all domains
  * come to the same result without talking to each other: each model has a first home and, as far as memory allows, a
  * second one in another domain; in the domain of a pool that has only one, the second copy goes to another upstream.
+ * Where a pool's memory does not hold two copies of each of its models, second copies are preferred, not required.
  */
 public final class HomeDomains {
 
-    /** The part of a pool's memory in a domain that required copies may fill; the rest is for demand. */
-    private static final double REQUIRED_PART = 0.85;
+    /** The part of a pool's memory in a domain that second copies may not fill; it is for demand. */
+    private static final double PART_FOR_DEMAND = 0.15;
 
     private final Map<FailureDomain, Map<ModelName, Integer>> required;
+    private final Map<FailureDomain, Map<ModelName, Integer>> preferred;
     private final Map<ModelName, FailureDomain> firstHomes;
 
     private HomeDomains(
-            Map<FailureDomain, Map<ModelName, Integer>> required, Map<ModelName, FailureDomain> firstHomes) {
+            Map<FailureDomain, Map<ModelName, Integer>> required,
+            Map<FailureDomain, Map<ModelName, Integer>> preferred,
+            Map<ModelName, FailureDomain> firstHomes) {
         this.required = required;
+        this.preferred = preferred;
         this.firstHomes = firstHomes;
     }
 
@@ -63,10 +68,25 @@
         for (Model model : largestFirst) {
             assignment.assign(model, Optional.empty()).ifPresent(domain -> firstHomes.put(model.name(), domain));
         }
-        for (Model model : largestFirst) {
-            assignment.assign(model, Optional.ofNullable(firstHomes.get(model.name())));
-        }
-        return new HomeDomains(assignment.required, firstHomes);
+        Map<FailureDomain, Map<ModelName, Integer>> preferred = new HashMap<>();
+        largestFirst.stream().map(Model::pool).distinct().forEach(pool -> {
+            List<Model> ofPool = largestFirst.stream()
+                    .filter(model -> model.pool().equals(pool))
+                    .toList();
+            Assignment whole = assignment.copy();
+            boolean isWhole = ofPool.stream()
+                    .allMatch(model -> whole.assign(model, Optional.ofNullable(firstHomes.get(model.name())))
+                            .isPresent());
+            if (isWhole) {
+                assignment.takeOver(whole);
+            } else {
+                whole.requiredBeyond(assignment)
+                        .forEach((domain, more) -> preferred
+                                .computeIfAbsent(domain, name -> new TreeMap<>())
+                                .putAll(more));
+            }
+        });
+        return new HomeDomains(assignment.required, preferred, firstHomes);
     }
 
     /**
@@ -79,6 +99,29 @@
         return Map.copyOf(required.getOrDefault(domain, Map.of()));
     }
 
+    /**
+     * Returns how many copies of each model a domain holds where nothing else needs the memory, because the memory of
+     * the pool does not hold two copies of each of its models.
+     *
+     * @param domain the domain
+     * @return the number of copies beyond the required ones
+     */
+    public Map<ModelName, Integer> preferredCopies(FailureDomain domain) {
+        return Map.copyOf(preferred.getOrDefault(domain, Map.of()));
+    }
+
+    /**
+     * Returns how many copies of a model all domains together must hold.
+     *
+     * @param model the model
+     * @return 2, or 1 where the memory of its pool does not hold two copies of each model, or 0 where it holds none
+     */
+    public int requiredCopies(ModelName model) {
+        return required.values().stream()
+                .mapToInt(copies -> copies.getOrDefault(model, 0))
+                .sum();
+    }
+
     /**
      * Returns the domain that never gives up its last copy of a model.
      *
@@ -96,18 +139,47 @@
 
         private final Map<FailureDomain, Map<ModelName, Integer>> required = new HashMap<>();
         private final Map<DomainPool, Double> bytesLeft = new HashMap<>();
+        private final Map<DomainPool, Double> bytesForDemand = new HashMap<>();
         private final Map<DomainPool, Integer> engines = new HashMap<>();
 
         Assignment(Collection<Upstream> upstreams) {
             for (Upstream upstream : upstreams) {
                 if (upstream.kind() == Upstream.Kind.ENGINE) {
                     DomainPool place = new DomainPool(upstream.failureDomain(), upstream.pool());
-                    bytesLeft.merge(place, REQUIRED_PART * upstream.memoryBytes(), Double::sum);
+                    bytesLeft.merge(place, (double) upstream.memoryBytes(), Double::sum);
+                    bytesForDemand.merge(place, PART_FOR_DEMAND * upstream.memoryBytes(), Double::sum);
                     engines.merge(place, 1, Integer::sum);
                 }
             }
         }
 
+        private Assignment() {}
+
+        Assignment copy() {
+            Assignment copy = new Assignment();
+            copy.takeOver(this);
+            return copy;
+        }
+
+        void takeOver(Assignment other) {
+            bytesLeft.putAll(other.bytesLeft);
+            bytesForDemand.putAll(other.bytesForDemand);
+            engines.putAll(other.engines);
+            other.required.forEach((domain, models) -> required.put(domain, new TreeMap<>(models)));
+        }
+
+        Map<FailureDomain, Map<ModelName, Integer>> requiredBeyond(Assignment before) {
+            Map<FailureDomain, Map<ModelName, Integer>> beyond = new HashMap<>();
+            required.forEach((domain, models) -> models.forEach((model, count) -> {
+                int more =
+                        count - before.required.getOrDefault(domain, Map.of()).getOrDefault(model, 0);
+                if (more > 0) {
+                    beyond.computeIfAbsent(domain, name -> new TreeMap<>()).put(model, more);
+                }
+            }));
+            return beyond;
+        }
+
         Optional<FailureDomain> assign(Model model, Optional<FailureDomain> firstHome) {
             double bytes = Footprint.bytes(model);
             List<DomainPool> places = new ArrayList<>();
@@ -115,7 +187,7 @@
                 boolean isAnotherUpstream = engines.get(place) > 1;
                 boolean isFirstHome = firstHome.isPresent() && place.domain().equals(firstHome.get());
                 if (place.pool().equals(model.pool())
-                        && bytesLeft.get(place) >= bytes
+                        && bytesLeft.get(place) - kept(place, firstHome) >= bytes
                         && (!isFirstHome || isAnotherUpstream)) {
                     places.add(place);
                 }
@@ -134,6 +206,10 @@
             return best.map(DomainPool::domain);
         }
 
+        private double kept(DomainPool place, Optional<FailureDomain> firstHome) {
+            return firstHome.isPresent() ? bytesForDemand.get(place) : 0;
+        }
+
         private static long rank(ModelName model, FailureDomain domain) {
             CRC32 checksum = new CRC32();
             checksum.update((model.value() + "@" + domain.value()).getBytes(StandardCharsets.UTF_8));
--- a/library/src/main/java/org/pollenhoist/placement/Move.java
+++ b/library/src/main/java/org/pollenhoist/placement/Move.java
@@ -18,6 +18,8 @@
         SPARE_COPY,
         /** The model's demand exceeds what its copies can serve. */
         DEMAND,
+        /** The only copy stands where another model's demand needs the room. */
+        RELOCATION,
         /** A copy of the base model lacks the adapter. */
         ADAPTER,
         /** The new version answers. */
--- a/library/src/main/java/org/pollenhoist/placement/PlacementCoordinator.java
+++ b/library/src/main/java/org/pollenhoist/placement/PlacementCoordinator.java
@@ -177,6 +177,7 @@
                 upstreams,
                 input.configuration().models(),
                 homes.requiredCopies(domain),
+                homes.preferredCopies(domain),
                 HeldElsewhere.of(homes, plans.others(), input.configurationRevision()),
                 demand);
     }
--- a/library/src/main/java/org/pollenhoist/placement/PlacementDraft.java
+++ b/library/src/main/java/org/pollenhoist/placement/PlacementDraft.java
@@ -23,7 +23,7 @@
     private final List<Move.Load> loads = new ArrayList<>();
     private final Map<ModelName, Integer> steadyCopies = new HashMap<>();
 
-    PlacementDraft(DomainState state, PlacementSettings settings) {
+    PlacementDraft(DomainState state, PolicySettings settings) {
         this.state = state;
         for (UpstreamState upstream : state.upstreams().values()) {
             double sequences = upstream.upstream().accelerators() * settings.sequencesPerAccelerator();
--- a/library/src/main/java/org/pollenhoist/placement/PlacementSettings.java
+++ b/library/src/main/java/org/pollenhoist/placement/PolicySettings.java
@@ -13,7 +13,7 @@
  * @param minimumResidence how long a copy stays before it may be evicted
  * @param largestMovesPerRound how many copies for demand one round plans
  */
-public record PlacementSettings(
+public record PolicySettings(
         double sequencesPerAccelerator,
         double targetUtilisation,
         Duration riseTime,
@@ -27,8 +27,8 @@
      *
      * @return the settings
      */
-    public static PlacementSettings standard() {
-        return new PlacementSettings(
-                32, 0.8, Duration.ofSeconds(8), Duration.ofSeconds(240), 3, Duration.ofSeconds(90), 8);
+    public static PolicySettings standard() {
+        return new PolicySettings(
+                32, 0.8, Duration.ofSeconds(8), Duration.ofSeconds(120), 3, Duration.ofSeconds(90), 8);
     }
 }
--- a/library/src/main/java/org/pollenhoist/placement/RoomFinder.java
+++ b/library/src/main/java/org/pollenhoist/placement/RoomFinder.java
@@ -23,16 +23,12 @@
 
     private final PlacementDraft draft;
     private final LoadSpread spread;
-    private final PlacementSettings settings;
+    private final PolicySettings settings;
     private final PolicyMemory memory;
     private final MonotonicTime now;
 
     RoomFinder(
-            PlacementDraft draft,
-            LoadSpread spread,
-            PlacementSettings settings,
-            PolicyMemory memory,
-            MonotonicTime now) {
+            PlacementDraft draft, LoadSpread spread, PolicySettings settings, PolicyMemory memory, MonotonicTime now) {
         this.draft = draft;
         this.spread = spread;
         this.settings = settings;
--- a/library/src/test/java/org/pollenhoist/placement/DemandDrivenPolicyTest.java
+++ b/library/src/test/java/org/pollenhoist/placement/DemandDrivenPolicyTest.java
@@ -20,7 +20,7 @@
     private static final Model SCRIBE = Samples.model("scribe", "1", 40);
     private static final MonotonicTime NOW = Samples.seconds(1000);
 
-    private final DemandDrivenPolicy policy = new DemandDrivenPolicy(PlacementSettings.standard());
+    private final DemandDrivenPolicy policy = new DemandDrivenPolicy(PolicySettings.standard());
 
     private List<Move> moves(DomainState state) {
         PolicyMemory settled =
--- a/library/src/test/java/org/pollenhoist/placement/PlacementHistoryTest.java
+++ b/library/src/test/java/org/pollenhoist/placement/PlacementHistoryTest.java
@@ -27,7 +27,7 @@
     private static final long FAULTY_MILLIS = 600_000;
     private static final long QUIET_MILLIS = 300_000;
     private static final Duration WINDOW = Duration.ofSeconds(30);
-    private static final PlacementPolicy DEMAND_DRIVEN = new DemandDrivenPolicy(PlacementSettings.standard());
+    private static final PlacementPolicy DEMAND_DRIVEN = new DemandDrivenPolicy(PolicySettings.standard());
 
     @BeforeAll
     static void silenceDecisionLog() {
--- a/library/src/test/java/org/pollenhoist/placement/Samples.java
+++ b/library/src/test/java/org/pollenhoist/placement/Samples.java
@@ -122,7 +122,7 @@
         }
         TreeMap<ModelName, Model> modelsByName = new TreeMap<>();
         models.forEach(model -> modelsByName.put(model.name(), model));
-        return new DomainState(PIRAEUS, byName, modelsByName, required, Set.of(), demand);
+        return new DomainState(PIRAEUS, byName, modelsByName, required, Map.of(), Set.of(), demand);
     }
 
     static UpstreamState holding(String engine, long memoryBytes, Model... models) {
