Answer a half-sent header with 408 instead of silence

Cause: Ratpack's compressing encoder refuses an answer while it has seen no request, so that the refusal of a header that never arrives whole was logged, but lost, and the connection closed without a word. Ruled out: the idle event (it came, the log shows event=refuse code=request_timeout). Change: refusals before any handler go out encoded, past the usual encoders. Run: scenario 'A request with half a header' failed before (received nothing) and passes after; the other twelve faulty requests pass as before.

--- a/library/src/main/java/org/pollenhoist/caller/RequestGuard.java
+++ b/library/src/main/java/org/pollenhoist/caller/RequestGuard.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
@@ -17,6 +16,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.ErrorCode;
@@ -94,12 +94,16 @@
     private void refuse(ChannelHandlerContext context, Refusal refusal) {
         isRefused = true;
         LOG.event("refuse", "code", refusal.code().text(), "reason", refusal.message(), "not_run", true);
-        ByteBuf body = Unpooled.wrappedBuffer(refusal.body());
-        DefaultFullHttpResponse response =
-                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(refusal.status()), body);
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        // The usual encoders refuse an answer to a request whose header has not been read, so they are passed over.
+        context.pipeline().firstContext().writeAndFlush(encode(refusal)).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    private static ByteBuf encode(Refusal refusal) {
+        byte[] body = refusal.body();
+        String head = HttpVersion.HTTP_1_1 + " " + HttpResponseStatus.valueOf(refusal.status()) + "\r\n"
+                + HttpHeaderNames.CONTENT_TYPE + ": " + HttpHeaderValues.APPLICATION_JSON + "\r\n"
+                + HttpHeaderNames.CONTENT_LENGTH + ": " + body.length + "\r\n"
+                + HttpHeaderNames.CONNECTION + ": " + HttpHeaderValues.CLOSE + "\r\n\r\n";
+        return Unpooled.wrappedBuffer(head.getBytes(StandardCharsets.US_ASCII), body);
     }
 }
