--- a/experiments/src/main/java/org/pollenhoist/experiments/EntryLatencyExperiment.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/EntryLatencyExperiment.java
@@ -44,7 +44,8 @@
                 .withEngines(1, "--first-token-millis", "0", "--cached-first-token-millis", "0", "--token-millis", "0");
         progress.report("starting one entry process and its surroundings");
         try (Fleet fleet = Fleet.start(plan, WorkFolder.create())) {
-            String key = fleet.requireCommand("keys", "give", "crews").strip();
+            String key = fleet.giveKey("crews").reveal();
+            fleet.awaitKey(key);
             return measure(fleet, key, seed, length, progress);
         }
     }
