--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -96,9 +96,10 @@
         this.platform = HttpPlatformService.at(
                 new InetSocketAddress(
                         settings.platform().address(), settings.platform().port()),
-                settings.platform().timeout());
+                settings.platform().timeout(),
+                settings.vm().failureDomain());
         this.feed = ConfigurationFeed.start(settings, configuration, platform, mesh);
-        this.leavingWatch = LeavingWatch.start(platform, upstreams);
+        this.leavingWatch = LeavingWatch.start(settings.vm(), platform, upstreams, mesh);
         this.plannedStop =
                 new PlannedStop(settings.shutdown(), running::count, () -> true, this::entered, MonotonicTime.read());
         this.quarantine = new CrashQuarantine(settings.vm().name(), notice -> CrashVerdictExchange.send(mesh, notice));
