--- a/experiments/src/main/java/org/pollenhoist/experiments/configuration/ConfigurationRolloutExperiment.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/configuration/ConfigurationRolloutExperiment.java
@@ -1,5 +1,6 @@
 package org.pollenhoist.experiments.configuration;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -85,7 +86,7 @@
                         false))
                 .toList();
         InetSocketAddress address =
-                new InetSocketAddress(FleetMember.ADDRESS, fleet.platform().port());
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), fleet.platform().port());
         try (HttpPlatformService platform = HttpPlatformService.at(address, TIMEOUT);
                 VmStatusClient client = VmStatusClient.withTimeout(TIMEOUT)) {
             ConfigurationCommit commit = new ConfigurationCommit(platform, Pause.sleeping());
