Let requests meet their team's limit in the entry process

Cause: the entry process admitted every request.

Change: the table of shares decides; the mesh carries its messages; a thread of its own keeps the home share. The division between failure domains is written once. Parts that no process ever held begin full.

Not run: the wiring in real processes.

--- a/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.pollenhoist.experiments.configuration.ConfigurationSpreadExperiment;
+import org.pollenhoist.experiments.limit.TeamLimitCostExperiment;
+import org.pollenhoist.experiments.limit.TeamLimitExperiment;
 
 /** All experiments that the tool knows. */
 public final class Experiments {
@@ -19,6 +21,8 @@
         experiments.add(new EntryLatencyExperiment());
         experiments.add(new FleetCostExperiment());
         experiments.add(new ConfigurationSpreadExperiment());
+        experiments.add(new TeamLimitExperiment());
+        experiments.add(new TeamLimitCostExperiment());
         return List.copyOf(experiments);
     }
 }
--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.pollenhoist.caller.EntryMetrics;
@@ -17,6 +16,8 @@
 import org.pollenhoist.configuration.ConfigurationTable;
 import org.pollenhoist.configuration.InstalledConfiguration;
 import org.pollenhoist.configuration.Upstream;
+import org.pollenhoist.limit.ShareSettings;
+import org.pollenhoist.limit.ShareTable;
 import org.pollenhoist.platform.HttpPlatformService;
 import org.pollenhoist.request.CrashQuarantine;
 import org.pollenhoist.request.DrainPhase;
@@ -79,6 +80,10 @@
 
     private final ConfigurationFeed feed;
 
+    private final ShareGate gate;
+
+    private final HomeShareFeed homeShare;
+
     private final LeavingWatch leavingWatch;
 
     private final PlannedStop plannedStop;
@@ -107,6 +112,10 @@
         this.outcomes = new OutcomeExchange(self, mesh, registry, idempotency, this::failureDomains);
         mesh.addListener(outcomes);
         this.outcomeStart = OutcomeStart.begin(self, platform, registry);
+        ShareTable shares = ShareTable.empty(ShareSettings.defaults(), incarnation);
+        this.gate = ShareGate.start(mesh, shares, ShareSettings.defaults());
+        mesh.addListener(gate);
+        this.homeShare = HomeShareFeed.start(self, settings, platform, shares, this::failureDomains);
         this.server = StrictHttpServer.of(this::define);
         configuration.addListener(this::installed);
     }
@@ -166,8 +175,7 @@
                 () -> configuration.current().filter(any -> feed.isReady()).map(EntryNode::inForce),
                 feed::sinceContact,
                 () -> plannedStop.phase().closesConnections(),
-                (team, tokens, now) ->
-                        CompletableFuture.completedFuture(new TokenGate.Decision.Admitted((used, end) -> {})),
+                gate,
                 upstreams,
                 new Router(upstreams, RoutingPolicy.standard(), RandomGenerator.of("SplittableRandom")),
                 new RetryPolicy(budget),
@@ -193,6 +201,7 @@
 
     private void installed(InstalledConfiguration inForce) {
         upstreams.install(inForce.configuration().upstreams().values());
+        gate.install(inForce.configuration(), MonotonicTime.read());
         int ended = running.abortWhereKeyIsNotInForce(
                 digest -> inForce.configuration().keys().containsKey(digest));
         LOG.event("configuration_in_force", "revision", inForce.revision(), "requests_ended", ended);
@@ -214,6 +223,8 @@
         running.abortAll("this VM stops");
         Thread.sleep(FLUSH_MILLISECONDS);
         server.stop();
+        homeShare.close();
+        gate.close();
         leavingWatch.close();
         outcomeStart.close();
         feed.close();
--- a/library/src/main/java/org/pollenhoist/limit/HomeShareKeeper.java
+++ b/library/src/main/java/org/pollenhoist/limit/HomeShareKeeper.java
@@ -170,6 +170,9 @@
             confirm(wanted, current.record().untouched() - wanted.untouched());
         }
         publish();
+        if (isWritten) {
+            table.fillUntouched(current.record().untouched() - wanted.untouched(), clock.get());
+        }
         LOG.event(
                 "home_share", "parts", heldParts(), "members", wanted.members().size(), "version", knownVersion);
         return isWritten || wanted.equals(current.record());
--- a/library/src/main/java/org/pollenhoist/limit/ShareTable.java
+++ b/library/src/main/java/org/pollenhoist/limit/ShareTable.java
@@ -85,6 +85,16 @@
         shares.values().forEach(share -> share.setHome(newHome, now));
     }
 
+    /**
+     * Fills the buckets up for parts that no process of the fleet ever held. Only such parts may begin full.
+     *
+     * @param parts the parts
+     * @param now the present time
+     */
+    public synchronized void fillUntouched(long parts, MonotonicTime now) {
+        shares.values().forEach(share -> share.fillUntouched(parts, now));
+    }
+
     /**
      * Tells whether parts of the home share can be given up, since no loan to a peer rests on them.
      *
--- a/library/src/main/java/org/pollenhoist/limit/TeamShare.java
+++ b/library/src/main/java/org/pollenhoist/limit/TeamShare.java
@@ -52,7 +52,12 @@
         resize(bucket.refilledAt());
     }
 
-    /** Reduces the home share where no loan that was given needs the parts. */
+    synchronized void fillUntouched(long parts, MonotonicTime now) {
+        advance(now);
+        bucket.add(Parts.amount(parts, limit.burstTokens()));
+    }
+
+    /** Tells whether no loan that was given needs the parts. */
     synchronized boolean canGiveUp(long parts, MonotonicTime now) {
         advance(now);
         long lastGivenEnd =
