--- a/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import org.pollenhoist.experiments.configuration.ConfigurationRolloutExperiment;
 import org.pollenhoist.experiments.configuration.ConfigurationSpreadExperiment;
+import org.pollenhoist.experiments.limit.TeamLimitCostExperiment;
+import org.pollenhoist.experiments.limit.TeamLimitExperiment;
 
 /** All experiments that the tool knows. */
 public final class Experiments {
@@ -20,7 +22,12 @@
         experiments.add(new EntryLatencyExperiment());
         experiments.add(new FleetCostExperiment());
         experiments.add(new ConfigurationSpreadExperiment());
+<<<<<<< HEAD
         experiments.add(new ConfigurationRolloutExperiment());
+=======
+        experiments.add(new TeamLimitExperiment());
+        experiments.add(new TeamLimitCostExperiment());
+>>>>>>> limits
         return List.copyOf(experiments);
     }
 }
