--- a/library/src/main/java/org/pollenhoist/caller/EntryMetrics.java
+++ b/library/src/main/java/org/pollenhoist/caller/EntryMetrics.java
@@ -9,9 +9,9 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import org.pollenhoist.common.ModelName;
 import java.lang.management.ManagementFactory;
 import java.util.function.LongSupplier;
+import org.pollenhoist.common.ModelName;
 
 /** What an entry process counts, under the names that the operators' pages explain. */
 public final class EntryMetrics {
