--- a/experiments/src/main/java/org/pollenhoist/experiments/configuration/ConfigurationRolloutExperiment.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/configuration/ConfigurationRolloutExperiment.java
@@ -85,8 +85,8 @@
                         FailureDomain.of(entry.failureDomain()),
                         false))
                 .toList();
-        InetSocketAddress address =
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), fleet.platform().port());
+        InetSocketAddress address = new InetSocketAddress(
+                InetAddress.getLoopbackAddress(), fleet.platform().port());
         try (HttpPlatformService platform = HttpPlatformService.at(address, TIMEOUT);
                 VmStatusClient client = VmStatusClient.withTimeout(TIMEOUT)) {
             ConfigurationCommit commit = new ConfigurationCommit(platform, Pause.sleeping());
