Be ready only after the platform was asked for a share

Cause: entry-latency was refused with no_share in its first second: the VM was ready before it had asked for its part of the teams' limits, a refusal of a team inside its rate. Change: readiness waits until the platform was asked once, with whatever outcome, and the question follows the first configuration within 0.1 s instead of 1 s. After, by hand over real processes: the first request of a fresh fleet is admitted; a fleet of one VM that is restarted still refuses until its predecessor's loans can no longer run (35 s), which is not changed here.

--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -146,8 +146,8 @@
     }
 
     private void define(RatpackServerSpec spec) throws Exception {
-        HealthHandlers health =
-                new HealthHandlers(settings.vm(), configuration, feed::isReady, plannedStop::phase, running, metrics);
+        HealthHandlers health = new HealthHandlers(
+                settings.vm(), configuration, this::hasWhatItServesBy, plannedStop::phase, running, metrics);
         spec.serverConfig(serverConfig())
                 .registry(base -> Registry.single(loadExchange(base.get(ExecController.class))))
                 .handlers(chain -> chain.insert(health).all(callerHandler(chain.getRegistry())));
@@ -213,6 +213,10 @@
         LOG.event("configuration_in_force", "revision", inForce.revision(), "requests_ended", ended);
     }
 
+    private boolean hasWhatItServesBy() {
+        return feed.isReady() && homeShare.hasAsked();
+    }
+
     private void entered(DrainPhase phase) {
         if (!phase.acceptsConnections()) {
             server.closeListener();
--- a/library/src/main/java/org/pollenhoist/entry/HomeShareFeed.java
+++ b/library/src/main/java/org/pollenhoist/entry/HomeShareFeed.java
@@ -26,6 +26,8 @@
 
     private static final Duration FIRST_RETRY = Duration.ofSeconds(1);
 
+    private static final Duration WAIT_FOR_CONFIGURATION = Duration.ofMillis(100);
+
     private final Peer self;
 
     private final String address;
@@ -39,6 +41,8 @@
     private final ScheduledExecutorService worker =
             Executors.newSingleThreadScheduledExecutor(task -> ShareGate.daemon(task, "home-share"));
 
+    private volatile boolean hasAsked;
+
     /** Used by the worker only. */
     private HomeShareKeeper keeper;
 
@@ -75,12 +79,16 @@
     }
 
     private void step() {
+        if (failureDomains.get().isEmpty()) {
+            worker.schedule(this::step, WAIT_FOR_CONFIGURATION.toMillis(), TimeUnit.MILLISECONDS);
+            return;
+        }
         Duration wait = FIRST_RETRY;
         try {
-            if (keeper == null && !failureDomains.get().isEmpty()) {
+            if (keeper == null) {
                 keeper = create();
             }
-            wait = keeper == null ? FIRST_RETRY : keeper.step();
+            wait = keeper.step();
         } catch (PollenhoistException failure) {
             LOG.event(
                     "home_share",
@@ -89,10 +97,19 @@
                     "reason",
                     failure.code().text());
         } finally {
+            hasAsked = true;
             worker.schedule(this::step, wait.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
+    /**
+     * Tells whether the platform was asked for a share, with whatever outcome: a VM that took work before would refuse
+     * teams that are inside their limits; one that starts in an outage lives on loans.
+     */
+    boolean hasAsked() {
+        return hasAsked;
+    }
+
     private HomeShareKeeper create() {
         long parts = DomainDivision.partsOf(platform, self.failureDomain(), failureDomains.get());
         HomeShareKeeper.Place place =
