--- a/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
@@ -19,7 +19,8 @@
         List<Experiment> experiments = new ArrayList<>();
         experiments.add(new EntryLatencyExperiment());
         experiments.add(new FleetCostExperiment());
-        experiments.add(new ConfigurationSpreadExperiment(), new ConfigurationRolloutExperiment());
+        experiments.add(new ConfigurationSpreadExperiment());
+        experiments.add(new ConfigurationRolloutExperiment());
         return List.copyOf(experiments);
     }
 }
--- a/experiments/src/main/java/org/pollenhoist/experiments/configuration/ConfigurationRolloutExperiment.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/configuration/ConfigurationRolloutExperiment.java
@@ -1,5 +1,6 @@
 package org.pollenhoist.experiments.configuration;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -14,10 +15,10 @@
 import org.pollenhoist.experiments.ExperimentResult.Direction;
 import org.pollenhoist.experiments.ExperimentResult.Measure;
 import org.pollenhoist.experiments.ExperimentResult.Reading;
-import org.pollenhoist.experiments.WorkFolder;
 import org.pollenhoist.experiments.processes.Fleet;
 import org.pollenhoist.experiments.processes.FleetMember;
 import org.pollenhoist.experiments.processes.FleetPlan;
+import org.pollenhoist.experiments.processes.WorkFolder;
 import org.pollenhoist.operator.ConfigurationCommit;
 import org.pollenhoist.operator.Pause;
 import org.pollenhoist.operator.Rollout;
@@ -84,8 +85,8 @@
                         FailureDomain.of(entry.failureDomain()),
                         false))
                 .toList();
-        InetSocketAddress address =
-                new InetSocketAddress(FleetMember.ADDRESS, fleet.platform().port());
+        InetSocketAddress address = new InetSocketAddress(
+                InetAddress.getLoopbackAddress(), fleet.platform().port());
         try (HttpPlatformService platform = HttpPlatformService.at(address, TIMEOUT);
                 VmStatusClient client = VmStatusClient.withTimeout(TIMEOUT)) {
             ConfigurationCommit commit = new ConfigurationCommit(platform, Pause.sleeping());
