--- a/acceptance-tests/src/test/java/org/pollenhoist/acceptance/placement/PlacedFleet.java
+++ b/acceptance-tests/src/test/java/org/pollenhoist/acceptance/placement/PlacedFleet.java
@@ -50,7 +50,7 @@
     static PlacedFleet start(String scenario, int engines, int placementProcesses) {
         Path directory = Path.of("target", "fleets", "placement", scenario);
         List<String> slowLoads = List.of("--load-bytes-per-second", "5000000000");
-        FleetPlan plan = new FleetPlan(List.of(DOMAIN), 0, engines, 0, false, slowLoads, List.of(), List.of());
+        FleetPlan plan = new FleetPlan(List.of(DOMAIN), 0, engines, 1, false, slowLoads, List.of(), List.of());
         PlacedFleet placed = new PlacedFleet(directory, Fleet.startStandIns(plan, directory));
         try {
             placed.add("briefing");
