--- a/library/src/main/java/org/pollenhoist/upstream/AnswerStream.java
+++ b/library/src/main/java/org/pollenhoist/upstream/AnswerStream.java
@@ -77,6 +77,20 @@
         this.lastProgress = now;
     }
 
+    /**
+     * Watches a body, from now on, and shows a break at once.
+     *
+     * @param source the body
+     * @param observer learns how it goes on
+     * @param errorPart makes the last part of an answer that broke off, so that its reader sees the error
+     * @param now the present time
+     * @return the watched body, for one subscriber
+     */
+    public static AnswerStream watch(
+            Publisher<? extends ByteBuf> source, Observer observer, Supplier<ByteBuf> errorPart, MonotonicTime now) {
+        return watch(source, observer, errorPart, Runnable::run, now);
+    }
+
     /**
      * Watches a body, from now on: also the end of one that has no reader yet is noticed.
      *
