--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -229,12 +229,9 @@
         running.abortAll("this VM stops");
         Thread.sleep(FLUSH_MILLISECONDS);
         server.stop();
-<<<<<<< HEAD
         drainWatch.close();
-=======
         homeShare.close();
         gate.close();
->>>>>>> limits
         leavingWatch.close();
         outcomeStart.close();
         feed.close();
