--- a/acceptance-tests/src/test/java/org/pollenhoist/acceptance/ClientLibrarySteps.java
+++ b/acceptance-tests/src/test/java/org/pollenhoist/acceptance/ClientLibrarySteps.java
@@ -36,10 +36,17 @@
         try (Client client = Client.open();
                 StreamResponse<ChatCompletionChunk> chunks =
                         client.library.chat().completions().createStreaming(question(model))) {
-            chunks.stream().flatMap(chunk -> chunk.choices().stream()).forEach(choice -> {
-                choice.delta().content().ifPresent(pieces::add);
-                choice.finishReason().ifPresent(reason -> finishReason = reason.asString());
-            });
+            readAll(chunks);
+        }
+    }
+
+    @When("entry VM {string} is told to stop while a client library streams a chat completion of {string}")
+    public void streamWhileStopping(String name, String model) {
+        try (Client client = Client.open();
+                StreamResponse<ChatCompletionChunk> chunks =
+                        client.library.chat().completions().createStreaming(question(model))) {
+            World.current().fleet().entry(name).process().signal("TERM");
+            readAll(chunks);
         }
     }
 
@@ -56,6 +63,13 @@
         assertThat(pieces).hasSize(count);
     }
 
+    private void readAll(StreamResponse<ChatCompletionChunk> chunks) {
+        chunks.stream().flatMap(chunk -> chunk.choices().stream()).forEach(choice -> {
+            choice.delta().content().ifPresent(pieces::add);
+            choice.finishReason().ifPresent(reason -> finishReason = reason.asString());
+        });
+    }
+
     private static ChatCompletionCreateParams question(String model) {
         return ChatCompletionCreateParams.builder()
                 .model(model)
--- a/experiments/src/main/java/org/pollenhoist/experiments/processes/Fleet.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/processes/Fleet.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.pollenhoist.common.TeamName;
 import org.pollenhoist.configuration.ConfigurationReader;
@@ -144,9 +145,19 @@
         if (plan.hasPlacement()) {
             startPlacements(peerPorts);
         }
+        publishVms();
         entries.forEach(this::awaitReady);
     }
 
+    /** Enters the entry VMs into the platform's list. */
+    private void publishVms() {
+        String list = entries.stream()
+                .map(entry -> "{\"name\":\"" + entry.name() + "\",\"address\":\"" + FleetMember.ADDRESS + "\",\"port\":"
+                        + entry.port() + ",\"failureDomain\":\"" + entry.failureDomain() + "\",\"leaving\":false}")
+                .collect(Collectors.joining(","));
+        calls.require("PUT", platform.uri("/faults/vms"), "{\"vms\":[" + list + "]}");
+    }
+
     private FleetMember startEntry(int index, List<Integer> peerPorts) {
         String name = nameOf("entry", index);
         String domain = plan.failureDomainOf(index);
