--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.pollenhoist.caller.EntryMetrics;
@@ -17,6 +16,8 @@
 import org.pollenhoist.configuration.ConfigurationTable;
 import org.pollenhoist.configuration.InstalledConfiguration;
 import org.pollenhoist.configuration.Upstream;
+import org.pollenhoist.limit.ShareSettings;
+import org.pollenhoist.limit.ShareTable;
 import org.pollenhoist.platform.HttpPlatformService;
 import org.pollenhoist.request.CrashQuarantine;
 import org.pollenhoist.request.DrainPhase;
@@ -73,14 +74,22 @@
 
     private final OutcomeStart outcomeStart;
 
+    private volatile Runnable whenAskedToDrain = () -> {};
+
     private final PeerMesh mesh;
 
     private final HttpPlatformService platform;
 
     private final ConfigurationFeed feed;
 
+    private final ShareGate gate;
+
+    private final HomeShareFeed homeShare;
+
     private final LeavingWatch leavingWatch;
 
+    private final DrainWatch drainWatch;
+
     private final PlannedStop plannedStop;
 
     private final StrictHttpServer server;
@@ -99,6 +108,7 @@
                 settings.platform().timeout(),
                 settings.vm().failureDomain());
         this.feed = ConfigurationFeed.start(settings, configuration, platform, mesh);
+        this.drainWatch = DrainWatch.start(settings.vm(), platform, mesh, () -> whenAskedToDrain.run());
         this.leavingWatch = LeavingWatch.start(settings.vm(), platform, upstreams, mesh);
         this.plannedStop =
                 new PlannedStop(settings.shutdown(), running::count, () -> true, this::entered, MonotonicTime.read());
@@ -108,6 +118,10 @@
         this.outcomes = new OutcomeExchange(self, mesh, registry, idempotency, this::failureDomains);
         mesh.addListener(outcomes);
         this.outcomeStart = OutcomeStart.begin(self, platform, registry);
+        ShareTable shares = ShareTable.empty(ShareSettings.defaults(), incarnation);
+        this.gate = ShareGate.start(mesh, shares, ShareSettings.defaults());
+        mesh.addListener(gate);
+        this.homeShare = HomeShareFeed.start(self, settings, platform, shares, this::failureDomains);
         this.server = StrictHttpServer.of(this::define);
         configuration.addListener(this::installed);
     }
@@ -167,8 +181,7 @@
                 () -> configuration.current().filter(any -> feed.isReady()).map(EntryNode::inForce),
                 feed::sinceContact,
                 () -> plannedStop.phase().closesConnections(),
-                (team, tokens, now) ->
-                        CompletableFuture.completedFuture(new TokenGate.Decision.Admitted((used, end) -> {})),
+                gate,
                 upstreams,
                 new Router(upstreams, RoutingPolicy.standard(), RandomGenerator.of("SplittableRandom")),
                 new RetryPolicy(budget),
@@ -194,6 +207,7 @@
 
     private void installed(InstalledConfiguration inForce) {
         upstreams.install(inForce.configuration().upstreams().values());
+        gate.install(inForce.configuration(), MonotonicTime.read());
         int ended = running.abortWhereKeyIsNotInForce(
                 digest -> inForce.configuration().keys().containsKey(digest));
         LOG.event("configuration_in_force", "revision", inForce.revision(), "requests_ended", ended);
@@ -215,6 +229,9 @@
         running.abortAll("this VM stops");
         Thread.sleep(FLUSH_MILLISECONDS);
         server.stop();
+        drainWatch.close();
+        homeShare.close();
+        gate.close();
         leavingWatch.close();
         outcomeStart.close();
         feed.close();
@@ -223,6 +240,15 @@
         LOG.event("stopped", "vm", settings.vm().name());
     }
 
+    /**
+     * Has an action run once when operators ask this VM to drain.
+     *
+     * @param action typically ends the process by way of {@link #stopGracefully()}; must not wait for it
+     */
+    public void whenAskedToDrain(Runnable action) {
+        whenAskedToDrain = action;
+    }
+
     /**
      * Returns the port on which callers are served.
      *
