--- a/library/src/main/java/org/pollenhoist/limit/Borrower.java
+++ b/library/src/main/java/org/pollenhoist/limit/Borrower.java
@@ -174,6 +174,7 @@
         tendLoans(messages, time);
         askForRate(messages, time);
         askForTokens(messages, time);
+        askForRoom(messages, time);
         return messages;
     }
 
@@ -197,6 +198,20 @@
         }
     }
 
+    /** Gets room for what running requests will give back, before the level reaches the capacity. */
+    private void askForRoom(List<Outgoing> messages, long time) {
+        double room = share.bucket().capacity() - share.bucket().level();
+        double missing = share.bucket().probableReturns() - room;
+        for (Candidate lender : share.peers().byRoom(time)) {
+            if (missing <= SLACK_TOKENS) {
+                return;
+            }
+            double asked = Math.min(missing, lender.amount());
+            messages.add(question(lender.peer(), 0, parts(asked), 0, false, time));
+            missing -= asked;
+        }
+    }
+
     private void tendLoans(List<Outgoing> messages, long time) {
         double demand = share.demand().at(time);
         long half = share.settings().loanDuration().toNanos() / 2;
--- a/library/src/main/java/org/pollenhoist/limit/Lender.java
+++ b/library/src/main/java/org/pollenhoist/limit/Lender.java
@@ -40,7 +40,7 @@
         double tokens = tokensFor(request);
         share.bucket().remove(tokens);
         Offer offer = offer(request, now);
-        double accompanying = request.isUrgent() ? 0 : accompanyingTokens(offer.added());
+        double accompanying = request.wantedRateParts() == 0 ? 0 : accompanyingTokens(offer.added());
         share.bucket().remove(accompanying);
         long sequence = nextSequence++;
         Optional<Loan> loan = book(from, request, offer, sequence, now);
@@ -121,10 +121,10 @@
 
     /** Returns the part of the wish that this process is willing to lend. */
     private Portion wanted(ShareMessage.Request request, MonotonicTime now) {
-        if (request.isUrgent()) {
-            double unused =
-                    share.bucket().capacity() - Math.max(0, share.bucket().level());
-            long unusedParts = Parts.within(unused, share.limit().burstTokens());
+        if (request.wantedRateParts() == 0) {
+            long unusedParts = Parts.within(
+                    request.isUrgent() ? share.bucket().room() : share.bucket().spareRoom(),
+                    share.limit().burstTokens());
             return new Portion(0, Math.max(0, Math.min(request.wantedBurstParts(), unusedParts)));
         }
         long spare = share.active().rateParts() - keptRateParts(now);
--- a/library/src/main/java/org/pollenhoist/limit/PeerView.java
+++ b/library/src/main/java/org/pollenhoist/limit/PeerView.java
@@ -79,6 +79,11 @@
         return candidates(known -> known.capacity <= 0 ? 0 : level(known, now) / known.capacity);
     }
 
+    /** Returns the peers by unused capacity, in tokens, the most first. */
+    List<Candidate> byRoom(long now) {
+        return candidates(known -> known.capacity - level(known, now));
+    }
+
     /** Returns the capacity that a peer told, in tokens. */
     double capacity(VmName peer) {
         return peers.get(peer).capacity;
--- a/library/src/main/java/org/pollenhoist/limit/TokenBucket.java
+++ b/library/src/main/java/org/pollenhoist/limit/TokenBucket.java
@@ -57,6 +57,10 @@
         return Math.max(0, room - probableReturns());
     }
 
+    double room() {
+        return Math.max(0, capacity - Math.max(0, level));
+    }
+
     /** Returns the tokens that running reservations will probably give back. */
     double probableReturns() {
         return KEPT_FOR_RETURNS * outstandingTokens;
