--- a/library/src/main/java/org/pollenhoist/caller/EntryMetrics.java
+++ b/library/src/main/java/org/pollenhoist/caller/EntryMetrics.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.util.function.LongSupplier;
+import org.pollenhoist.common.ModelName;
 
 /** What an entry process counts, under the names that the operators' pages explain. */
 public final class EntryMetrics {
@@ -44,6 +45,22 @@
             .help("Requests that run now.")
             .register(registry);
 
+    private final Gauge modelSequences = Gauge.builder()
+            .name("pollenhoist_model_sequences")
+            .help("Requests that run or wait now, by model; placement reads it as demand.")
+            .labelNames("model")
+            .register(registry);
+
+    /**
+     * Notes that requests for a model have begun or ended.
+     *
+     * @param model the model
+     * @param change 1 for a begun request, -1 for an ended one
+     */
+    public void changeModelSequences(ModelName model, int change) {
+        modelSequences.labelValues(model.value()).inc(change);
+    }
+
     /**
      * Counts a request that has ended.
      *
--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -74,6 +74,8 @@
 
     private final OutcomeStart outcomeStart;
 
+    private volatile Runnable whenAskedToDrain = () -> {};
+
     private final PeerMesh mesh;
 
     private final HttpPlatformService platform;
@@ -86,6 +88,8 @@
 
     private final LeavingWatch leavingWatch;
 
+    private final DrainWatch drainWatch;
+
     private final PlannedStop plannedStop;
 
     private final StrictHttpServer server;
@@ -101,9 +105,11 @@
         this.platform = HttpPlatformService.at(
                 new InetSocketAddress(
                         settings.platform().address(), settings.platform().port()),
-                settings.platform().timeout());
+                settings.platform().timeout(),
+                settings.vm().failureDomain());
         this.feed = ConfigurationFeed.start(settings, configuration, platform, mesh);
-        this.leavingWatch = LeavingWatch.start(platform, upstreams);
+        this.drainWatch = DrainWatch.start(settings.vm(), platform, mesh, () -> whenAskedToDrain.run());
+        this.leavingWatch = LeavingWatch.start(settings.vm(), platform, upstreams, mesh);
         this.plannedStop =
                 new PlannedStop(settings.shutdown(), running::count, () -> true, this::entered, MonotonicTime.read());
         this.quarantine = new CrashQuarantine(settings.vm().name(), notice -> CrashVerdictExchange.send(mesh, notice));
@@ -140,8 +146,8 @@
     }
 
     private void define(RatpackServerSpec spec) throws Exception {
-        HealthHandlers health =
-                new HealthHandlers(settings.vm(), configuration, feed::isReady, plannedStop::phase, running, metrics);
+        HealthHandlers health = new HealthHandlers(
+                settings.vm(), configuration, this::hasWhatItServesBy, plannedStop::phase, running, metrics);
         spec.serverConfig(serverConfig())
                 .registry(base -> Registry.single(loadExchange(base.get(ExecController.class))))
                 .handlers(chain -> chain.insert(health).all(callerHandler(chain.getRegistry())));
@@ -207,6 +213,10 @@
         LOG.event("configuration_in_force", "revision", inForce.revision(), "requests_ended", ended);
     }
 
+    private boolean hasWhatItServesBy() {
+        return feed.isReady() && homeShare.hasAsked();
+    }
+
     private void entered(DrainPhase phase) {
         if (!phase.acceptsConnections()) {
             server.closeListener();
@@ -223,6 +233,7 @@
         running.abortAll("this VM stops");
         Thread.sleep(FLUSH_MILLISECONDS);
         server.stop();
+        drainWatch.close();
         homeShare.close();
         gate.close();
         leavingWatch.close();
@@ -233,6 +244,15 @@
         LOG.event("stopped", "vm", settings.vm().name());
     }
 
+    /**
+     * Has an action run once when operators ask this VM to drain.
+     *
+     * @param action typically ends the process by way of {@link #stopGracefully()}; must not wait for it
+     */
+    public void whenAskedToDrain(Runnable action) {
+        whenAskedToDrain = action;
+    }
+
     /**
      * Returns the port on which callers are served.
      *
