--- a/experiments/src/main/java/org/pollenhoist/experiments/placement/PlacementResult.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/placement/PlacementResult.java
@@ -64,12 +64,14 @@
     private static String text(String name, StrategyOutcome outcome) {
         return String.format(
                 java.util.Locale.ROOT,
-                " %s=%.4f %s_moves=%d %s_worst_team=%.4f",
+                " %s=%.4f %s_moves=%d %s_worst_team=%.4f %s_unreachable_seconds=%d",
                 name,
                 outcome.attainment(),
                 name,
                 outcome.moves(),
                 name,
-                outcome.worstTeamAttainment());
+                outcome.worstTeamAttainment(),
+                name,
+                outcome.unreachableSeconds());
     }
 }
--- a/experiments/src/main/java/org/pollenhoist/experiments/placement/PlacementSimulation.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/placement/PlacementSimulation.java
@@ -107,6 +107,7 @@
             replicas.forEach(SimulatedReplica::removeIdle);
             if (index % 10 == 0) {
                 strategy.everySecond(this, now);
+                countUnreachable();
             }
             startWaiting(now);
             while (next < requests.size() && requests.get(next).arrival() < now + step) {
@@ -119,6 +120,14 @@
         return counter.outcome();
     }
 
+    private void countUnreachable() {
+        for (ModelName model : configuration.models().keySet()) {
+            if (replicas.stream().noneMatch(replica -> replica.isReady(model))) {
+                counter.unreachable();
+            }
+        }
+    }
+
     private void endRequests(double now) {
         while (!ends.isEmpty() && ends.peek().at() <= now) {
             End end = ends.poll();
--- a/experiments/src/main/java/org/pollenhoist/experiments/placement/StrategyOutcome.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/placement/StrategyOutcome.java
@@ -10,8 +10,10 @@
  * @param attained requests whose first token came in time
  * @param moves model loads
  * @param worstTeamAttainment the share of the worst-served team's requests that were attained
+ * @param unreachableSeconds seconds for which a model had no copy that answers, added over all models
  */
-public record StrategyOutcome(int requests, int attained, int moves, double worstTeamAttainment) {
+public record StrategyOutcome(
+        int requests, int attained, int moves, double worstTeamAttainment, int unreachableSeconds) {
 
     /**
      * Returns the share of requests that were attained.
@@ -27,6 +29,11 @@
 
         private final Map<Integer, int[]> attainedAndAll = new TreeMap<>();
         private int moves;
+        private int unreachableSeconds;
+
+        void unreachable() {
+            unreachableSeconds++;
+        }
 
         void attained(int team) {
             counts(team)[0]++;
@@ -54,7 +61,7 @@
                 all += counts[1];
                 worst = Math.min(worst, (double) counts[0] / counts[1]);
             }
-            return new StrategyOutcome(all, attained, moves, worst);
+            return new StrategyOutcome(all, attained, moves, worst, unreachableSeconds);
         }
     }
 }
--- a/library/src/main/java/org/pollenhoist/placement/DemandDrivenPolicy.java
+++ b/library/src/main/java/org/pollenhoist/placement/DemandDrivenPolicy.java
@@ -149,9 +149,12 @@
         }
 
         private void addRequiredCopies() {
+            Set<ModelName> withOldVersion = modelsWithOldVersion();
             List<Model> missing = new ArrayList<>();
             for (Model model : state.models().values()) {
-                if (draft.plannedCopies(model.name()) < wantedCopies(model)) {
+                int least = withOldVersion.contains(model.name()) ? 1 : 0;
+                int wanted = Math.max(state.requiredCopies(model.name()), least);
+                if (draft.plannedCopies(model.name()) < wanted) {
                     missing.add(model);
                 }
             }
@@ -163,12 +166,17 @@
             }
         }
 
-        private int wantedCopies(Model model) {
-            boolean hasOldVersion = draft.engines().stream()
-                    .flatMap(engine -> engine.state().steadyItems().stream())
-                    .anyMatch(item -> item.name().equals(model.name().value())
-                            && !item.version().equals(model.version()));
-            return Math.max(state.requiredCopies(model.name()), hasOldVersion ? 1 : 0);
+        private Set<ModelName> modelsWithOldVersion() {
+            Set<ModelName> names = new HashSet<>();
+            for (EngineDraft engine : draft.engines()) {
+                for (EngineItem item : engine.state().steadyItems()) {
+                    Model model = state.models().get(ModelName.of(item.modelName()));
+                    if (model != null && !item.version().equals(model.version())) {
+                        names.add(model.name());
+                    }
+                }
+            }
+            return names;
         }
 
         private void addRequiredCopy(Model model) {
