--- a/acceptance-tests/src/test/java/org/pollenhoist/acceptance/RequestLifeTest.java
+++ b/acceptance-tests/src/test/java/org/pollenhoist/acceptance/RequestLifeTest.java
@@ -242,7 +242,8 @@
                 for (Thread caller : callers) {
                     caller.join();
                 }
-                long refused = failures.stream().filter(RollingRestart::isRateLimited).count();
+                long refused =
+                        failures.stream().filter(RollingRestart::isRateLimited).count();
                 System.out.println("rolling_restart answered=" + answered + " rate_limited=" + refused + " failed="
                         + (failures.size() - refused));
             }
--- a/library/src/main/java/org/pollenhoist/placement/PlacementCoordinator.java
+++ b/library/src/main/java/org/pollenhoist/placement/PlacementCoordinator.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.pollenhoist.common.DecisionLog;
@@ -39,6 +41,7 @@
     private final Map<String, MonotonicTime> sentAt = new HashMap<>();
     private PolicyMemory memory = PolicyMemory.none();
     private Optional<LoadBudget> budget = Optional.empty();
+    private Set<RefusedMove> refusedBefore = Set.of();
     private boolean wasActing;
 
     /**
@@ -67,6 +70,8 @@
         this.plans = new PlanExchange(platform, domain, settings.planInterval());
     }
 
+    private record RefusedMove(UpstreamName upstream, EngineItem item, MoveGuard.Refusal refusal) {}
+
     private record TimedReport(EngineReport report, MonotonicTime receivedAt) {}
 
     /**
@@ -296,9 +301,19 @@
                 isFirst ? "ledger_written" : "not_in_report");
     }
 
+    /** A refusal is logged when it begins, not in each round that repeats it. */
     private void logVerdicts(MoveGuard.Admission admission) {
+        Set<RefusedMove> refused = new HashSet<>();
         for (MoveGuard.Verdict verdict : admission.verdicts()) {
             Move move = verdict.move();
+            if (verdict.refusal().isPresent()) {
+                RefusedMove present = new RefusedMove(
+                        move.upstream(), move.item(), verdict.refusal().get());
+                refused.add(present);
+                if (refusedBefore.contains(present)) {
+                    continue;
+                }
+            }
             LOG.event(
                     move instanceof Move.Load ? "load" : "unload",
                     "domain",
@@ -316,5 +331,6 @@
                     "refusal",
                     verdict.refusal().map(MoveGuard.Refusal::text).orElse("none"));
         }
+        refusedBefore = refused;
     }
 }
