Free the share of a VM that stops as planned at once

Cause: in a rolling restart of all VMs, teams inside their rate were refused. Each ended VM's parts rest for 35 s, since loans of its may still run, so that a quick restart of the whole fleet left nobody with a share. Change: in a planned stop a process gives up its parts in two portions: those on which no loan of its rests, and which it could itself use already, are free at once and begin empty; the rest is released as before.

--- a/experiments/src/main/java/org/pollenhoist/experiments/limit/LimitExperiment.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/limit/LimitExperiment.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.pollenhoist.common.TeamName;
 import org.pollenhoist.limit.HomeLeaseSettings;
 import org.pollenhoist.limit.ShareSettings;
@@ -55,7 +56,9 @@
         /** All VMs but the first are paused past their leases; a flood of requests meets them when they wake. */
         PAUSES,
         /** Demand on the first VM, then a flood while the others are killed and restarted again and again. */
-        KILLS
+        KILLS,
+        /** The same, but the others are stopped as planned and restarted. */
+        STOPS
     }
 
     /**
@@ -100,7 +103,10 @@
             schedulePauses(fleet);
         }
         if (scenario == Scenario.KILLS) {
-            scheduleKills(fleet);
+            scheduleEnds(fleet, SimulatedVm::kill);
+        }
+        if (scenario == Scenario.STOPS) {
+            scheduleEnds(fleet, SimulatedVm::stop);
         }
         fleet.run(end);
         return result(seed, end, workload, fleet);
@@ -145,12 +151,12 @@
         }
     }
 
-    private void scheduleKills(FleetSimulation fleet) {
+    private void scheduleEnds(FleetSimulation fleet, Consumer<SimulatedVm> end) {
         for (int kill = 0; kill < KILLS; kill++) {
             int index = 1 + kill % (shape.vms() - 1);
             Duration time = FLOOD_WITH_KILLS.plus(BETWEEN_KILLS.multipliedBy(kill));
             fleet.queue().at(time.toNanos(), () -> {
-                fleet.vm(index).kill();
+                end.accept(fleet.vm(index));
                 fleet.queue().after(SHORT_ABSENCE.toNanos(), () -> fleet.start(index, index));
             });
         }
@@ -166,7 +172,7 @@
             case PAUSES ->
                 TeamDemands.flood(
                         shape, (double) FLOOD_AFTER_PAUSE.toSeconds(), (double) FLOOD_AFTER_PAUSE.toSeconds());
-            case KILLS ->
+            case KILLS, STOPS ->
                 TeamDemands.flood(shape, (double) HOT_VM_BEGIN.toSeconds(), (double) FLOOD_WITH_KILLS.toSeconds());
         };
     }
@@ -176,7 +182,10 @@
     }
 
     private boolean hasFaults() {
-        return scenario == Scenario.FAULTS || scenario == Scenario.PAUSES || scenario == Scenario.KILLS;
+        return scenario == Scenario.FAULTS
+                || scenario == Scenario.PAUSES
+                || scenario == Scenario.KILLS
+                || scenario == Scenario.STOPS;
     }
 
     private static ShareSettings shareSettings() {
--- a/experiments/src/main/java/org/pollenhoist/experiments/limit/SimulatedVm.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/limit/SimulatedVm.java
@@ -77,6 +77,12 @@
         waiting.clear();
     }
 
+    /** Ends the process in its planned stop, which gives the home share up. */
+    void stop() {
+        keeper.leave();
+        kill();
+    }
+
     void pause() {
         isPaused = true;
         pausedSince = fleet.queue().now();
--- a/experiments/src/test/java/org/pollenhoist/experiments/limit/LimitExperimentTest.java
+++ b/experiments/src/test/java/org/pollenhoist/experiments/limit/LimitExperimentTest.java
@@ -37,6 +37,7 @@
             "LENDER_NOT_DEBITED, FAULTS",
             "REFILL_AT_RESTART, KILLS",
             "NO_QUARANTINE, KILLS",
+            "NO_QUARANTINE, STOPS",
             "LEASE_NOT_CHECKED, PAUSES"
         })
         void should_be_found_when_a_mechanism_is_missing(Mutant mutant, Scenario scenario) {
--- a/library/src/main/java/org/pollenhoist/limit/HomeRecord.java
+++ b/library/src/main/java/org/pollenhoist/limit/HomeRecord.java
@@ -16,10 +16,11 @@
  *
  * @param change grows by one with each write
  * @param untouched parts that no process ever held
+ * @param vacated parts that processes gave up in a planned stop, on which no loan rests: usable at once, from empty
  * @param released parts of processes that have ended; loans of theirs may still run
  * @param members the processes that hold parts
  */
-public record HomeRecord(long change, long untouched, long released, List<Member> members) {
+public record HomeRecord(long change, long untouched, long vacated, long released, List<Member> members) {
 
     /** Copies the members. */
     public HomeRecord {
@@ -60,7 +61,7 @@
      * @return the record
      */
     public static HomeRecord create(long total) {
-        return new HomeRecord(0, total, 0, List.of());
+        return new HomeRecord(0, total, 0, 0, List.of());
     }
 
     /**
@@ -69,7 +70,10 @@
      * @return parts of {@link Parts#WHOLE}
      */
     public long total() {
-        return untouched + released + members.stream().mapToLong(Member::parts).sum();
+        return untouched
+                + vacated
+                + released
+                + members.stream().mapToLong(Member::parts).sum();
     }
 
     /**
@@ -103,7 +107,7 @@
         }
         List<Member> joined = new ArrayList<>(record.members);
         joined.add(new Member(vm, incarnation, address, generation, 0, false));
-        return new HomeRecord(record.change, record.untouched, record.released, joined);
+        return new HomeRecord(record.change, record.untouched, record.vacated, record.released, joined);
     }
 
     /**
@@ -113,11 +117,23 @@
      * @return the record without it
      */
     public HomeRecord remove(long incarnation) {
+        return leave(incarnation, 0);
+    }
+
+    /**
+     * Removes a process in its planned stop.
+     *
+     * @param incarnation the process, which has stopped using its parts
+     * @param unburdenedParts those of its parts on which no loan rests, neither its own nor a predecessor's
+     * @return the record without it: the unburdened parts are free at once, the others released
+     */
+    public HomeRecord leave(long incarnation, long unburdenedParts) {
         long parts = find(incarnation).map(Member::parts).orElse(0L);
+        long free = Math.max(0, Math.min(parts, unburdenedParts));
         List<Member> rest = members.stream()
                 .filter(member -> member.incarnation() != incarnation)
                 .toList();
-        return new HomeRecord(change, untouched, released + parts, rest);
+        return new HomeRecord(change, untouched, vacated + free, released + parts - free, rest);
     }
 
     /**
@@ -135,7 +151,7 @@
                 incarnation,
                 member -> new Member(
                         member.vm(), incarnation, member.address(), member.generation(), member.floorParts(), true));
-        return new HomeRecord(change, untouched, released + freed, changed.members);
+        return new HomeRecord(change, untouched, vacated, released + freed, changed.members);
     }
 
     /**
@@ -161,10 +177,12 @@
         long missing =
                 Math.max(0, equalSplit() - find(incarnation).map(Member::parts).orElse(equalSplit()));
         long fromUntouched = Math.min(missing, untouched);
-        long fromReleased = Math.min(missing - fromUntouched, released);
-        HomeRecord changed =
-                replace(incarnation, member -> member.withParts(member.parts() + fromUntouched + fromReleased));
-        return new HomeRecord(change, untouched - fromUntouched, released - fromReleased, changed.members);
+        long fromVacated = Math.min(missing - fromUntouched, vacated);
+        long fromReleased = Math.min(missing - fromUntouched - fromVacated, released);
+        long added = fromUntouched + fromVacated + fromReleased;
+        HomeRecord changed = replace(incarnation, member -> member.withParts(member.parts() + added));
+        return new HomeRecord(
+                change, untouched - fromUntouched, vacated - fromVacated, released - fromReleased, changed.members);
     }
 
     /**
@@ -200,7 +218,7 @@
             record = record.replace(poor.incarnation(), member -> member.withParts(member.parts() + given));
             remaining -= given;
         }
-        return new HomeRecord(change, untouched, released + remaining, record.members);
+        return new HomeRecord(change, untouched, vacated, released + remaining, record.members);
     }
 
     /**
@@ -209,7 +227,7 @@
      * @return the same content with the next change number
      */
     public HomeRecord next() {
-        return new HomeRecord(change + 1, untouched, released, members);
+        return new HomeRecord(change + 1, untouched, vacated, released, members);
     }
 
     private long equalSplit() {
@@ -220,6 +238,6 @@
         List<Member> changed = members.stream()
                 .map(member -> member.incarnation() == incarnation ? update.apply(member) : member)
                 .toList();
-        return new HomeRecord(change, untouched, released, changed);
+        return new HomeRecord(change, untouched, vacated, released, changed);
     }
 }
--- a/library/src/main/java/org/pollenhoist/limit/HomeShareKeeper.java
+++ b/library/src/main/java/org/pollenhoist/limit/HomeShareKeeper.java
@@ -116,11 +116,16 @@
 
     /** Gives the home share up before a planned stop. */
     public void leave() {
+        MonotonicTime now = clock.get();
+        long usable = held.stream()
+                .filter(part -> !now.isBefore(part.from()))
+                .mapToLong(Held::parts)
+                .sum();
         held.clear();
-        table.setHome(HomeShare.none(), clock.get());
+        table.setHome(HomeShare.none(), now);
         try {
             Snapshot snapshot = read();
-            write(snapshot, snapshot.record().remove(place.incarnation()));
+            write(snapshot, snapshot.record().leave(place.incarnation(), usable - table.lentParts(now)));
             leases.revoke();
         } catch (PollenhoistException failure) {
             LOG.event(
@@ -167,7 +172,7 @@
         HomeRecord wanted = withGift(withOwnEntry(withoutEnded(current)));
         boolean isWritten = !wanted.equals(current.record()) && write(current, wanted);
         if (isWritten) {
-            confirm(wanted, current.record().untouched() - wanted.untouched());
+            confirm(wanted, unburdenedBetween(current.record(), wanted));
         }
         publish();
         if (isWritten) {
@@ -178,8 +183,13 @@
         return isWritten || wanted.equals(current.record());
     }
 
-    private void confirm(HomeRecord record, long untouchedParts) {
-        reconcile(record, untouchedParts);
+    /** Returns the parts that were taken and on which no loan can rest. */
+    private static long unburdenedBetween(HomeRecord before, HomeRecord after) {
+        return before.untouched() - after.untouched() + before.vacated() - after.vacated();
+    }
+
+    private void confirm(HomeRecord record, long unburdenedParts) {
+        reconcile(record, unburdenedParts);
         confirmedGeneration = record.find(place.incarnation())
                 .filter(member -> !member.isFloatReleased())
                 .map(HomeRecord.Member::generation)
@@ -243,7 +253,7 @@
     }
 
     /** Brings what is held in line with the record: parts that went are dropped at once, new ones are quarantined. */
-    private void reconcile(HomeRecord record, long untouchedParts) {
+    private void reconcile(HomeRecord record, long unburdenedParts) {
         long target =
                 record.find(place.incarnation()).map(HomeRecord.Member::parts).orElse(0L);
         long added = target - heldParts();
@@ -251,7 +261,7 @@
             reduceTo(target);
             return;
         }
-        long fresh = Math.min(added, untouchedParts);
+        long fresh = Math.min(added, unburdenedParts);
         MonotonicTime now = clock.get();
         hold(fresh, now);
         hold(added - fresh, now.plus(settings.quarantine()));
--- a/library/src/main/java/org/pollenhoist/limit/ShareTable.java
+++ b/library/src/main/java/org/pollenhoist/limit/ShareTable.java
@@ -106,6 +106,19 @@
         return shares.values().stream().allMatch(share -> share.canGiveUp(parts, now));
     }
 
+    /**
+     * Returns the parts of the home share on which loans to peers rest, for the team with the most.
+     *
+     * @param now the present time
+     * @return parts of {@link Parts#WHOLE}
+     */
+    public synchronized long lentParts(MonotonicTime now) {
+        return shares.values().stream()
+                .mapToLong(share -> share.lentParts(now))
+                .max()
+                .orElse(0);
+    }
+
     /**
      * Sets the VMs that may be asked.
      *
--- a/library/src/main/java/org/pollenhoist/limit/TeamShare.java
+++ b/library/src/main/java/org/pollenhoist/limit/TeamShare.java
@@ -66,6 +66,18 @@
         return free.covers(new Portion(parts, parts));
     }
 
+    /** Returns the parts of the home share on which loans to peers rest. */
+    synchronized long lentParts(MonotonicTime now) {
+        advance(now);
+        long rate = book.given().stream()
+                .mapToLong(loan -> loan.portion().rateParts())
+                .sum();
+        long burst = book.given().stream()
+                .mapToLong(loan -> loan.portion().burstParts())
+                .sum();
+        return Math.max(rate, burst);
+    }
+
     synchronized void setPeers(Collection<VmName> names) {
         peers.setPeers(names);
     }
--- a/library/src/test/java/org/pollenhoist/limit/HomeRecordTest.java
+++ b/library/src/test/java/org/pollenhoist/limit/HomeRecordTest.java
@@ -91,4 +91,34 @@
             assertThat(one.remove(11).released()).isEqualTo(TOTAL);
         }
     }
+
+    @Nested
+    class Leave {
+
+        @Test
+        void should_free_the_unburdened_parts_at_once_and_release_the_others() {
+            HomeRecord left = one.leave(11, 200);
+
+            assertThat(left.vacated()).isEqualTo(200);
+            assertThat(left.released()).isEqualTo(100);
+            assertThat(left.total()).isEqualTo(TOTAL);
+        }
+
+        @Test
+        void should_give_the_successor_the_unburdened_parts_first() {
+            HomeRecord successor = one.leave(11, 200)
+                    .join(FIRST, 12, "10.0.0.1:70", 1)
+                    .join(SECOND, 22, "10.0.0.2:70", 1)
+                    .claim(12);
+
+            assertThat(parts(successor, 12)).isEqualTo(150);
+            assertThat(successor.vacated()).isEqualTo(50);
+            assertThat(successor.released()).isEqualTo(100);
+        }
+
+        @Test
+        void should_release_all_when_loans_rest_on_more_than_is_held() {
+            assertThat(one.leave(11, -5).released()).isEqualTo(TOTAL);
+        }
+    }
 }
