List the routing and placement experiments in bin/bench

Cause: both ran by mains of their own, so that 'bin/bench run all' left out two of the three measures. Change: an adapter each.

--- a/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
@@ -6,6 +6,8 @@
 import org.pollenhoist.experiments.configuration.ConfigurationSpreadExperiment;
 import org.pollenhoist.experiments.limit.TeamLimitCostExperiment;
 import org.pollenhoist.experiments.limit.TeamLimitExperiment;
+import org.pollenhoist.experiments.placement.PlacementBench;
+import org.pollenhoist.experiments.routing.RoutingBench;
 
 /** All experiments that the tool knows. */
 public final class Experiments {
@@ -25,6 +27,8 @@
         experiments.add(new ConfigurationRolloutExperiment());
         experiments.add(new TeamLimitExperiment());
         experiments.add(new TeamLimitCostExperiment());
+        experiments.add(new RoutingBench());
+        experiments.add(new PlacementBench());
         return List.copyOf(experiments);
     }
 }
