End requests whose key is withdrawn between identification and entry

Cause: a request that was identified by one revision and entered among the running ones after the next was in force escaped the search for requests of withdrawn keys and ran to its end. Found in reading; the new test failed first. Change: the table keeps the last word on keys and asks it at entry; a request that was ended before it was sent is not sent. Conclusion: RunningRequestsTest passes.

--- a/library/src/main/java/org/pollenhoist/caller/RunningRequests.java
+++ b/library/src/main/java/org/pollenhoist/caller/RunningRequests.java
@@ -17,8 +17,11 @@
 
     private final Map<Long, Running> running = new ConcurrentHashMap<>();
 
+    /** The last word on keys, for requests that are entered after it was given and identified before. */
+    private volatile Predicate<String> isInForce = digest -> true;
+
     /**
-     * Notes that a request runs.
+     * Notes that a request runs. It is ended at once where its key was withdrawn since it was identified.
      *
      * @param keyDigest the digest of its key, empty on an open route
      * @param abort ends it with a reason; may be called from any thread
@@ -26,28 +29,35 @@
      */
     public Entry add(String keyDigest, Consumer<String> abort) {
         long number = lastNumber.incrementAndGet();
-        running.put(number, new Running(keyDigest, abort));
+        Running request = new Running(keyDigest, abort);
+        running.put(number, request);
+        abortWhereWithdrawn(request);
         return () -> running.remove(number);
     }
 
     /**
      * Ends all requests whose keys are no longer in force.
      *
-     * @param isInForce tells of a key's digest whether it is in force
+     * @param isKeyInForce tells of a key's digest whether it is in force
      * @return how many were ended
      */
-    public int abortWhereKeyIsNotInForce(Predicate<String> isInForce) {
+    public int abortWhereKeyIsNotInForce(Predicate<String> isKeyInForce) {
+        isInForce = isKeyInForce;
         int aborted = 0;
         for (Running request : running.values()) {
-            boolean isWithdrawn = !request.keyDigest().isEmpty() && !isInForce.test(request.keyDigest());
-            if (isWithdrawn) {
-                request.abort().accept("the key was withdrawn");
-                aborted++;
-            }
+            aborted += abortWhereWithdrawn(request) ? 1 : 0;
         }
         return aborted;
     }
 
+    private boolean abortWhereWithdrawn(Running request) {
+        boolean isWithdrawn = !request.keyDigest().isEmpty() && !isInForce.test(request.keyDigest());
+        if (isWithdrawn) {
+            request.abort().accept("the key was withdrawn");
+        }
+        return isWithdrawn;
+    }
+
     /**
      * Ends all requests.
      *
--- a/library/src/main/java/org/pollenhoist/entry/FlowRunner.java
+++ b/library/src/main/java/org/pollenhoist/entry/FlowRunner.java
@@ -93,6 +93,10 @@
     }
 
     private Promise<FlowOutcome> attempts(MonotonicTime arrival) {
+        if (outcome.isDone()) {
+            return Promise.value(
+                    new FlowOutcome.Refused(Refusal.notRun(ErrorCode.UNAUTHORIZED, "ended before it was sent")));
+        }
         parts.metrics().observeDecision(MonotonicTime.read().secondsSince(arrival));
         isSent = true;
         return IdempotentRun.of(parts, flow, () -> AttemptLoop.run(parts, flow, meter));
