Look keys up in one place and state the readers of a domain once

Cause: Identification repeated the look-up that KeyTable offers, DrainWatch and LeavingWatch the choice of readers. Conclusion: unit tests pass.

--- a/experiments/src/main/java/org/pollenhoist/experiments/BenchCommand.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/BenchCommand.java
@@ -1,5 +1,7 @@
 package org.pollenhoist.experiments;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Files;
@@ -10,6 +12,7 @@
 import org.pollenhoist.experiments.report.ResultJson;
 import org.pollenhoist.experiments.report.ResultPicture;
 import org.pollenhoist.experiments.report.ResultTable;
+import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.ExitCode;
@@ -104,12 +107,18 @@
             specification.commandLine().getErr().println("no experiment is named " + name + "; try: bench list");
             return ExitCode.USAGE;
         }
+        quietenDecisions();
         for (Experiment experiment : chosen) {
             runOne(experiment, seed, Duration.ofSeconds(lengthSeconds), output);
         }
         return ExitCode.OK;
     }
 
+    /** A simulated hour decides many thousand times; its lines would bury the table. */
+    private static void quietenDecisions() {
+        ((Logger) LoggerFactory.getLogger("pollenhoist")).setLevel(Level.WARN);
+    }
+
     private void runOne(Experiment experiment, long seed, Duration length, Path output) throws IOException {
         PrintWriter error = specification.commandLine().getErr();
         PrintWriter out = specification.commandLine().getOut();
--- a/library/src/main/java/org/pollenhoist/entry/CallerHandler.java
+++ b/library/src/main/java/org/pollenhoist/entry/CallerHandler.java
@@ -72,8 +72,7 @@
                 rawPath(request),
                 Optional.ofNullable(request.getHeaders().get("Authorization")),
                 Optional.ofNullable(request.getHeaders().get(PROFILE_HEADER)));
-        return Identification.identify(
-                inForce.configuration(), shown, parts.sinceContact().apply(now));
+        return Identification.identify(inForce, shown, parts.sinceContact().apply(now));
     }
 
     private static String rawPath(Request request) {
--- a/library/src/main/java/org/pollenhoist/entry/DrainWatch.java
+++ b/library/src/main/java/org/pollenhoist/entry/DrainWatch.java
@@ -1,20 +1,16 @@
 package org.pollenhoist.entry;
 
 import java.time.Duration;
-import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.stream.Collectors;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.PollenhoistException;
-import org.pollenhoist.common.VmName;
 import org.pollenhoist.operator.VmDrain;
 import org.pollenhoist.platform.PlatformService;
 import org.pollenhoist.platform.StoredValue;
-import org.pollenhoist.routing.LeavingLists;
 import org.pollenhoist.settings.VmSettings;
 import org.pollenhoist.vm.Peer;
 import org.pollenhoist.vm.PeerListener;
@@ -42,6 +38,8 @@
 
     private final AtomicBoolean isAsked = new AtomicBoolean();
 
+    private final DomainReaders readers;
+
     private final ScheduledExecutorService ticker;
 
     private DrainWatch(VmSettings self, PlatformService platform, PeerMesh mesh, Runnable onDrain) {
@@ -49,6 +47,7 @@
         this.platform = platform;
         this.mesh = mesh;
         this.onDrain = onDrain;
+        this.readers = new DomainReaders(self, mesh);
         this.ticker = Executors.newSingleThreadScheduledExecutor(
                 Thread.ofPlatform().daemon().name("drain-watch").factory());
     }
@@ -63,7 +62,7 @@
 
     private void round() {
         try {
-            if (LeavingLists.isReader(self.name(), domainVms())) {
+            if (readers.isOneOfThem()) {
                 platform.list(VmDrain.PREFIX).values().forEach(this::found);
             }
         } catch (PollenhoistException unavailable) {
@@ -73,15 +72,6 @@
         }
     }
 
-    private Set<VmName> domainVms() {
-        Set<VmName> vms = mesh.peers().stream()
-                .filter(peer -> peer.failureDomain().equals(self.failureDomain()))
-                .map(Peer::vm)
-                .collect(Collectors.toSet());
-        vms.add(self.name());
-        return vms;
-    }
-
     private void found(StoredValue record) {
         VmDrain.vmOf(record.key()).ifPresent(vm -> {
             if (vm.equals(self.name())) {
--- a/library/src/main/java/org/pollenhoist/entry/EntryNode.java
+++ b/library/src/main/java/org/pollenhoist/entry/EntryNode.java
@@ -202,7 +202,7 @@
     }
 
     private static InForce inForce(InstalledConfiguration installed) {
-        return new InForce(installed.revision(), installed.configuration());
+        return new InForce(installed.configuration(), installed.keys());
     }
 
     private void installed(InstalledConfiguration inForce) {
--- a/library/src/main/java/org/pollenhoist/entry/Identification.java
+++ b/library/src/main/java/org/pollenhoist/entry/Identification.java
@@ -1,11 +1,7 @@
 package org.pollenhoist.entry;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
 import java.util.Comparator;
-import java.util.HexFormat;
 import java.util.Optional;
 import java.util.Set;
 import org.pollenhoist.caller.Refusal;
@@ -41,7 +37,8 @@
      */
     record Shown(String method, String rawPath, Optional<String> authorization, Optional<String> profile) {}
 
-    static Identified identify(Configuration configuration, Shown shown, Duration sinceContact) {
+    static Identified identify(InForce inForce, Shown shown, Duration sinceContact) {
+        Configuration configuration = inForce.configuration();
         ServicePaths.requireUnambiguous(shown.rawPath());
         Optional<Identified.Target> target = target(configuration, shown);
         boolean isOpen = target.isPresent()
@@ -50,7 +47,7 @@
         if (isOpen) {
             return new Identified(configuration, Optional.empty(), "", Optional.empty(), target.get());
         }
-        KeyRecord key = key(configuration, shown);
+        KeyRecord key = key(inForce, shown);
         Identified.Target known = target.orElseThrow(() -> notFound(shown.rawPath()));
         Profile profile = profile(configuration, configuration.teams().get(key.team()), shown);
         requireAllowed(profile, known);
@@ -71,31 +68,15 @@
                 .map(Identified.Target.Service::new);
     }
 
-    /** The digests are compared in constant time, although only digests, never keys, are compared at all. */
-    private static KeyRecord key(Configuration configuration, Shown shown) {
+    private static KeyRecord key(InForce inForce, Shown shown) {
         String header = shown.authorization()
                 .filter(value -> value.startsWith(BEARER))
                 .orElseThrow(() ->
                         unauthorized("no key came with the request, expected the header Authorization: Bearer KEY"));
-        String digest = digest(header.substring(BEARER.length()).trim());
-        KeyRecord record = configuration.keys().get(digest);
-        boolean isKnown = record != null
-                && MessageDigest.isEqual(
-                        record.digest().getBytes(StandardCharsets.US_ASCII), digest.getBytes(StandardCharsets.US_ASCII))
-                && configuration.teams().containsKey(record.team());
-        if (!isKnown) {
-            throw unauthorized("the key is unknown or was withdrawn");
-        }
-        return record;
-    }
-
-    private static String digest(String key) {
-        try {
-            MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
-            return HexFormat.of().formatHex(sha256.digest(key.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException impossible) {
-            throw new IllegalStateException("every Java platform has SHA-256", impossible);
-        }
+        return inForce.keys()
+                .find(header.substring(BEARER.length()).trim())
+                .filter(record -> inForce.configuration().teams().containsKey(record.team()))
+                .orElseThrow(() -> unauthorized("the key is unknown or was withdrawn"));
     }
 
     private static Profile profile(Configuration configuration, Team team, Shown shown) {
--- a/library/src/main/java/org/pollenhoist/entry/InForce.java
+++ b/library/src/main/java/org/pollenhoist/entry/InForce.java
@@ -1,11 +1,12 @@
 package org.pollenhoist.entry;
 
 import org.pollenhoist.configuration.Configuration;
+import org.pollenhoist.configuration.KeyTable;
 
 /**
- * The configuration that a VM works by.
+ * What a VM works by.
  *
- * @param revision its revision
- * @param configuration its content
+ * @param configuration the configuration in force
+ * @param keys its keys, for look-up
  */
-public record InForce(long revision, Configuration configuration) {}
+record InForce(Configuration configuration, KeyTable keys) {}
--- a/library/src/main/java/org/pollenhoist/entry/LeavingWatch.java
+++ b/library/src/main/java/org/pollenhoist/entry/LeavingWatch.java
@@ -11,7 +11,6 @@
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.PollenhoistException;
 import org.pollenhoist.common.UpstreamName;
-import org.pollenhoist.common.VmName;
 import org.pollenhoist.platform.ListedVm;
 import org.pollenhoist.platform.PlatformService;
 import org.pollenhoist.routing.LeavingLists;
@@ -42,6 +41,8 @@
 
     private final LeavingLists lists = new LeavingLists();
 
+    private final DomainReaders readers;
+
     private final ScheduledExecutorService ticker;
 
     private LeavingWatch(VmSettings self, PlatformService platform, UpstreamTable upstreams, PeerMesh mesh) {
@@ -49,6 +50,7 @@
         this.platform = platform;
         this.upstreams = upstreams;
         this.mesh = mesh;
+        this.readers = new DomainReaders(self, mesh);
         this.ticker = Executors.newSingleThreadScheduledExecutor(
                 Thread.ofPlatform().daemon().name("leaving-watch").factory());
     }
@@ -62,7 +64,7 @@
 
     private void round() {
         try {
-            if (LeavingLists.isReader(self.name(), domainVms())) {
+            if (readers.isOneOfThem()) {
                 read().ifPresent(this::take);
             }
             upstreams.installLeavingList(lists.leaving(MonotonicTime.read()));
@@ -71,15 +73,6 @@
         }
     }
 
-    private Set<VmName> domainVms() {
-        Set<VmName> vms = mesh.peers().stream()
-                .filter(peer -> peer.failureDomain().equals(self.failureDomain()))
-                .map(Peer::vm)
-                .collect(Collectors.toSet());
-        vms.add(self.name());
-        return vms;
-    }
-
     private Optional<Set<UpstreamName>> read() {
         try {
             return Optional.of(platform.listVms().stream()
