Give a lender its loan back when a request waits there

Cause: with demand inside the limits, VMs refused although peers held nearly the whole burst. Change: a borrower that is urgently asked for room by its lender returns the loan, with its tokens, before it answers.

--- a/library/src/main/java/org/pollenhoist/limit/Borrower.java
+++ b/library/src/main/java/org/pollenhoist/limit/Borrower.java
@@ -225,6 +225,19 @@
         }
     }
 
+    /** Returns the loan of a lender in which a request waits for room that it has lent. */
+    Optional<Outgoing> giveBackTo(VmName lender, ShareMessage.Request request) {
+        if (!request.isUrgent() || request.wantedBurstParts() == 0) {
+            return Optional.empty();
+        }
+        long time = share.bucket().refilledAt();
+        return share.book().taken().stream()
+                .filter(loan -> loan.peer().equals(lender) && loan.portion().burstParts() > 0)
+                .filter(loan -> isFree(loan, time))
+                .findFirst()
+                .map(this::giveBack);
+    }
+
     private boolean isDispensable(Loan loan, double demand) {
         double ampleRate = Parts.amount(
                 share.active().rateParts() - loan.portion().rateParts(),
--- a/library/src/main/java/org/pollenhoist/limit/ShareTable.java
+++ b/library/src/main/java/org/pollenhoist/limit/ShareTable.java
@@ -202,8 +202,7 @@
 
     private List<Outgoing> onRequest(VmName from, ShareMessage.Request request, MonotonicTime now) {
         return find(request.team())
-                .flatMap(share -> share.onRequest(from, request, now))
-                .map(List::of)
+                .map(share -> share.onRequest(from, request, now))
                 .orElse(List.of());
     }
 
--- a/library/src/main/java/org/pollenhoist/limit/TeamShare.java
+++ b/library/src/main/java/org/pollenhoist/limit/TeamShare.java
@@ -1,6 +1,7 @@
 package org.pollenhoist.limit;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -138,11 +139,15 @@
         return returned;
     }
 
-    synchronized Optional<Outgoing> onRequest(VmName from, ShareMessage.Request request, MonotonicTime now) {
+    /** A lender that runs short itself gets its loan back first, so that the answer meets the room that it needs. */
+    synchronized List<Outgoing> onRequest(VmName from, ShareMessage.Request request, MonotonicTime now) {
         advance(now);
-        ShareMessage.Loan answer = lender.answer(from, request, now);
+        List<Outgoing> answers = new ArrayList<>();
+        borrower.giveBackTo(from, request).ifPresent(answers::add);
         resize(bucket.refilledAt());
-        return Optional.of(new Outgoing(from, answer));
+        answers.add(new Outgoing(from, lender.answer(from, request, now)));
+        resize(bucket.refilledAt());
+        return answers;
     }
 
     synchronized void onLoan(VmName from, ShareMessage.Loan loan, MonotonicTime now) {
