Keep tokens reserved while an ended request still runs at its engine

Cause: a request that was not streamed and ended from our side (withdrawn key, passed deadline) was settled with its prompt alone, although the engine worked on: the team could use tokens beyond its limit. Seen in a log: bound 18, settled with 2, while 16 were being generated. Change: such a request is settled when its attempt has ended, with what it then used.

--- a/library/src/main/java/org/pollenhoist/entry/FlowRunner.java
+++ b/library/src/main/java/org/pollenhoist/entry/FlowRunner.java
@@ -47,6 +47,9 @@
 
     private boolean isSent;
 
+    /** Whether nothing of the request can go on at an upstream without being seen here. */
+    private boolean isAttemptOver;
+
     FlowRunner(EntryParts parts, Flow flow, EventLoop eventLoop) {
         this.parts = parts;
         this.flow = flow;
@@ -63,10 +66,8 @@
         outcome.whenComplete((result, failure) -> afterOutcome(result));
         Execution.fork()
                 .eventLoop(eventLoop)
-                .onError(outcome::completeExceptionally)
-                .start(execution -> admitted(arrival)
-                        .onError(outcome::completeExceptionally)
-                        .then(this::complete));
+                .onError(this::fail)
+                .start(execution -> admitted(arrival).onError(this::fail).then(this::complete));
         return Promise.async(downstream -> downstream.accept(outcome));
     }
 
@@ -102,7 +103,15 @@
         return IdempotentRun.of(parts, flow, () -> AttemptLoop.run(parts, flow, meter));
     }
 
+    private void fail(Throwable failure) {
+        isAttemptOver = true;
+        if (!outcome.completeExceptionally(failure)) {
+            settle();
+        }
+    }
+
     private void complete(FlowOutcome result) {
+        isAttemptOver = true;
         boolean isWanted = outcome.complete(result);
         if (!isWanted && result instanceof FlowOutcome.Streaming streaming) {
             streaming.body().cancel();
@@ -139,7 +148,9 @@
         watch.cancel(false);
         running.close();
         changeModelSequences(-1);
-        settle();
+        if (isAttemptOver || !isSent) {
+            settle();
+        }
     }
 
     private void changeModelSequences(int change) {
