--- a/library/src/main/java/org/pollenhoist/caller/RequestGuard.java
+++ b/library/src/main/java/org/pollenhoist/caller/RequestGuard.java
@@ -22,7 +22,7 @@
 import org.pollenhoist.common.ErrorCode;
 
 /** Answers requests that can't be read, or don't arrive whole in time, before any handler sees them. */
-final class RequestGuard extends ChannelDuplexHandler {
+public final class RequestGuard extends ChannelDuplexHandler {
 
     private static final DecisionLog LOG = DecisionLog.of("caller");
 
@@ -30,7 +30,12 @@
 
     private boolean isRefused;
 
-    RequestGuard(StrictRequestDecoder decoder) {
+    /**
+     * Creates a guard.
+     *
+     * @param decoder the decoder of the same connection
+     */
+    public RequestGuard(StrictRequestDecoder decoder) {
         this.decoder = decoder;
     }
 
--- a/library/src/main/java/org/pollenhoist/caller/StrictRequestDecoder.java
+++ b/library/src/main/java/org/pollenhoist/caller/StrictRequestDecoder.java
@@ -9,11 +9,18 @@
  * Reads requests as the standard writes them and nothing else: one framing, whole line ends, no duplicate lengths. Two
  * readers that frame a request differently are what request smuggling lives on (RFC 9112, sections 6.3 and 11.2).
  */
-final class StrictRequestDecoder extends HttpRequestDecoder {
+public final class StrictRequestDecoder extends HttpRequestDecoder {
 
     private boolean isRequestBegun;
 
-    StrictRequestDecoder(int maximumLineBytes, int maximumHeaderBytes, int maximumChunkBytes) {
+    /**
+     * Creates a decoder for one connection.
+     *
+     * @param maximumLineBytes longest request line
+     * @param maximumHeaderBytes longest header
+     * @param maximumChunkBytes largest part of a body that is handed on at once
+     */
+    public StrictRequestDecoder(int maximumLineBytes, int maximumHeaderBytes, int maximumChunkBytes) {
         super(new HttpDecoderConfig()
                 .setMaxInitialLineLength(maximumLineBytes)
                 .setMaxHeaderSize(maximumHeaderBytes)
@@ -34,8 +41,12 @@
         throw new IllegalArgumentException("both Content-Length and Transfer-Encoding, expected one of them");
     }
 
-    /** Whether bytes of a request have arrived that has not been read whole. */
-    boolean isRequestBegun() {
+    /**
+     * Tells whether bytes of a request have arrived that has not been read whole.
+     *
+     * @return true while a request is being read
+     */
+    public boolean isRequestBegun() {
         return isRequestBegun;
     }
 
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/catalog/Route.java
@@ -0,0 +1,69 @@
+package org.pollenhoist.serving.catalog;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * Where requests with a host and a path prefix go, and how they are to be served.
+ *
+ * @param name the operators' name
+ * @param host the host, in lower case
+ * @param pathPrefix begins and ends with a slash
+ * @param kind what may be repeated
+ * @param timeout the longest time that a caller is kept waiting
+ * @param answerGoal the time within which the answer, or a stream's first event, is worth most
+ * @param priority its rank, 0 first
+ * @param maximumAttempts how many upstreams may run one request
+ * @param isPublic whether requests need no key
+ * @param isResumable whether a stream may go on at another upstream
+ * @param services the services that share the requests, at least one
+ */
+public record Route(
+        String name,
+        String host,
+        String pathPrefix,
+        RequestKind kind,
+        Duration timeout,
+        Duration answerGoal,
+        int priority,
+        int maximumAttempts,
+        boolean isPublic,
+        boolean isResumable,
+        List<WeightedService> services) {
+
+    /** Copies the services. */
+    public Route {
+        services = List.copyOf(services);
+    }
+
+    /**
+     * Tells whether a request whose outcome is unknown may be sent again.
+     *
+     * @return true for idempotent requests and streams that may be resumed
+     */
+    public boolean isRepeatable() {
+        return switch (kind) {
+            case IDEMPOTENT -> true;
+            case NON_IDEMPOTENT -> false;
+            case STREAM -> isResumable;
+        };
+    }
+
+    /**
+     * Picks the service of one request.
+     *
+     * @param point a point from 0 inclusive to 1 exclusive, the same for each try of a request
+     * @return the service's name
+     */
+    public String serviceAt(double point) {
+        double total = services.stream().mapToDouble(WeightedService::weight).sum();
+        double passed = 0;
+        for (WeightedService candidate : services) {
+            passed += candidate.weight();
+            if (point * total < passed) {
+                return candidate.service();
+            }
+        }
+        return services.get(services.size() - 1).service();
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnections.java
@@ -0,0 +1,177 @@
+package org.pollenhoist.serving.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.epoll.EpollChannelOption;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.pollenhoist.common.MonotonicTime;
+
+/**
+ * Connections to upstreams, the store and peers, kept open between exchanges. One exchange at a time uses a connection; a
+ * connection on which anything unexpected came is not used again. Confined to the event loop.
+ */
+public final class HttpConnections {
+
+    /** Longest header of an answer, in bytes. */
+    private static final int MAXIMUM_HEADER_BYTES = 32_768;
+
+    private static final int MAXIMUM_LINE_BYTES = 8_192;
+    private static final int MAXIMUM_CHUNK_BYTES = 65_536;
+
+    /** Without a word from the other end, connections are dropped after this idle time. */
+    static final Duration DEFAULT_KEEP_ALIVE = Duration.ofSeconds(4);
+
+    /** Safety margin before the other end's own idle time-out. */
+    private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(600);
+
+    private final EventLoop loop;
+    private final Supplier<MonotonicTime> clock;
+    private final Map<Target, Deque<HttpConnection>> idle = new HashMap<>();
+    private long openedConnections;
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param loop the event loop on which everything runs
+     * @param clock reads the present time
+     */
+    public HttpConnections(EventLoop loop, Supplier<MonotonicTime> clock) {
+        this.loop = loop;
+        this.clock = clock;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param target where to
+     * @param request the request, which is released
+     * @param options how to connect
+     * @param listener receives the answer
+     * @return the exchange, to cancel it
+     */
+    public HttpExchange send(
+            Target target, FullHttpRequest request, ConnectionOptions options, AnswerListener listener) {
+        HttpExchange exchange = new HttpExchange(request, listener);
+        HttpConnection reused = takeIdle(target, options.maximumIdle());
+        if (reused == null) {
+            connect(target, options, exchange);
+        } else {
+            reused.start(exchange);
+        }
+        return exchange;
+    }
+
+    private HttpConnection takeIdle(Target target, Duration maximumIdle) {
+        Deque<HttpConnection> connections = idle.get(target);
+        if (connections == null) {
+            return null;
+        }
+        MonotonicTime now = clock.get();
+        for (HttpConnection found = connections.pollLast(); found != null; found = connections.pollLast()) {
+            boolean isFresh = found.idleTime(now).compareTo(min(maximumIdle, usableIdle(found))) < 0;
+            if (found.isOpen() && isFresh) {
+                return found;
+            }
+            found.close();
+        }
+        idle.remove(target);
+        return null;
+    }
+
+    private static Duration usableIdle(HttpConnection connection) {
+        return connection.keepAlive().minus(KEEP_ALIVE_MARGIN);
+    }
+
+    private static Duration min(Duration one, Duration other) {
+        return one.compareTo(other) < 0 ? one : other;
+    }
+
+    private void connect(Target target, ConnectionOptions options, HttpExchange exchange) {
+        openedConnections++;
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(EpollSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
+                        options.connectTimeout().toMillis())
+                .option(EpollChannelOption.TCP_USER_TIMEOUT, (int)
+                        options.unacknowledgedTimeout().toMillis())
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(
+                                        MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES))
+                                .addLast(new HttpConnection(HttpConnections.this, target));
+                    }
+                });
+        bootstrap.connect(target.address()).addListener((io.netty.channel.ChannelFuture connected) -> {
+            if (!connected.isSuccess()) {
+                exchange.fail(
+                        ExchangeFailure.NOT_SENT,
+                        String.valueOf(connected.cause().getMessage()));
+                return;
+            }
+            HttpConnection connection = connected.channel().pipeline().get(HttpConnection.class);
+            if (exchange.isEnded()) {
+                release(connection);
+            } else {
+                connection.start(exchange);
+            }
+        });
+    }
+
+    void release(HttpConnection connection) {
+        connection.markIdle(clock.get());
+        idle.computeIfAbsent(connection.target(), target -> new ArrayDeque<>()).addLast(connection);
+    }
+
+    void forget(HttpConnection connection) {
+        Deque<HttpConnection> connections = idle.get(connection.target());
+        if (connections != null) {
+            connections.remove(connection);
+            if (connections.isEmpty()) {
+                idle.remove(connection.target());
+            }
+        }
+    }
+
+    /**
+     * Closes connections that were idle for too long.
+     *
+     * @param now the present time
+     */
+    public void closeIdle(MonotonicTime now) {
+        for (Deque<HttpConnection> connections : idle.values().stream().toList()) {
+            for (Iterator<HttpConnection> each = connections.iterator(); each.hasNext(); ) {
+                HttpConnection connection = each.next();
+                if (connection.idleTime(now).compareTo(usableIdle(connection)) >= 0) {
+                    each.remove();
+                    connection.close();
+                }
+            }
+        }
+        idle.values().removeIf(Deque::isEmpty);
+    }
+
+    /**
+     * Returns how many connections were opened.
+     *
+     * @return the count since the start
+     */
+    public long openedConnections() {
+        return openedConnections;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/http/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to callers and upstreams. */
+package org.pollenhoist.serving.http;
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/limit/FleetBucket.java
@@ -0,0 +1,115 @@
+package org.pollenhoist.serving.limit;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.pollenhoist.common.MonotonicTime;
+
+/**
+ * One team's token bucket for the whole fleet, as one VM sees it: it fills at the team's rate, and what this VM and its
+ * peers admit is taken out of it. Peers report totals, so a lost report delays their spending and does not lose it.
+ *
+ * <p>A VM that hears only a part of the fleet uses only that part of rate and burst, since those it does not hear may
+ * be admitting requests as well. Confined to the event loop.
+ */
+final class FleetBucket {
+
+    private record PeerTotal(long incarnation, long admitted) {}
+
+    private final Map<String, PeerTotal> totalsByPeer = new HashMap<>();
+    private double ratePerSecond;
+    private double burst;
+    private double reachablePart = 1;
+    private double level;
+    private long admitted;
+    private MonotonicTime filledAt;
+
+    FleetBucket(double ratePerSecond, double burst, double startingPart, MonotonicTime now) {
+        this.ratePerSecond = ratePerSecond;
+        this.burst = burst;
+        this.level = burst * startingPart;
+        this.filledAt = now;
+    }
+
+    void change(double newRatePerSecond, double newBurst, MonotonicTime now) {
+        fill(now);
+        ratePerSecond = newRatePerSecond;
+        burst = newBurst;
+        level = Math.min(level, capacity());
+    }
+
+    void setReachablePart(double part, MonotonicTime now) {
+        if (part == reachablePart) {
+            return;
+        }
+        fill(now);
+        if (part < reachablePart && level > 0) {
+            level *= part / reachablePart;
+        }
+        reachablePart = part;
+    }
+
+    /** Takes tokens out; a request that is larger than the bucket passes once the bucket is full. */
+    boolean tryTake(long tokens, MonotonicTime now) {
+        fill(now);
+        if (level < Math.min((double) tokens, capacity())) {
+            return false;
+        }
+        level -= tokens;
+        admitted += tokens;
+        return true;
+    }
+
+    void giveBack(long tokens, MonotonicTime now) {
+        fill(now);
+        level = Math.min(level + tokens, capacity());
+        admitted -= tokens;
+    }
+
+    Duration timeUntil(long tokens, MonotonicTime now) {
+        fill(now);
+        double missing = Math.min((double) tokens, capacity()) - level;
+        return missing <= 0 ? Duration.ZERO : Duration.ofMillis((long) Math.ceil(missing * 1_000 / fillRate()));
+    }
+
+    void hear(String peer, long incarnation, long peerAdmitted, MonotonicTime now) {
+        fill(now);
+        PeerTotal known = totalsByPeer.put(peer, new PeerTotal(incarnation, peerAdmitted));
+        // What a peer spent before it was first heard lies mostly in the past and is already refilled.
+        if (known != null) {
+            long spent = known.incarnation == incarnation ? peerAdmitted - known.admitted : peerAdmitted;
+            level = Math.max(-burst, Math.min(level - spent, capacity()));
+        }
+    }
+
+    /** Takes over the level of a peer that has seen more of the fleet's spending than this process. */
+    void adoptLevel(double peerLevel, MonotonicTime now) {
+        fill(now);
+        level = Math.min(peerLevel, capacity());
+    }
+
+    long admitted() {
+        return admitted;
+    }
+
+    double level(MonotonicTime now) {
+        fill(now);
+        return level;
+    }
+
+    private double capacity() {
+        return burst * reachablePart;
+    }
+
+    private double fillRate() {
+        return ratePerSecond * reachablePart;
+    }
+
+    private void fill(MonotonicTime now) {
+        double seconds = now.secondsSince(filledAt);
+        if (seconds > 0) {
+            level = Math.min(capacity(), level + fillRate() * seconds);
+            filledAt = now;
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/limit/FleetLimits.java
@@ -0,0 +1,141 @@
+package org.pollenhoist.serving.limit;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.catalog.Team;
+
+/** The rates of all teams over the whole fleet, as one VM sees them. Confined to the event loop. */
+public final class FleetLimits {
+
+    /**
+     * What a team has admitted here, for the peers.
+     *
+     * @param team the team
+     * @param admitted tokens admitted since the start of this process
+     * @param level what is believed to be left of the burst
+     */
+    public record Spending(String team, long admitted, long level) {}
+
+    private final double startingPart;
+    private final Map<String, FleetBucket> buckets = new HashMap<>();
+    private final Set<String> peersHeard = new HashSet<>();
+    private double reachablePart = 1;
+
+    /**
+     * Creates limits without teams.
+     *
+     * @param isFirstStart true where the whole fleet starts for the first time, so that no burst was spent before; else
+     *     the buckets start empty, since a restart must not refill a burst
+     */
+    public FleetLimits(boolean isFirstStart) {
+        this.startingPart = isFirstStart ? 1 : 0;
+    }
+
+    /**
+     * Takes the teams of a configuration over.
+     *
+     * @param teams the teams
+     * @param now the present time
+     */
+    public void configure(List<Team> teams, MonotonicTime now) {
+        Set<String> limited = new HashSet<>();
+        for (Team team : teams) {
+            if (!team.isLimited()) {
+                continue;
+            }
+            limited.add(team.name());
+            FleetBucket bucket = buckets.get(team.name());
+            if (bucket == null) {
+                bucket = new FleetBucket(team.ratePerSecond(), team.burst(), startingPart, now);
+                bucket.setReachablePart(reachablePart, now);
+                buckets.put(team.name(), bucket);
+            } else {
+                bucket.change(team.ratePerSecond(), team.burst(), now);
+            }
+        }
+        buckets.keySet().retainAll(limited);
+    }
+
+    /**
+     * Sets which part of the fleet is heard, this VM included.
+     *
+     * @param part more than 0, at most 1
+     * @param now the present time
+     */
+    public void setReachablePart(double part, MonotonicTime now) {
+        reachablePart = part;
+        buckets.values().forEach(bucket -> bucket.setReachablePart(part, now));
+    }
+
+    /**
+     * Takes tokens of a team.
+     *
+     * @param team the team
+     * @param tokens the tokens
+     * @param now the present time
+     * @return empty where they were taken; else how long the team has to wait for them
+     */
+    public Duration tryTake(Team team, long tokens, MonotonicTime now) {
+        FleetBucket bucket = buckets.get(team.name());
+        if (bucket == null || bucket.tryTake(tokens, now)) {
+            return Duration.ZERO;
+        }
+        return bucket.timeUntil(tokens, now);
+    }
+
+    /**
+     * Gives tokens of a request back that never reached an upstream.
+     *
+     * @param team the team
+     * @param tokens the tokens
+     * @param now the present time
+     */
+    public void giveBack(Team team, long tokens, MonotonicTime now) {
+        FleetBucket bucket = buckets.get(team.name());
+        if (bucket != null) {
+            bucket.giveBack(tokens, now);
+        }
+    }
+
+    /**
+     * Takes a peer's report in.
+     *
+     * @param peer the peer's name
+     * @param incarnation the peer's incarnation
+     * @param report what it admitted
+     * @param now the present time
+     */
+    public void hear(String peer, long incarnation, List<Spending> report, MonotonicTime now) {
+        boolean isFirstReport = peersHeard.isEmpty();
+        peersHeard.add(peer);
+        for (Spending spending : report) {
+            FleetBucket bucket = buckets.get(spending.team());
+            if (bucket == null) {
+                continue;
+            }
+            bucket.hear(peer, incarnation, spending.admitted(), now);
+            if (isFirstReport && startingPart == 0) {
+                bucket.adoptLevel((double) spending.level(), now);
+            }
+        }
+    }
+
+    /**
+     * Returns this VM's report.
+     *
+     * @param now the present time
+     * @return one entry for each limited team
+     */
+    public List<Spending> report(MonotonicTime now) {
+        List<Spending> report = new ArrayList<>();
+        buckets.forEach(
+                (team, bucket) -> report.add(new Spending(team, bucket.admitted(), Math.round(bucket.level(now)))));
+        return report;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Teams' rates over the whole fleet. */
+package org.pollenhoist.serving.limit;
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
@@ -0,0 +1,110 @@
+package org.pollenhoist.serving.node;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.limit.FleetLimits;
+import org.pollenhoist.serving.placement.ModelWant;
+import org.pollenhoist.serving.request.DemandCounter;
+import org.pollenhoist.serving.upstream.PeerUse;
+import org.pollenhoist.serving.upstream.Upstream;
+import org.pollenhoist.vm.generated.ModelDemand;
+import org.pollenhoist.vm.generated.TeamSpending;
+import org.pollenhoist.vm.generated.UpstreamHolding;
+import org.pollenhoist.vm.generated.UpstreamUse;
+import org.pollenhoist.vm.generated.VmDigest;
+
+/** Writes and reads digests. */
+final class DigestWriter {
+
+    /** One lifetime of an upstream. */
+    record HolderKey(String identifier, long startedMilliseconds) {}
+
+    private final String vmName;
+    private final String failureDomain;
+    private final long incarnation;
+
+    DigestWriter(String vmName, String failureDomain, long incarnation) {
+        this.vmName = vmName;
+        this.failureDomain = failureDomain;
+        this.incarnation = incarnation;
+    }
+
+    VmDigest write(
+            long sequence,
+            long storeRevision,
+            List<FleetLimits.Spending> spending,
+            Collection<Upstream> upstreams,
+            Map<String, DemandCounter.Total> demand,
+            List<ModelWant> wants,
+            boolean isPlacing,
+            boolean isStopping,
+            MonotonicTime now) {
+        VmDigest.Builder digest = VmDigest.newBuilder()
+                .setVmName(vmName)
+                .setFailureDomain(failureDomain)
+                .setIncarnation(incarnation)
+                .setSequence(sequence)
+                .setStoreRevision(storeRevision)
+                .setIsPlacing(isPlacing)
+                .setIsStopping(isStopping);
+        spending.forEach(one -> digest.addSpending(TeamSpending.newBuilder()
+                .setTeam(one.team())
+                .setAdmittedTokens(one.admitted())
+                .setLevelTokens(one.level())));
+        demand.forEach((model, total) -> digest.addDemands(ModelDemand.newBuilder()
+                .setModel(model)
+                .setRequests(total.requests())
+                .setTokens(total.tokens())));
+        upstreams.forEach(upstream -> addUse(digest, upstream, now));
+        addWants(digest, wants);
+        if (isPlacing) {
+            upstreams.forEach(upstream -> addHoldings(digest, upstream));
+        }
+        return digest.build();
+    }
+
+    private static void addUse(VmDigest.Builder digest, Upstream upstream, MonotonicTime now) {
+        PeerUse own = upstream.ownLoad(now);
+        digest.addUpstreamUses(UpstreamUse.newBuilder()
+                .setUpstream(upstream.description().identifier())
+                .setRunning(own.running())
+                .setUnreadTokens((int) own.unreadTokens())
+                .setReservedTokens((int) own.reservedTokens()));
+    }
+
+    private static void addWants(VmDigest.Builder digest, List<ModelWant> wants) {
+        Map<ModelWant, Long> counts =
+                wants.stream().collect(Collectors.groupingBy(want -> want, Collectors.counting()));
+        counts.forEach((want, count) -> digest.addWants(org.pollenhoist.vm.generated.ModelWant.newBuilder()
+                .setService(want.service())
+                .setModel(want.model())
+                .setAdapter(want.adapter())
+                .setWaiting(count.intValue())));
+    }
+
+    private static void addHoldings(VmDigest.Builder digest, Upstream upstream) {
+        upstream.holdings()
+                .forEach((model, adapters) -> digest.addHoldings(UpstreamHolding.newBuilder()
+                        .setUpstream(upstream.description().identifier())
+                        .setStartedMilliseconds(upstream.description().startedMilliseconds())
+                        .setModel(model)
+                        .addAllAdapters(adapters)));
+    }
+
+    /** Reads what the upstreams hold, as the ordering VM says. */
+    static Map<HolderKey, Map<String, Set<String>>> holdings(VmDigest digest) {
+        Map<HolderKey, Map<String, Set<String>>> holdings = new HashMap<>();
+        digest.getHoldingsList()
+                .forEach(holding -> holdings.computeIfAbsent(
+                                new HolderKey(holding.getUpstream(), holding.getStartedMilliseconds()),
+                                key -> new HashMap<>())
+                        .put(holding.getModel(), new HashSet<>(holding.getAdaptersList())));
+        return holdings;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingSettings.java
@@ -0,0 +1,100 @@
+package org.pollenhoist.serving.node;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.pollenhoist.settings.FindingCode;
+import org.pollenhoist.settings.Findings;
+import org.pollenhoist.settings.InvalidSettingsException;
+import org.pollenhoist.settings.TomlTable;
+
+/**
+ * The settings of a serving process.
+ *
+ * @param vmName the VM's name
+ * @param failureDomain its failure domain
+ * @param isFirstStart whether the whole fleet starts for the first time
+ * @param callerAddress where callers are served
+ * @param readinessAddress where the balancer asks whether the VM is ready
+ * @param peerAddress where digests of peers arrive
+ * @param metricsAddress where metrics are served
+ * @param storeAddress where the store is
+ * @param stopGrace how long a planned stop may take before the process is killed
+ * @param retryRatio retries for each request that the fleet may do
+ * @param retryWindow the window over which retries are counted
+ * @param retryAllowance retries in a window beyond the ratio, for the whole fleet
+ * @param placementTurn how long orders of two VMs to one engine have to lie apart
+ */
+public record ServingSettings(
+        String vmName,
+        String failureDomain,
+        boolean isFirstStart,
+        InetSocketAddress callerAddress,
+        InetSocketAddress readinessAddress,
+        InetSocketAddress peerAddress,
+        InetSocketAddress metricsAddress,
+        InetSocketAddress storeAddress,
+        Duration stopGrace,
+        double retryRatio,
+        Duration retryWindow,
+        double retryAllowance,
+        Duration placementTurn) {
+
+    private static final double MILLISECONDS_PER_SECOND = 1_000.0;
+    private static final int MAXIMUM_PORT = 65_535;
+    private static final double LONGEST_SECONDS = 600;
+    private static final int LONGEST_MILLISECONDS = 600_000;
+    private static final int MOST_RETRIES = 1_000_000;
+
+    /**
+     * Reads a settings file.
+     *
+     * @param path the file
+     * @return the settings
+     * @throws InvalidSettingsException with all findings where the file is not whole and allowed
+     */
+    public static ServingSettings load(Path path) {
+        Findings findings = new Findings();
+        TomlTable root = TomlTable.load(path, findings);
+        findings.throwIfAny();
+        TomlTable vm = root.table("vm");
+        TomlTable listen = root.table("listen");
+        TomlTable retries = root.table("retries");
+        ServingSettings settings = new ServingSettings(
+                vm.text("name"),
+                vm.text("failure_domain"),
+                vm.flag("first_start", false),
+                endpoint(listen, "callers"),
+                endpoint(listen, "readiness"),
+                endpoint(listen, "peers"),
+                endpoint(listen, "metrics"),
+                endpoint(root.table("store"), "address"),
+                seconds(root.table("shutdown").number("grace_seconds", 1, LONGEST_SECONDS)),
+                retries.number("ratio", 0, 1),
+                seconds(retries.number("window_seconds", 1, LONGEST_SECONDS)),
+                retries.number("allowance", 0, MOST_RETRIES),
+                Duration.ofMillis(root.table("placement").integer("turn_milliseconds", 100, LONGEST_MILLISECONDS)));
+        root.rejectUnknownKeys();
+        findings.throwIfAny();
+        return settings;
+    }
+
+    private static Duration seconds(double seconds) {
+        return Duration.ofMillis(Math.round(seconds * MILLISECONDS_PER_SECOND));
+    }
+
+    private static InetSocketAddress endpoint(TomlTable table, String key) {
+        String text = table.text(key);
+        int colon = text.lastIndexOf(':');
+        boolean isPort = colon > 0 && text.substring(colon + 1).matches("\\d{1,5}");
+        int port = isPort ? Integer.parseInt(text.substring(colon + 1)) : 0;
+        if (isPort && port >= 1 && port <= MAXIMUM_PORT && TomlTable.isIpNumber(text.substring(0, colon))) {
+            return new InetSocketAddress(text.substring(0, colon), port);
+        }
+        if (!text.isEmpty()) {
+            table.reject(
+                    key, "'" + text + "'", "an IP number and a port, such as 10.0.0.1:8080", FindingCode.NOT_ALLOWED);
+        }
+        return new InetSocketAddress(1);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/node/package-info.java
@@ -0,0 +1,2 @@
+/** Puts a serving process together. */
+package org.pollenhoist.serving.node;
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/peer/package-info.java
@@ -0,0 +1,2 @@
+/** What the serving processes tell each other. */
+package org.pollenhoist.serving.peer;
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/EngineBook.java
@@ -0,0 +1,195 @@
+package org.pollenhoist.serving.placement;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.upstream.HeldModel;
+import org.pollenhoist.serving.upstream.Upstream;
+
+/**
+ * What the ordering VM knows of one lifetime of an engine, beyond what all VMs know: its count of accepted orders, the
+ * order on its way, and orders without an answer that may still act. Confined to the event loop.
+ */
+final class EngineBook {
+
+    /** After this time an order without an answer does not act any more: engines drop it at their next accepted order. */
+    private static final Duration UNANSWERED_LIFETIME = Duration.ofSeconds(15);
+
+    private record Unanswered(EngineOrder order, MonotonicTime until) {}
+
+    private final Upstream upstream;
+    private Optional<Long> sequence = Optional.empty();
+    private Optional<EngineOrder> inFlight = Optional.empty();
+    private Optional<EngineOrder> modelOrder = Optional.empty();
+    private MonotonicTime modelOrderSince;
+    private MonotonicTime pausedUntil;
+    private MonotonicTime checkedAt;
+    private boolean isReporting;
+    private Optional<Unanswered> unanswered = Optional.empty();
+    private final Map<String, Set<String>> settling = new HashMap<>();
+
+    EngineBook(Upstream upstream, MonotonicTime now) {
+        this.upstream = upstream;
+        this.pausedUntil = now;
+        this.modelOrderSince = now;
+        this.checkedAt = now;
+    }
+
+    Upstream upstream() {
+        return upstream;
+    }
+
+    boolean isReportNeeded(MonotonicTime now) {
+        return sequence.isEmpty() && !isReporting && inFlight.isEmpty() && !now.isBefore(pausedUntil);
+    }
+
+    void reportAsked(MonotonicTime now) {
+        isReporting = true;
+        checkedAt = now;
+    }
+
+    void reportFailed(MonotonicTime until) {
+        isReporting = false;
+        pausedUntil = until;
+    }
+
+    /** Takes a report over, unless an order was sent since it was asked for. */
+    void reported(EngineStatus status) {
+        isReporting = false;
+        if (inFlight.isPresent()) {
+            return;
+        }
+        sequence = Optional.of(status.orderSequence());
+        Map<String, Set<String>> holdings = new HashMap<>();
+        for (HeldModel model : status.models()) {
+            holdings.put(model.name(), model.adapters());
+        }
+        if (modelOrder.isPresent() && modelOrder.get() instanceof EngineOrder.UnloadModel unload) {
+            // The model is still there until its runs have ended; no new ones are to go there.
+            boolean isDone = !holdings.containsKey(unload.model());
+            holdings.remove(unload.model());
+            if (isDone) {
+                modelOrder = Optional.empty();
+            }
+        } else if (!status.isOccupied()) {
+            modelOrder = Optional.empty();
+        }
+        upstream.replaceHoldings(holdings);
+    }
+
+    boolean isFree(MonotonicTime now) {
+        return sequence.isPresent() && inFlight.isEmpty() && !isReporting && !now.isBefore(pausedUntil);
+    }
+
+    boolean isModelOrderRunning() {
+        return modelOrder.isPresent();
+    }
+
+    /** Whether it is time to ask whether the running order on a model is done. */
+    boolean isCheckDue(Duration expected, Duration interval, MonotonicTime now) {
+        return modelOrder.isPresent()
+                && !isReporting
+                && inFlight.isEmpty()
+                && now.since(modelOrderSince).compareTo(expected) >= 0
+                && now.since(checkedAt).compareTo(interval) >= 0;
+    }
+
+    Optional<EngineOrder> modelOrder() {
+        return modelOrder;
+    }
+
+    long expectedSequence() {
+        return sequence.orElseThrow();
+    }
+
+    void sent(EngineOrder order) {
+        inFlight = Optional.of(order);
+        if (order instanceof EngineOrder.UnloadModel unload) {
+            Map<String, Set<String>> remaining = new HashMap<>(upstream.holdings());
+            remaining.remove(unload.model());
+            upstream.replaceHoldings(remaining);
+        } else if (order instanceof EngineOrder.UnloadAdapter unload) {
+            upstream.markMissing(unload.model(), unload.adapter());
+        }
+    }
+
+    void answered(EngineOrder order, OrderOutcome outcome, Duration conflictPause, MonotonicTime now) {
+        inFlight = Optional.empty();
+        switch (outcome) {
+            case ACCEPTED, DONE -> accepted(order, outcome, now);
+            case CONFLICT, REJECTED, NOT_SENT -> resynchronize(now.plus(conflictPause));
+            case UNKNOWN -> {
+                unanswered = Optional.of(new Unanswered(order, now.plus(UNANSWERED_LIFETIME)));
+                resynchronize(now.plus(conflictPause));
+            }
+        }
+    }
+
+    private void accepted(EngineOrder order, OrderOutcome outcome, MonotonicTime now) {
+        // The engine drops whatever was sent with an earlier count.
+        unanswered = Optional.empty();
+        boolean isAlreadyHeld = outcome == OrderOutcome.DONE && !(order instanceof EngineOrder.UnloadAdapter);
+        if (!isAlreadyHeld) {
+            sequence = sequence.map(count -> count + 1);
+        }
+        boolean isModelOrder = order instanceof EngineOrder.LoadModel || order instanceof EngineOrder.UnloadModel;
+        if (isModelOrder && outcome == OrderOutcome.ACCEPTED) {
+            modelOrder = Optional.of(order);
+            modelOrderSince = now;
+            checkedAt = now;
+        } else if (isModelOrder) {
+            resynchronize(now);
+        }
+    }
+
+    private void resynchronize(MonotonicTime from) {
+        sequence = Optional.empty();
+        pausedUntil = from;
+    }
+
+    /** Notes that the upstream's own description shows the running order on a model to be done. */
+    void completeModelOrder(boolean isDone) {
+        if (isDone) {
+            modelOrder = Optional.empty();
+            sequence = Optional.empty();
+        }
+    }
+
+    void startSettling(String model, String adapter) {
+        settling.computeIfAbsent(model, name -> new HashSet<>()).add(adapter);
+    }
+
+    void settled(String model, String adapter) {
+        settling.getOrDefault(model, new HashSet<>()).remove(adapter);
+    }
+
+    /** What the engine may hold at the most: what it is known to hold, and what orders may yet bring. */
+    Map<String, Set<String>> possibleHoldings(MonotonicTime now) {
+        Map<String, Set<String>> holdings = new HashMap<>();
+        upstream.holdings().forEach((model, adapters) -> holdings.put(model, new HashSet<>(adapters)));
+        settling.forEach((model, adapters) -> holdings.computeIfPresent(model, (name, held) -> {
+            held.addAll(adapters);
+            return held;
+        }));
+        inFlight.ifPresent(order -> addPossible(holdings, order));
+        modelOrder.ifPresent(order -> addPossible(holdings, order));
+        unanswered.filter(lost -> now.isBefore(lost.until())).ifPresent(lost -> addPossible(holdings, lost.order()));
+        return holdings;
+    }
+
+    private static void addPossible(Map<String, Set<String>> holdings, EngineOrder order) {
+        switch (order) {
+            case EngineOrder.LoadModel load -> holdings.computeIfAbsent(load.model(), name -> new HashSet<>());
+            case EngineOrder.UnloadModel unload -> holdings.computeIfAbsent(unload.model(), name -> new HashSet<>());
+            case EngineOrder.LoadAdapter load ->
+                holdings.computeIfAbsent(load.model(), name -> new HashSet<>()).add(load.adapter());
+            case EngineOrder.UnloadAdapter unload ->
+                holdings.computeIfAbsent(unload.model(), name -> new HashSet<>())
+                        .add(unload.adapter());
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/EngineView.java
@@ -0,0 +1,40 @@
+package org.pollenhoist.serving.placement;
+
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What a placement decision has to know of an engine.
+ *
+ * @param identifier the engine
+ * @param failureDomain where it runs
+ * @param holdings adapters by model, those on their way included
+ * @param localCopies models whose weights it has in memory or on disk
+ * @param isModelOrderPossible whether an order on a model may be sent now
+ * @param isAdapterOrderPossible whether an order on an adapter may be sent now
+ * @param running requests that run there
+ */
+public record EngineView(
+        String identifier,
+        String failureDomain,
+        Map<String, Set<String>> holdings,
+        Set<String> localCopies,
+        boolean isModelOrderPossible,
+        boolean isAdapterOrderPossible,
+        int running) {
+
+    /** Copies the collections. */
+    public EngineView {
+        holdings = Map.copyOf(holdings);
+        localCopies = Set.copyOf(localCopies);
+    }
+
+    /**
+     * Counts the adapters.
+     *
+     * @return places for adapters that are taken
+     */
+    int adapterCount() {
+        return holdings.values().stream().mapToInt(Set::size).sum();
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
@@ -0,0 +1,170 @@
+package org.pollenhoist.serving.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.pollenhoist.serving.catalog.Engine;
+import org.pollenhoist.serving.catalog.Model;
+
+/**
+ * Decides which models engines load and drop. Every model keeps a copy as far as there is room, and the models that are
+ * asked for most get the places that are left.
+ *
+ * <p>Answers loads in which a few models get most requests and these models change within seconds: a model whose copies
+ * are busy takes places from models with more copies than their load needs, never the last copy.
+ */
+public final class ModelPlan {
+
+    /** Work of one copy, in engines, from which a further copy is worth a load. */
+    private static final double BUSY_WORK = 0.12;
+
+    /** A copy is taken from another model only where that model's copies stay less busy by this factor. */
+    private static final double DONOR_FACTOR = 0.5;
+
+    private final Engine engine;
+    private final Map<String, Double> workByModel;
+    private final Map<String, Integer> copies = new HashMap<>();
+    private final Map<String, EngineView> engines = new HashMap<>();
+    private final Set<String> ordered = new HashSet<>();
+    private final List<PlannedOrder> orders = new ArrayList<>();
+
+    /**
+     * Creates a plan.
+     *
+     * @param engine what the engines have in common
+     * @param workByModel what is asked of each model, in engines that it would keep busy
+     * @param views the engines
+     */
+    public ModelPlan(Engine engine, Map<String, Double> workByModel, Collection<EngineView> views) {
+        this.engine = engine;
+        this.workByModel = Map.copyOf(workByModel);
+        for (EngineView view : views) {
+            engines.put(view.identifier(), view);
+            view.holdings().keySet().forEach(model -> copies.merge(model, 1, Integer::sum));
+        }
+    }
+
+    /**
+     * Plans orders. An engine gets at most one; a place that has to be made is used by a later plan.
+     *
+     * @param wanted models that requests wait for
+     * @param maximumOrders how many orders may be sent now
+     * @return the orders, the most urgent first
+     */
+    public List<PlannedOrder> plan(Set<String> wanted, int maximumOrders) {
+        missingModels(wanted).forEach(model -> {
+            if (orders.size() < maximumOrders) {
+                place(model, wanted.contains(model), "no_copy");
+            }
+        });
+        while (orders.size() < maximumOrders && growBusiest()) {
+            // Each round adds one copy.
+        }
+        return List.copyOf(orders);
+    }
+
+    private List<String> missingModels(Set<String> wanted) {
+        return engine.models().keySet().stream()
+                .filter(model -> copies.getOrDefault(model, 0) == 0)
+                .sorted(Comparator.comparing((String model) -> !wanted.contains(model))
+                        .thenComparing(model -> -work(model))
+                        .thenComparing(Comparator.naturalOrder()))
+                .toList();
+    }
+
+    private double work(String model) {
+        return workByModel.getOrDefault(model, 0.0);
+    }
+
+    private double workOfCopy(String model, int count) {
+        return count <= 0 ? Double.MAX_VALUE : work(model) / count;
+    }
+
+    private boolean growBusiest() {
+        List<String> busy = engine.models().keySet().stream()
+                .filter(model -> copies.getOrDefault(model, 0) > 0 && workOfCopy(model, copies.get(model)) > BUSY_WORK)
+                .sorted(Comparator.comparingDouble(model -> -workOfCopy(model, copies.get(model))))
+                .toList();
+        return busy.stream().anyMatch(model -> place(model, false, "busy"));
+    }
+
+    private boolean place(String model, boolean mayTakeLastCopy, String reason) {
+        Model definition = engine.models().get(model);
+        Optional<EngineView> roomy = possible(model)
+                .filter(view -> AdapterPlan.usedMegabytes(engine, view) + definition.weightMegabytes()
+                        <= engine.weightMegabytes())
+                .min(preference(model));
+        if (roomy.isPresent()) {
+            add(new PlannedOrder(roomy.get().identifier(), new EngineOrder.LoadModel(model), reason), model);
+            return true;
+        }
+        return makeRoom(model, mayTakeLastCopy, reason);
+    }
+
+    private java.util.stream.Stream<EngineView> possible(String model) {
+        return engines.values().stream()
+                .filter(view -> view.isModelOrderPossible()
+                        && !ordered.contains(view.identifier())
+                        && !view.holdings().containsKey(model));
+    }
+
+    private Comparator<EngineView> preference(String model) {
+        return Comparator.comparing((EngineView view) -> !view.localCopies().contains(model))
+                .thenComparing(view -> busyWork(view))
+                .thenComparing(view -> copiesInDomain(model, view.failureDomain()))
+                .thenComparing(EngineView::identifier);
+    }
+
+    /** Work that the models of an engine bring it. */
+    private double busyWork(EngineView view) {
+        return view.holdings().keySet().stream()
+                .mapToDouble(model -> workOfCopy(model, Math.max(1, copies.getOrDefault(model, 1))))
+                .sum();
+    }
+
+    private long copiesInDomain(String model, String failureDomain) {
+        return engines.values().stream()
+                .filter(view -> view.failureDomain().equals(failureDomain)
+                        && view.holdings().containsKey(model))
+                .count();
+    }
+
+    private boolean makeRoom(String model, boolean mayTakeLastCopy, String reason) {
+        double limit = copies.getOrDefault(model, 0) == 0
+                ? Double.MAX_VALUE
+                : workOfCopy(model, copies.get(model) + 1) * DONOR_FACTOR;
+        record Eviction(EngineView view, String victim) {}
+        Optional<Eviction> best = possible(model)
+                .flatMap(view -> view.holdings().keySet().stream().map(victim -> new Eviction(view, victim)))
+                .filter(eviction -> mayTakeLastCopy || copies.getOrDefault(eviction.victim(), 0) > 1)
+                .filter(eviction -> copies.getOrDefault(eviction.victim(), 0) <= 1
+                        ? work(eviction.victim()) == 0
+                        : workOfCopy(eviction.victim(), copies.get(eviction.victim()) - 1) < limit)
+                .min(Comparator.comparing((Eviction eviction) -> copies.getOrDefault(eviction.victim(), 0) <= 1)
+                        .thenComparing(eviction -> workOfCopy(
+                                eviction.victim(), Math.max(1, copies.getOrDefault(eviction.victim(), 1) - 1)))
+                        .thenComparing(eviction -> eviction.view(), preference(model)));
+        best.ifPresent(eviction -> {
+            add(
+                    new PlannedOrder(
+                            eviction.view().identifier(),
+                            new EngineOrder.UnloadModel(eviction.victim()),
+                            reason + "_" + model),
+                    model);
+            copies.merge(eviction.victim(), -1, Integer::sum);
+        });
+        return best.isPresent();
+    }
+
+    private void add(PlannedOrder order, String gaining) {
+        orders.add(order);
+        ordered.add(order.engine());
+        copies.merge(gaining, 1, Integer::sum);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
@@ -0,0 +1,302 @@
+package org.pollenhoist.serving.placement;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.pollenhoist.common.DecisionLog;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.catalog.Catalog;
+import org.pollenhoist.serving.catalog.Engine;
+import org.pollenhoist.serving.catalog.Model;
+import org.pollenhoist.serving.catalog.Service;
+import org.pollenhoist.serving.routing.ReadingPace;
+import org.pollenhoist.serving.upstream.Upstream;
+import org.pollenhoist.serving.upstream.UpstreamTable;
+
+/**
+ * Carries plans out: one order at a time to each engine, sent only while this VM leads, each with the engine's count of
+ * orders, so that an order that was thought lost cannot act after a later one. Confined to the event loop.
+ */
+public final class PlacementDriver {
+
+    private static final DecisionLog LOG = DecisionLog.of("placement");
+
+    /** An engine's reports are some hundred milliseconds old; after a conflict a newer one is waited for. */
+    private static final Duration CONFLICT_PAUSE = Duration.ofMillis(600);
+
+    /** How long after its acceptance an adapter can be used; adapters take up to some thirty milliseconds. */
+    private static final Duration ADAPTER_SETTLING = Duration.ofMillis(35);
+
+    /** How often models are planned. */
+    private static final Duration MODEL_PLAN_INTERVAL = Duration.ofMillis(400);
+
+    /** How often an engine is asked whether an order on a model is done. */
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(700);
+
+    /** Window over which loads from the weight store are counted. */
+    private static final Duration LOAD_WINDOW = Duration.ofSeconds(5);
+
+    /** Part of the weight store's rate that one VM uses: in one window two VMs may lead one after the other. */
+    private static final double LOAD_RATE_PART = 0.6;
+
+    /** Loads that run at once; beyond a few, each of them takes longer. */
+    private static final int MAXIMUM_RUNNING_LOADS = 5;
+
+    private static final double MILLISECONDS_PER_SECOND = 1_000.0;
+
+    private final EventLoop loop;
+    private final Supplier<MonotonicTime> clock;
+    private final Leadership leadership;
+    private final EngineControl control;
+    private final UpstreamTable upstreams;
+    private final ReadingPace pace;
+    private final Runnable onChange;
+    private final Map<Upstream, EngineBook> books = new HashMap<>();
+    private final Deque<MonotonicTime> loads = new ArrayDeque<>();
+    private boolean wasOrdering;
+    private MonotonicTime nextModelPlan;
+
+    /**
+     * Creates a driver.
+     *
+     * @param loop the event loop
+     * @param clock reads the present time, on a clock that counts suspensions
+     * @param leadership whether this VM may order
+     * @param control sends orders
+     * @param upstreams the engines
+     * @param pace how fast engines read
+     * @param onChange is told when the holdings of an engine have changed
+     */
+    public PlacementDriver(
+            EventLoop loop,
+            Supplier<MonotonicTime> clock,
+            Leadership leadership,
+            EngineControl control,
+            UpstreamTable upstreams,
+            ReadingPace pace,
+            Runnable onChange) {
+        this.loop = loop;
+        this.clock = clock;
+        this.leadership = leadership;
+        this.control = control;
+        this.upstreams = upstreams;
+        this.pace = pace;
+        this.onChange = onChange;
+        this.nextModelPlan = clock.get();
+    }
+
+    /**
+     * Tells whether this VM orders now, so that what it knows of the engines goes before what others know.
+     *
+     * @param now the present time
+     * @return true where it does
+     */
+    public boolean isOrdering(MonotonicTime now) {
+        return wasOrdering && leadership.mayOrder(now);
+    }
+
+    /**
+     * Does what is due.
+     *
+     * @param catalog the configuration in force
+     * @param wants what requests of all VMs wait for
+     * @param tokenRates tokens a second that are asked of each model over all VMs
+     * @param now the present time
+     */
+    public void tick(Catalog catalog, Collection<ModelWant> wants, Map<String, Double> tokenRates, MonotonicTime now) {
+        if (!leadership.mayOrder(now)) {
+            wasOrdering = false;
+            books.clear();
+            return;
+        }
+        if (!wasOrdering) {
+            wasOrdering = true;
+            books.clear();
+            LOG.event("placement_begins", "fencing_token", leadership.fencingToken());
+        }
+        boolean isModelPlanDue = !now.isBefore(nextModelPlan);
+        for (Service service : catalog.services()) {
+            service.engine().ifPresent(engine -> {
+                List<EngineBook> engines = refreshBooks(service.name(), engine, now);
+                planAdapters(engine, engines, wants, now);
+                if (isModelPlanDue) {
+                    planModels(engine, engines, wants, tokenRates, now);
+                }
+            });
+        }
+        if (isModelPlanDue) {
+            nextModelPlan = now.plus(MODEL_PLAN_INTERVAL);
+        }
+    }
+
+    private List<EngineBook> refreshBooks(String service, Engine engine, MonotonicTime now) {
+        List<Upstream> usable = upstreams.usable(service).toList();
+        books.keySet().removeIf(upstream -> !upstream.isUsable());
+        List<EngineBook> found = new ArrayList<>();
+        for (Upstream upstream : usable) {
+            EngineBook book = books.computeIfAbsent(upstream, key -> new EngineBook(key, now));
+            found.add(book);
+            book.modelOrder().ifPresent(order -> {
+                boolean isLoaded = order instanceof EngineOrder.LoadModel load && upstream.holds(load.model(), "");
+                book.completeModelOrder(isLoaded);
+            });
+            boolean isDone = book.isCheckDue(expectedTime(book, engine), CHECK_INTERVAL, now);
+            if (book.isReportNeeded(now) || isDone) {
+                askForReport(book, now);
+            }
+        }
+        return found;
+    }
+
+    private static Duration expectedTime(EngineBook book, Engine engine) {
+        Optional<EngineOrder> order = book.modelOrder();
+        if (order.isEmpty() || !(order.get() instanceof EngineOrder.LoadModel load)) {
+            return Duration.ZERO;
+        }
+        Model model = engine.models().get(load.model());
+        if (model == null) {
+            return Duration.ZERO;
+        }
+        boolean hasCopy = book.upstream().description().localCopies().contains(load.model());
+        return hasCopy ? model.diskLoadTime() : model.loadTime();
+    }
+
+    private void askForReport(EngineBook book, MonotonicTime now) {
+        book.reportAsked(now);
+        control.report(book.upstream().description(), answer -> {
+            MonotonicTime answeredAt = clock.get();
+            if (answer.isPresent()) {
+                book.reported(answer.get());
+                onChange.run();
+            } else {
+                book.reportFailed(answeredAt.plus(CONFLICT_PAUSE));
+            }
+        });
+    }
+
+    private EngineView view(EngineBook book, MonotonicTime now) {
+        Upstream upstream = book.upstream();
+        boolean isFree = book.isFree(now) && !book.isModelOrderRunning();
+        return new EngineView(
+                upstream.description().identifier(),
+                upstream.description().failureDomain(),
+                book.possibleHoldings(now),
+                upstream.description().localCopies(),
+                isFree,
+                isFree,
+                upstream.load(now).running());
+    }
+
+    private void planAdapters(Engine engine, List<EngineBook> engines, Collection<ModelWant> wants, MonotonicTime now) {
+        if (wants.stream().allMatch(want -> want.adapter().isEmpty())) {
+            return;
+        }
+        Map<String, EngineBook> byIdentifier = byIdentifier(engines);
+        AdapterPlan plan = new AdapterPlan(
+                engine,
+                (identifier, adapter) -> byIdentifier.get(identifier).upstream().lastAdapterUse(adapter));
+        List<EngineView> views = engines.stream().map(book -> view(book, now)).toList();
+        plan.plan(wants, views).forEach(order -> send(byIdentifier.get(order.engine()), order, now));
+    }
+
+    private void planModels(
+            Engine engine,
+            List<EngineBook> engines,
+            Collection<ModelWant> wants,
+            Map<String, Double> tokenRates,
+            MonotonicTime now) {
+        Map<String, Double> work = new HashMap<>();
+        tokenRates.forEach((model, rate) ->
+                work.put(model, rate * pace.estimate(model, 1_000).toMillis() / MILLISECONDS_PER_SECOND / 1_000));
+        Set<String> wanted = new HashSet<>();
+        wants.stream().filter(want -> want.adapter().isEmpty()).forEach(want -> wanted.add(want.model()));
+        List<EngineView> views = engines.stream().map(book -> view(book, now)).toList();
+        int room = loadsAllowed(engine, engines, now);
+        if (room <= 0) {
+            return;
+        }
+        Map<String, EngineBook> byIdentifier = byIdentifier(engines);
+        for (PlannedOrder order : new ModelPlan(engine, work, views).plan(wanted, room)) {
+            send(byIdentifier.get(order.engine()), order, now);
+        }
+    }
+
+    private int loadsAllowed(Engine engine, List<EngineBook> engines, MonotonicTime now) {
+        MonotonicTime oldest = now.plus(LOAD_WINDOW.negated());
+        while (!loads.isEmpty() && loads.getFirst().isBefore(oldest)) {
+            loads.removeFirst();
+        }
+        int allowed = (int) (engine.storeLoadsPerSecond() * LOAD_WINDOW.toSeconds() * LOAD_RATE_PART);
+        int running =
+                (int) engines.stream().filter(EngineBook::isModelOrderRunning).count();
+        return Math.min(allowed - loads.size(), MAXIMUM_RUNNING_LOADS - running);
+    }
+
+    private static Map<String, EngineBook> byIdentifier(List<EngineBook> engines) {
+        Map<String, EngineBook> byIdentifier = new HashMap<>();
+        engines.forEach(book -> byIdentifier.put(book.upstream().description().identifier(), book));
+        return byIdentifier;
+    }
+
+    private void send(EngineBook book, PlannedOrder planned, MonotonicTime now) {
+        EngineOrder order = planned.order();
+        if (order instanceof EngineOrder.LoadModel) {
+            loads.addLast(now);
+        }
+        long expected = book.expectedSequence();
+        book.sent(order);
+        onChange.run();
+        control.order(book.upstream().description(), order, expected, leadership.fencingToken(), outcome -> {
+            MonotonicTime answeredAt = clock.get();
+            LOG.event(
+                    "order",
+                    "upstream",
+                    planned.engine(),
+                    "order",
+                    order,
+                    "reason",
+                    planned.reason(),
+                    "expected_sequence",
+                    expected,
+                    "fencing_token",
+                    leadership.fencingToken(),
+                    "outcome",
+                    outcome,
+                    "after_ms",
+                    answeredAt.since(now).toMillis());
+            book.answered(order, outcome, CONFLICT_PAUSE, answeredAt);
+            settle(book, order, outcome);
+            onChange.run();
+        });
+    }
+
+    private void settle(EngineBook book, EngineOrder order, OrderOutcome outcome) {
+        if (!(order instanceof EngineOrder.LoadAdapter load)) {
+            return;
+        }
+        if (outcome == OrderOutcome.DONE) {
+            book.upstream().addAdapter(load.model(), load.adapter());
+        } else if (outcome == OrderOutcome.ACCEPTED) {
+            book.startSettling(load.model(), load.adapter());
+            loop.schedule(
+                    () -> {
+                        book.settled(load.model(), load.adapter());
+                        book.upstream().addAdapter(load.model(), load.adapter());
+                        onChange.run();
+                    },
+                    ADAPTER_SETTLING.toMillis(),
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/request/EventStream.java
@@ -0,0 +1,96 @@
+package org.pollenhoist.serving.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * Cuts a stream of server-sent events into whole events, so that an upstream that stops in the middle of one does not
+ * leave a piece of it with the caller. Confined to the event loop.
+ */
+final class EventStream {
+
+    private static final byte LINE_FEED = '\n';
+    private static final byte CARRIAGE_RETURN = '\r';
+    private static final String IDENTIFIER_FIELD = "id:";
+
+    private final ByteBufAllocator allocator;
+    private ByteBuf pending = Unpooled.EMPTY_BUFFER;
+    private OptionalLong lastIdentifier = OptionalLong.empty();
+
+    EventStream(ByteBufAllocator allocator) {
+        this.allocator = allocator;
+    }
+
+    /**
+     * Takes bytes in.
+     *
+     * @param part the bytes, which are copied
+     * @return the whole events that are complete now, to be released by the caller; empty where there is none
+     */
+    Optional<ByteBuf> append(ByteBuf part) {
+        ByteBuf joined = allocator.buffer(pending.readableBytes() + part.readableBytes());
+        joined.writeBytes(pending).writeBytes(part);
+        pending.release();
+        pending = joined;
+        int end = endOfLastEvent(joined);
+        if (end == 0) {
+            return Optional.empty();
+        }
+        ByteBuf events = joined.readRetainedSlice(end);
+        noteIdentifiers(events.toString(StandardCharsets.UTF_8));
+        return Optional.of(events);
+    }
+
+    private static int endOfLastEvent(ByteBuf bytes) {
+        int begin = bytes.readerIndex();
+        for (int index = bytes.writerIndex() - 1; index > begin; index--) {
+            if (bytes.getByte(index) == LINE_FEED && isLineEndBefore(bytes, begin, index)) {
+                return index + 1 - begin;
+            }
+        }
+        return 0;
+    }
+
+    private static boolean isLineEndBefore(ByteBuf bytes, int begin, int index) {
+        int before = index - 1;
+        if (bytes.getByte(before) == CARRIAGE_RETURN) {
+            before--;
+        }
+        return before >= begin && bytes.getByte(before) == LINE_FEED;
+    }
+
+    private void noteIdentifiers(String events) {
+        int found = events.lastIndexOf(IDENTIFIER_FIELD);
+        while (found > 0 && events.charAt(found - 1) != LINE_FEED) {
+            found = events.lastIndexOf(IDENTIFIER_FIELD, found - 1);
+        }
+        if (found < 0) {
+            return;
+        }
+        int end = events.indexOf(LINE_FEED, found);
+        String text = events.substring(found + IDENTIFIER_FIELD.length(), end).trim();
+        if (text.matches("\\d{1,18}")) {
+            lastIdentifier = OptionalLong.of(Long.parseLong(text));
+        }
+    }
+
+    /** The identifier of the last whole event. */
+    OptionalLong lastIdentifier() {
+        return lastIdentifier;
+    }
+
+    /** Whether bytes of an event came that is not whole. */
+    boolean hasPartialEvent() {
+        return pending.isReadable();
+    }
+
+    /** Drops the bytes of an event that is not whole. */
+    void dropPartialEvent() {
+        pending.release();
+        pending = Unpooled.EMPTY_BUFFER;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
@@ -0,0 +1,47 @@
+package org.pollenhoist.serving.request;
+
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.catalog.Catalog;
+import org.pollenhoist.serving.http.HttpConnections;
+import org.pollenhoist.serving.limit.FleetLimits;
+import org.pollenhoist.serving.routing.ReadingPace;
+import org.pollenhoist.serving.routing.UpstreamSelector;
+import org.pollenhoist.serving.upstream.UpstreamTable;
+
+/**
+ * What all requests of a process share.
+ *
+ * @param clock reads the present time
+ * @param catalog the configuration in force, empty before the first one
+ * @param upstreams the upstreams
+ * @param limits the teams' limits
+ * @param selector chooses upstreams
+ * @param pace learns how fast engines read
+ * @param queue requests that wait
+ * @param connections connections to upstreams
+ * @param format how callers and upstreams write
+ * @param retryBudgets the retry budget of a service
+ * @param fleetSize how many VMs the fleet has
+ * @param demand counts what is asked of models
+ * @param metrics counts outcomes
+ * @param onWant is told at once when a request begins to wait for a model or adapter
+ */
+public record RequestEnvironment(
+        Supplier<MonotonicTime> clock,
+        Supplier<Optional<Catalog>> catalog,
+        UpstreamTable upstreams,
+        FleetLimits limits,
+        UpstreamSelector selector,
+        ReadingPace pace,
+        RequestQueue queue,
+        HttpConnections connections,
+        RequestFormat format,
+        Function<String, FleetRetryBudget> retryBudgets,
+        IntSupplier fleetSize,
+        DemandCounter demand,
+        RequestMetrics metrics,
+        Runnable onWant) {}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestHandler.java
@@ -0,0 +1,53 @@
+package org.pollenhoist.serving.request;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.http.CallerAnswer;
+import org.pollenhoist.serving.http.CallerListener;
+import org.pollenhoist.serving.http.IncomingRequest;
+
+/** Takes requests from callers and follows them to their end. Confined to the event loop. */
+public final class RequestHandler implements CallerListener {
+
+    private final RequestEnvironment environment;
+    private final Set<RequestRun> running = new LinkedHashSet<>();
+    private long lastNumber;
+
+    /**
+     * Creates a handler.
+     *
+     * @param environment what all requests share
+     */
+    public RequestHandler(RequestEnvironment environment) {
+        this.environment = environment;
+    }
+
+    @Override
+    public Runnable onRequest(IncomingRequest request, CallerAnswer answer) {
+        RequestRun run = new RequestRun(environment, request, answer, ++lastNumber, running::remove);
+        running.add(run);
+        run.start(environment.clock().get());
+        return run::callerGone;
+    }
+
+    /**
+     * Ends requests whose deadline has passed.
+     *
+     * @param now the present time
+     */
+    public void expire(MonotonicTime now) {
+        for (RequestRun run : running.stream().toList()) {
+            run.expire(now);
+        }
+    }
+
+    /**
+     * Returns how many requests have begun and not ended.
+     *
+     * @return the count
+     */
+    public int runningRequests() {
+        return running.size();
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestMetrics.java
@@ -0,0 +1,62 @@
+package org.pollenhoist.serving.request;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.time.Duration;
+
+/** What is counted of requests, under the names that the operators' pages explain. */
+public final class RequestMetrics {
+
+    private static final double MILLISECONDS_PER_SECOND = 1_000.0;
+
+    private final Counter requests;
+    private final Counter attempts;
+    private final Histogram queueing;
+    private final Histogram firstAnswer;
+
+    /**
+     * Registers the metrics.
+     *
+     * @param registry the registry
+     */
+    public RequestMetrics(PrometheusRegistry registry) {
+        requests = Counter.builder()
+                .name("pollenhoist_requests_total")
+                .help("Requests by route and outcome.")
+                .labelNames("route", "outcome")
+                .register(registry);
+        attempts = Counter.builder()
+                .name("pollenhoist_attempts_total")
+                .help("Attempts at upstreams by result.")
+                .labelNames("result")
+                .register(registry);
+        queueing = Histogram.builder()
+                .name("pollenhoist_queue_seconds")
+                .help("Time from a request's arrival to its first attempt, in seconds.")
+                .classicOnly()
+                .register(registry);
+        firstAnswer = Histogram.builder()
+                .name("pollenhoist_first_answer_seconds")
+                .help("Time from a request's arrival to the first byte of its answer, in seconds, by route.")
+                .labelNames("route")
+                .classicOnly()
+                .register(registry);
+    }
+
+    void countRequest(String route, String outcome) {
+        requests.labelValues(route, outcome).inc();
+    }
+
+    void countAttempt(String result) {
+        attempts.labelValues(result).inc();
+    }
+
+    void observeQueueing(Duration waited) {
+        queueing.observe(waited.toMillis() / MILLISECONDS_PER_SECOND);
+    }
+
+    void observeFirstAnswer(String route, Duration waited) {
+        firstAnswer.labelValues(route).observe(waited.toMillis() / MILLISECONDS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -0,0 +1,586 @@
+package org.pollenhoist.serving.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.pollenhoist.caller.Refusal;
+import org.pollenhoist.common.DecisionLog;
+import org.pollenhoist.common.ErrorCode;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.common.PollenhoistException;
+import org.pollenhoist.serving.catalog.Catalog;
+import org.pollenhoist.serving.catalog.Route;
+import org.pollenhoist.serving.catalog.Service;
+import org.pollenhoist.serving.catalog.Team;
+import org.pollenhoist.serving.http.CallerAnswer;
+import org.pollenhoist.serving.http.ConnectionOptions;
+import org.pollenhoist.serving.http.HopHeaders;
+import org.pollenhoist.serving.http.HttpExchange;
+import org.pollenhoist.serving.http.IncomingRequest;
+import org.pollenhoist.serving.http.Target;
+import org.pollenhoist.serving.placement.ModelWant;
+import org.pollenhoist.serving.routing.Selection;
+import org.pollenhoist.serving.routing.SelectionRequest;
+import org.pollenhoist.serving.upstream.PeerUse;
+import org.pollenhoist.serving.upstream.Upstream;
+
+/**
+ * One request from its arrival to its final answer. It is in one of three states: waiting in the queue, at an upstream,
+ * or ended. Confined to the event loop.
+ */
+final class RequestRun implements RequestQueue.Waiting {
+
+    private static final DecisionLog LOG = DecisionLog.of("request");
+
+    /** How long an upstream that rejected a request is passed over for it; an adapter is loaded well within that. */
+    private static final Duration REJECTED_PAUSE = Duration.ofMillis(150);
+
+    /** When callers are told to come back where nothing better is known; a balancer's and a store's lag are shorter. */
+    private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
+
+    /** Upstreams that may be tried for one request where nothing was sent to those before. */
+    private static final int MAXIMUM_TRIES = 6;
+
+    private static final double MILLISECONDS_PER_SECOND = 1_000.0;
+
+    private final RequestEnvironment environment;
+    private final IncomingRequest incoming;
+    private final CallerAnswer answer;
+    private final long number;
+    private final Consumer<RequestRun> onEnd;
+    private final MonotonicTime arrivedAt;
+    private final Map<String, MonotonicTime> passedOverUntil = new HashMap<>();
+
+    private CallerRequest asked;
+    private Route route;
+    private Service service;
+    private Optional<Team> team = Optional.empty();
+    private long reservedTokens;
+    private MonotonicTime deadline;
+    private int tries;
+    private int runs;
+    private boolean mayHaveRun;
+    private boolean isAnswerBegun;
+    private boolean isWaiting;
+    private boolean isEnded;
+    private boolean isFirstAnswerSeen;
+    private Optional<ModelWant> want = Optional.empty();
+    private Attempt attempt;
+    private OptionalLong lastEvent = OptionalLong.empty();
+
+    RequestRun(
+            RequestEnvironment environment,
+            IncomingRequest incoming,
+            CallerAnswer answer,
+            long number,
+            Consumer<RequestRun> onEnd) {
+        this.environment = environment;
+        this.incoming = incoming;
+        this.answer = answer;
+        this.number = number;
+        this.onEnd = onEnd;
+        this.arrivedAt = environment.clock().get();
+        this.deadline = arrivedAt;
+    }
+
+    @Override
+    public int priority() {
+        return team.map(Team::priority).orElse(OptionalInt.empty()).orElse(route.priority());
+    }
+
+    @Override
+    public long number() {
+        return number;
+    }
+
+    @Override
+    public Optional<ModelWant> want() {
+        return want;
+    }
+
+    void start(MonotonicTime now) {
+        Optional<Refusal> refusal = admit(now);
+        if (refusal.isPresent()) {
+            refuse(refusal.get(), now);
+            return;
+        }
+        environment.retryBudgets().apply(service.name()).recordRequest(now);
+        if (!asked.model().isEmpty()) {
+            environment.demand().record(asked.model(), asked.totalTokens());
+        }
+        dispatch(now);
+    }
+
+    private Optional<Refusal> admit(MonotonicTime now) {
+        Optional<Catalog> catalog = environment.catalog().get();
+        if (catalog.isEmpty()) {
+            return Optional.of(Refusal.notRunRetryAfter(
+                    ErrorCode.NOT_READY, "no configuration is known here yet", DEFAULT_RETRY_AFTER));
+        }
+        try {
+            asked = environment.format().read(incoming.head());
+        } catch (PollenhoistException malformed) {
+            return Optional.of(Refusal.notRun(malformed.code(), malformed.getMessage()));
+        }
+        Optional<Refusal> refusal = findRoute(catalog.get());
+        if (refusal.isEmpty()) {
+            refusal = identify(catalog.get());
+        }
+        if (refusal.isEmpty()) {
+            refusal = reserve(now);
+        }
+        return refusal;
+    }
+
+    private Optional<Refusal> findRoute(Catalog catalog) {
+        if (asked.identifier().isEmpty()) {
+            return Optional.of(Refusal.notRun(ErrorCode.INVALID_REQUEST, "the request has no identifier"));
+        }
+        String uri = incoming.head().uri();
+        int query = uri.indexOf('?');
+        String path = query < 0 ? uri : uri.substring(0, query);
+        Optional<Route> found = catalog.route(incoming.head().headers().get(HttpHeaderNames.HOST, ""), path);
+        if (found.isEmpty()) {
+            return Optional.of(Refusal.notRun(ErrorCode.NOT_FOUND, "no route leads to this host and path"));
+        }
+        route = found.get();
+        double point = (asked.identifier().hashCode() & 0xffff) / (double) 0x10000;
+        Optional<Service> target = catalog.service(route.serviceAt(point));
+        if (target.isEmpty()) {
+            return Optional.of(Refusal.notRun(ErrorCode.UPSTREAM_UNAVAILABLE, "the route's service is not configured"));
+        }
+        service = target.get();
+        return Optional.empty();
+    }
+
+    private Optional<Refusal> identify(Catalog catalog) {
+        if (!catalog.needsKeys() || route.isPublic()) {
+            return Optional.empty();
+        }
+        team = asked.key().flatMap(catalog::teamOf);
+        return team.isPresent()
+                ? Optional.empty()
+                : Optional.of(Refusal.notRun(ErrorCode.UNAUTHORIZED, "the key is missing, unknown or withdrawn"));
+    }
+
+    private Optional<Refusal> reserve(MonotonicTime now) {
+        Duration patience = asked.timeBudget().orElse(route.timeout());
+        deadline = now.plus(patience.compareTo(route.timeout()) < 0 ? patience : route.timeout());
+        if (team.isEmpty() || !team.get().isLimited()) {
+            return Optional.empty();
+        }
+        long tokens = cost(team.get());
+        Duration wait = environment.limits().tryTake(team.get(), tokens, now);
+        if (!wait.isZero()) {
+            return Optional.of(Refusal.notRunRetryAfter(
+                    ErrorCode.RATE_LIMITED, "team " + team.get().name() + " has used its rate and burst up", wait));
+        }
+        reservedTokens = tokens;
+        return Optional.empty();
+    }
+
+    private long cost(Team payer) {
+        if (!payer.isCountedInTokens()) {
+            return 1;
+        }
+        return asked.isTokenCountGiven() ? asked.totalTokens() : payer.plainTokens();
+    }
+
+    private void dispatch(MonotonicTime now) {
+        Selection selection =
+                environment.selector().select(selectionRequest(now), service, environment.upstreams(), now);
+        boolean isWaitWorthwhile = !passedOver(now).isEmpty();
+        switch (selection) {
+            case Selection.Send send -> send(send, now);
+            case Selection.Wait wait -> enqueue(wait);
+            case Selection.Refuse refusal when isWaitWorthwhile -> enqueue(new Selection.Wait(refusal.reason(), false));
+            case Selection.Refuse refusal -> {
+                LOG.event("route", "request", asked.identifier(), "decision", "refuse", "reason", refusal.reason());
+                giveUp(refusal.reason(), refusal.retryAfter(), now);
+            }
+        }
+    }
+
+    private SelectionRequest selectionRequest(MonotonicTime now) {
+        return new SelectionRequest(
+                service.name(),
+                asked.model(),
+                asked.adapter(),
+                asked.promptTokens(),
+                asked.totalTokens(),
+                asked.promptParts(),
+                priority(),
+                arrivedAt,
+                deadline,
+                route.answerGoal(),
+                passedOver(now));
+    }
+
+    private Set<String> passedOver(MonotonicTime now) {
+        return passedOverUntil.entrySet().stream()
+                .filter(entry -> now.isBefore(entry.getValue()))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
+    }
+
+    private void enqueue(Selection.Wait wait) {
+        Optional<ModelWant> newWant = wait.needsPlacement()
+                ? Optional.of(new ModelWant(service.name(), asked.model(), wantedAdapter()))
+                : Optional.empty();
+        boolean isNewWant = newWant.isPresent() && !newWant.equals(want);
+        want = newWant;
+        if (!isWaiting) {
+            isWaiting = true;
+            environment.queue().add(this);
+            LOG.event("route", "request", asked.identifier(), "decision", "wait", "reason", wait.reason());
+        }
+        if (isNewWant) {
+            environment.onWant().run();
+        }
+    }
+
+    private String wantedAdapter() {
+        boolean isModelHeld =
+                environment.upstreams().usable(service.name()).anyMatch(upstream -> upstream.holds(asked.model(), ""));
+        return isModelHeld ? asked.adapter() : "";
+    }
+
+    @Override
+    public boolean tryStart(MonotonicTime now) {
+        dispatch(now);
+        return !isWaiting;
+    }
+
+    private void leaveQueue() {
+        if (isWaiting) {
+            isWaiting = false;
+            want = Optional.empty();
+            environment.queue().remove(this);
+        }
+    }
+
+    private void send(Selection.Send send, MonotonicTime now) {
+        boolean isRetry = tries > 0;
+        boolean isBudgetNeeded = isRetry && attempt != null && attempt.isCounted;
+        if (isBudgetNeeded && !hasRetryBudget(now)) {
+            giveUp("retry_budget_exhausted", DEFAULT_RETRY_AFTER, now);
+            return;
+        }
+        if (!isRetry) {
+            environment.metrics().observeQueueing(now.since(arrivedAt));
+        }
+        leaveQueue();
+        tries++;
+        Upstream upstream = send.upstream();
+        PeerUse load = upstream.load(now);
+        LOG.event(
+                "route",
+                "request",
+                asked.identifier(),
+                "decision",
+                "send",
+                "upstream",
+                upstream.description().identifier(),
+                "reason",
+                send.reason(),
+                "try",
+                tries,
+                "running",
+                load.running(),
+                "unread_tokens",
+                load.unreadTokens(),
+                "expected_ms",
+                send.expectedWait().toMillis(),
+                "waited_ms",
+                now.since(arrivedAt).toMillis());
+        if (!asked.adapter().isEmpty()) {
+            upstream.noteAdapterUse(asked.model() + "/" + asked.adapter(), now);
+        }
+        attempt = new Attempt(upstream, load.unreadTokens(), now);
+        attempt.begin(now);
+    }
+
+    private boolean hasRetryBudget(MonotonicTime now) {
+        return environment
+                .retryBudgets()
+                .apply(service.name())
+                .tryWithdraw(environment.fleetSize().getAsInt(), now);
+    }
+
+    /** The attempt is over and nothing of an answer has reached the caller, or its stream may go on elsewhere. */
+    private void tryElsewhere(String reason, MonotonicTime now) {
+        boolean mayRunAgain = !mayHaveRun || route.isRepeatable();
+        boolean hasRunsLeft = runs < Math.max(1, route.maximumAttempts());
+        if (mayRunAgain && hasRunsLeft && tries < MAXIMUM_TRIES && now.isBefore(deadline)) {
+            dispatch(now);
+        } else {
+            giveUp(reason, DEFAULT_RETRY_AFTER, now);
+        }
+    }
+
+    private void giveUp(String reason, Duration retryAfter, MonotonicTime now) {
+        if (isAnswerBegun) {
+            end("cut", reason, now);
+            answer.abort();
+        } else if (mayHaveRun) {
+            refuse(Refusal.outcomeUnknown(ErrorCode.OUTCOME_UNKNOWN, "the request may have run: " + reason), now);
+        } else {
+            refuse(
+                    Refusal.notRunRetryAfter(
+                            ErrorCode.UPSTREAM_UNAVAILABLE, "the request can't be served now: " + reason, retryAfter),
+                    now);
+        }
+    }
+
+    private void refuse(Refusal refusal, MonotonicTime now) {
+        giveTokensBack(refusal, now);
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+        if (asked != null && !asked.identifier().isEmpty()) {
+            environment.format().identify(headers, asked.identifier());
+        }
+        refusal.retryAfter()
+                .ifPresent(wait -> headers.set(
+                        HttpHeaderNames.RETRY_AFTER,
+                        String.format(Locale.ROOT, "%.3f", wait.toMillis() / MILLISECONDS_PER_SECOND)));
+        end(refusal.code().text(), refusal.message(), now);
+        answer.sendWhole(refusal.status(), headers, Unpooled.wrappedBuffer(refusal.body()));
+    }
+
+    private void giveTokensBack(Refusal refusal, MonotonicTime now) {
+        if (refusal.isNotRun() && reservedTokens > 0) {
+            environment.limits().giveBack(team.orElseThrow(), reservedTokens, now);
+            reservedTokens = 0;
+        }
+    }
+
+    /** The caller has gone: whatever is done for it stops at once. */
+    void callerGone() {
+        if (!isEnded) {
+            MonotonicTime now = environment.clock().get();
+            if (attempt == null && reservedTokens > 0) {
+                environment.limits().giveBack(team.orElseThrow(), reservedTokens, now);
+            }
+            end("caller_gone", "connection closed", now);
+        }
+    }
+
+    void expire(MonotonicTime now) {
+        if (isEnded || now.isBefore(deadline)) {
+            return;
+        }
+        boolean isAtUpstream = attempt != null && attempt.isOpen();
+        if (isAnswerBegun) {
+            giveUp("deadline", DEFAULT_RETRY_AFTER, now);
+        } else if (mayHaveRun || isAtUpstream) {
+            refuse(Refusal.outcomeUnknown(ErrorCode.DEADLINE_EXCEEDED, "no answer in time"), now);
+        } else {
+            refuse(
+                    Refusal.notRunRetryAfter(ErrorCode.OVERLOADED, "no upstream was free in time", DEFAULT_RETRY_AFTER),
+                    now);
+        }
+    }
+
+    private void end(String outcome, String reason, MonotonicTime now) {
+        if (isEnded) {
+            return;
+        }
+        isEnded = true;
+        leaveQueue();
+        if (attempt != null) {
+            attempt.cancel();
+        }
+        incoming.body().release();
+        String routeName = route == null ? "none" : route.name();
+        environment.metrics().countRequest(routeName, outcome);
+        LOG.event(
+                "request_end",
+                "request",
+                asked == null ? "" : asked.identifier(),
+                "route",
+                routeName,
+                "team",
+                team.map(Team::name).orElse(""),
+                "outcome",
+                outcome,
+                "reason",
+                reason,
+                "tries",
+                tries,
+                "ran",
+                mayHaveRun,
+                "total_ms",
+                now.since(arrivedAt).toMillis());
+        onEnd.accept(this);
+    }
+
+    private void noteFirstAnswer(MonotonicTime now) {
+        if (!isFirstAnswerSeen) {
+            isFirstAnswerSeen = true;
+            environment.metrics().observeFirstAnswer(route.name(), now.since(arrivedAt));
+        }
+    }
+
+    private FullHttpRequest upstreamRequest(Upstream upstream, MonotonicTime now) {
+        HttpRequest head = incoming.head();
+        DefaultFullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, head.method(), head.uri(), incoming.body().retainedDuplicate());
+        Forwarding forwarding = new Forwarding(
+                upstream.description().identifier(),
+                deadline.since(now),
+                team.map(Team::name),
+                service.engine().isPresent() ? OptionalInt.of(priority()) : OptionalInt.empty(),
+                lastEvent.isPresent() ? Optional.of(lastEvent.getAsLong()) : Optional.empty());
+        environment.format().forward(head.headers(), forwarding, request.headers());
+        if (incoming.body().isReadable() || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            request.headers()
+                    .set(HttpHeaderNames.CONTENT_LENGTH, incoming.body().readableBytes());
+        }
+        return request;
+    }
+
+    /** One attempt at one upstream. */
+    private final class Attempt extends UpstreamAttempt {
+
+        private final long unreadAhead;
+
+        private Attempt(Upstream upstream, long unreadAhead, MonotonicTime now) {
+            super(environment, upstream, asked, now);
+            this.unreadAhead = unreadAhead;
+        }
+
+        private void begin(MonotonicTime now) {
+            ConnectionOptions options =
+                    route.isRepeatable() ? ConnectionOptions.ANY_IDLE : ConnectionOptions.RECENTLY_USED;
+            Target target = new Target(
+                    upstream.description().address(), upstream.description().identifier());
+            HttpExchange started =
+                    environment.connections().send(target, upstreamRequest(upstream, now), options, this);
+            follow(started);
+            answer.onWritability(started::setReading);
+        }
+
+        @Override
+        protected boolean isStream() {
+            return route.kind() == org.pollenhoist.serving.catalog.RequestKind.STREAM;
+        }
+
+        @Override
+        protected void onEvents(HttpResponse head, ByteBuf events, OptionalLong lastIdentifier) {
+            MonotonicTime now = environment.clock().get();
+            if (isFirstEvent()) {
+                environment.pace().observe(asked.model(), unreadAhead + asked.promptTokens(), now.since(startedAt));
+                upstream.rememberParts(asked.model(), asked.promptParts());
+            }
+            noteFirstAnswer(now);
+            beginAnswer(head);
+            lastEvent = lastIdentifier;
+            answer.sendPart(events);
+        }
+
+        private void beginAnswer(HttpResponse head) {
+            if (!isAnswerBegun) {
+                isAnswerBegun = true;
+                HttpHeaders headers = new DefaultHttpHeaders();
+                HopHeaders.copyEndToEnd(head.headers(), headers, Set.of());
+                answer.begin(head.status().code(), headers);
+            }
+        }
+
+        @Override
+        protected void onStreamEnd(HttpResponse head) {
+            MonotonicTime now = environment.clock().get();
+            beginAnswer(head);
+            end("ok", "complete", now);
+            answer.end();
+        }
+
+        @Override
+        protected void onWhole(HttpResponse head, AnswerHead read, ByteBuf body) {
+            MonotonicTime now = environment.clock().get();
+            runs++;
+            mayHaveRun = true;
+            boolean isFailure = read.isServerError();
+            upstream.record(isFailure, now);
+            boolean mayRetry = isFailure
+                    && route.isRepeatable()
+                    && runs < route.maximumAttempts()
+                    && now.isBefore(deadline)
+                    && !isAnswerBegun;
+            if (mayRetry && hasRetryBudget(now)) {
+                body.release();
+                isCounted = false;
+                passedOverUntil.put(upstream.description().identifier(), deadline);
+                tryElsewhere("upstream_failed", now);
+                return;
+            }
+            if (isAnswerBegun) {
+                // A stream that was to go on here was refused: it can't be completed.
+                body.release();
+                giveUp("resume_failed", DEFAULT_RETRY_AFTER, now);
+                return;
+            }
+            noteFirstAnswer(now);
+            HttpHeaders headers = new DefaultHttpHeaders();
+            HopHeaders.copyEndToEnd(head.headers(), headers, Set.of());
+            end(read.isSuccess() ? "ok" : "upstream_status_" + read.status(), "complete", now);
+            answer.sendWhole(head.status().code(), headers, body);
+        }
+
+        @Override
+        protected void onRejected(AnswerHead read) {
+            MonotonicTime now = environment.clock().get();
+            String identifier = upstream.description().identifier();
+            passedOverUntil.put(identifier, now.plus(REJECTED_PAUSE));
+            if (read.status() == MISDIRECTED) {
+                boolean isOther = read.upstreamIdentifier().isPresent()
+                        && !read.upstreamIdentifier().get().equals(identifier);
+                if (isOther) {
+                    upstream.suspect(now);
+                } else {
+                    upstream.markMissing(asked.model(), asked.adapter());
+                }
+            } else {
+                upstream.record(true, now);
+            }
+            tryElsewhere("rejected_" + read.status(), now);
+        }
+
+        @Override
+        protected void onUnsent(String reason) {
+            MonotonicTime now = environment.clock().get();
+            isCounted = false;
+            upstream.suspect(now);
+            passedOverUntil.put(upstream.description().identifier(), now.plus(REJECTED_PAUSE));
+            tryElsewhere("unreachable", now);
+        }
+
+        @Override
+        protected void onBroken(String reason) {
+            MonotonicTime now = environment.clock().get();
+            runs++;
+            mayHaveRun = true;
+            upstream.record(true, now);
+            passedOverUntil.put(upstream.description().identifier(), deadline);
+            tryElsewhere(reason, now);
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/request/package-info.java
@@ -0,0 +1,2 @@
+/** One request's life: reading, admission, attempts, answer. */
+package org.pollenhoist.serving.request;
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/SelectionRequest.java
@@ -0,0 +1,42 @@
+package org.pollenhoist.serving.routing;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.request.PromptPart;
+
+/**
+ * What has to be known of a request to choose its upstream.
+ *
+ * @param service the service it goes to
+ * @param model the model it needs, empty for plain services
+ * @param adapter the adapter of the model, empty for none
+ * @param promptTokens length of its prompt
+ * @param totalTokens prompt and output
+ * @param promptParts the parts of its prompt in order
+ * @param priority its rank, 0 first
+ * @param arrivedAt when it was read
+ * @param deadline when it must be answered
+ * @param goal the time within which its first token is worth most
+ * @param excluded identifiers of upstreams that were tried
+ */
+public record SelectionRequest(
+        String service,
+        String model,
+        String adapter,
+        long promptTokens,
+        long totalTokens,
+        List<PromptPart> promptParts,
+        int priority,
+        MonotonicTime arrivedAt,
+        MonotonicTime deadline,
+        Duration goal,
+        Set<String> excluded) {
+
+    /** Copies the collections. */
+    public SelectionRequest {
+        promptParts = List.copyOf(promptParts);
+        excluded = Set.copyOf(excluded);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -0,0 +1,180 @@
+package org.pollenhoist.serving.routing;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.catalog.Engine;
+import org.pollenhoist.serving.catalog.Model;
+import org.pollenhoist.serving.catalog.Service;
+import org.pollenhoist.serving.upstream.PeerUse;
+import org.pollenhoist.serving.upstream.Upstream;
+import org.pollenhoist.serving.upstream.UpstreamTable;
+
+/**
+ * Chooses the upstream of a request: of those that hold what it needs the one with the shortest expected wait. A request
+ * that can't be answered in time by any is refused at once, one that can waits for room.
+ *
+ * <p>Answers loads in which a few models get most requests: without prompt lengths in the estimate, long prompts pile up
+ * at one engine while another one is idle.
+ */
+public final class UpstreamSelector {
+
+    /** What one more running request adds to the steps of an engine, in milliseconds of wait. */
+    private static final double MILLISECONDS_PER_RUNNING = 2;
+
+    /** Advantage of the own failure domain in milliseconds of wait: bytes between domains are paid for. */
+    private static final double OTHER_DOMAIN_MILLISECONDS = 25;
+
+    /** What an upstream that always fails is worth in milliseconds of wait. */
+    private static final double FAILURE_MILLISECONDS = 2_000;
+
+    /** What an upstream that could not be reached lately is worth in milliseconds of wait. */
+    private static final double SUSPECTED_MILLISECONDS = 5_000;
+
+    /** Requests that a plain service may queue, for each slot: it queues a few itself and rejects the rest. */
+    private static final double PLAIN_OVERBOOKING = 2;
+
+    /** Part of an engine's memory that requests may reserve; the rest is headroom for what peers sent meanwhile. */
+    private static final double MEMORY_PART = 0.95;
+
+    /** When a caller whose request finds no upstream is told to come back; a replaced upstream is back by then. */
+    private static final Duration NO_UPSTREAM_RETRY = Duration.ofSeconds(1);
+
+    private final String failureDomain;
+    private final ReadingPace pace;
+
+    /**
+     * Creates a selector.
+     *
+     * @param failureDomain the failure domain of this VM
+     * @param pace how fast engines read
+     */
+    public UpstreamSelector(String failureDomain, ReadingPace pace) {
+        this.failureDomain = failureDomain;
+        this.pace = pace;
+    }
+
+    /**
+     * Decides on a request.
+     *
+     * @param request the request
+     * @param service its service
+     * @param table the upstreams
+     * @param now the present time
+     * @return what is to be done with it
+     */
+    public Selection select(SelectionRequest request, Service service, UpstreamTable table, MonotonicTime now) {
+        List<Upstream> usable = table.usable(service.name())
+                .filter(upstream ->
+                        !request.excluded().contains(upstream.description().identifier()))
+                .toList();
+        if (usable.isEmpty()) {
+            return new Selection.Refuse("no_upstream", NO_UPSTREAM_RETRY);
+        }
+        if (service.engine().isPresent() && !request.model().isEmpty()) {
+            return selectEngine(request, service.engine().get(), usable, now);
+        }
+        return selectPlain(request, usable, now);
+    }
+
+    private Selection selectPlain(SelectionRequest request, List<Upstream> usable, MonotonicTime now) {
+        Upstream best = null;
+        double bestCost = Double.MAX_VALUE;
+        for (Upstream candidate : usable) {
+            int running = candidate.load(now).running();
+            int slots = Math.max(1, candidate.description().slots());
+            if (running >= slots * PLAIN_OVERBOOKING) {
+                continue;
+            }
+            // A full upstream costs as much as a missed goal.
+            double cost = (double) running / slots * request.goal().toMillis() + penalty(candidate, now);
+            if (cost < bestCost) {
+                bestCost = cost;
+                best = candidate;
+            }
+        }
+        if (best == null) {
+            return new Selection.Wait("upstreams_full", false);
+        }
+        return new Selection.Send(best, Duration.ofMillis((long) bestCost), "least_cost");
+    }
+
+    private Selection selectEngine(SelectionRequest request, Engine engine, List<Upstream> usable, MonotonicTime now) {
+        List<Upstream> holders = usable.stream()
+                .filter(upstream -> upstream.holds(request.model(), request.adapter()))
+                .toList();
+        if (holders.isEmpty()) {
+            return awaitPlacement(request, engine, usable, now);
+        }
+        Upstream best = null;
+        double bestCost = Double.MAX_VALUE;
+        Duration bestWait = Duration.ZERO;
+        for (Upstream candidate : holders) {
+            PeerUse load = candidate.load(now);
+            if (!hasRoom(load, request, engine)) {
+                continue;
+            }
+            long unread = load.unreadTokens()
+                    + request.promptTokens()
+                    - candidate.keptTokens(request.model(), request.promptParts());
+            Duration wait = pace.estimate(request.model(), unread);
+            double cost = wait.toMillis() + load.running() * MILLISECONDS_PER_RUNNING + penalty(candidate, now);
+            if (cost < bestCost) {
+                bestCost = cost;
+                bestWait = wait;
+                best = candidate;
+            }
+        }
+        if (best == null) {
+            return new Selection.Wait("engines_full", false);
+        }
+        if (request.deadline().isBefore(now.plus(bestWait))) {
+            return new Selection.Refuse("too_late_for_all_engines", bestWait);
+        }
+        return new Selection.Send(best, bestWait, "least_cost");
+    }
+
+    private static boolean hasRoom(PeerUse load, SelectionRequest request, Engine engine) {
+        boolean hasMemory = load.running() == 0
+                || load.reservedTokens() + request.totalTokens() <= engine.memoryTokens() * MEMORY_PART;
+        return load.running() < engine.slots() && hasMemory;
+    }
+
+    /** A request whose model or adapter is nowhere waits for it where it can be loaded in time. */
+    private static Selection awaitPlacement(
+            SelectionRequest request, Engine engine, List<Upstream> usable, MonotonicTime now) {
+        Model model = engine.models().get(request.model());
+        if (model == null) {
+            return new Selection.Refuse("unknown_model", NO_UPSTREAM_RETRY);
+        }
+        if (usable.stream().anyMatch(upstream -> upstream.holds(request.model(), ""))) {
+            return new Selection.Wait("adapter_not_loaded", true);
+        }
+        Duration load = loadTime(model, usable);
+        boolean isInTime = now.plus(load).isBefore(request.deadline());
+        boolean hasWaited = request.arrivedAt().isBefore(now);
+        // A request that has waited for the load keeps its place, since the load may be nearly done.
+        return isInTime || hasWaited
+                ? new Selection.Wait("model_not_loaded", true)
+                : new Selection.Refuse("model_not_loaded", load);
+    }
+
+    private static Duration loadTime(Model model, List<Upstream> usable) {
+        Optional<Upstream> withCopy = usable.stream()
+                .filter(upstream -> upstream.description().localCopies().contains(model.name()))
+                .findAny();
+        return withCopy.isPresent() ? model.diskLoadTime() : model.loadTime();
+    }
+
+    private double penalty(Upstream candidate, MonotonicTime now) {
+        double penalty = candidate.failureRate(now) * FAILURE_MILLISECONDS;
+        if (!candidate.description().failureDomain().equals(failureDomain)) {
+            penalty += OTHER_DOMAIN_MILLISECONDS;
+        }
+        if (candidate.isSuspected(now)) {
+            penalty += SUSPECTED_MILLISECONDS;
+        }
+        return penalty;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Which upstream a request goes to, and which requests wait or are refused. */
+package org.pollenhoist.serving.routing;
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/store/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's store as the product sees it. */
+package org.pollenhoist.serving.store;
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
@@ -0,0 +1,334 @@
+package org.pollenhoist.serving.upstream;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.request.PromptPart;
+
+/**
+ * One lifetime of an upstream as this process sees it: its own description, the load from here and from peers, and how
+ * it fared lately. Confined to the event loop.
+ */
+public final class Upstream {
+
+    /** How long a peer's word on its load counts; four digests, so that one or two may be lost. */
+    private static final Duration PEER_USE_LIFETIME = Duration.ofSeconds(1);
+
+    /** How long an upstream that could not be reached gets no new request, unless there is no other. */
+    private static final Duration SUSPICION = Duration.ofSeconds(1);
+
+    /** Time in which half of the memory of failures fades. */
+    private static final double FAILURE_HALF_LIFE_SECONDS = 2;
+
+    /** Prompt parts that are remembered as read by an upstream. */
+    private static final int REMEMBERED_PARTS = 512;
+
+    private final Map<String, Set<String>> adaptersByModel = new HashMap<>();
+    private final Map<String, MonotonicTime> adapterUses = new HashMap<>();
+    private final Map<String, PeerUse> peerUses = new HashMap<>();
+    private final Map<String, Integer> readParts = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
+            return size() > REMEMBERED_PARTS;
+        }
+    };
+
+    private UpstreamDescription description;
+    private boolean isGone;
+    private int running;
+    private long unreadTokens;
+    private long reservedTokens;
+    private double recentFailures;
+    private double recentAnswers;
+    private MonotonicTime fadedAt;
+    private MonotonicTime suspectedUntil;
+
+    Upstream(UpstreamDescription description, MonotonicTime now) {
+        this.fadedAt = now;
+        this.suspectedUntil = now;
+        describe(description);
+    }
+
+    /** Takes a newer description in. What it does not change is kept, since adapters come and go without a word. */
+    final void describe(UpstreamDescription newDescription) {
+        Set<String> before = description == null ? Set.of() : names(description);
+        description = newDescription;
+        Set<String> after = names(newDescription);
+        for (HeldModel model : newDescription.models()) {
+            if (!before.contains(model.name())) {
+                adaptersByModel.computeIfAbsent(model.name(), name -> new HashSet<>(model.adapters()));
+            }
+        }
+        before.stream().filter(name -> !after.contains(name)).forEach(adaptersByModel::remove);
+    }
+
+    private static Set<String> names(UpstreamDescription described) {
+        Set<String> names = new HashSet<>();
+        described.models().forEach(model -> names.add(model.name()));
+        return names;
+    }
+
+    void markGone() {
+        isGone = true;
+    }
+
+    /**
+     * Returns what the upstream says of itself.
+     *
+     * @return the newest description
+     */
+    public UpstreamDescription description() {
+        return description;
+    }
+
+    /**
+     * Tells whether the upstream may get new work.
+     *
+     * @return false where it is leaving or gone
+     */
+    public boolean isUsable() {
+        return !isGone && !description.isLeaving();
+    }
+
+    /**
+     * Tells whether the upstream holds what a request needs.
+     *
+     * @param model the model
+     * @param adapter the adapter of it, empty for none
+     * @return true where it is there as far as is known here
+     */
+    public boolean holds(String model, String adapter) {
+        Set<String> adapters = adaptersByModel.get(model);
+        return adapters != null && (adapter.isEmpty() || adapters.contains(adapter));
+    }
+
+    /**
+     * Returns the models that the upstream holds with their adapters.
+     *
+     * @return adapters by model, as far as is known here
+     */
+    public Map<String, Set<String>> holdings() {
+        return adaptersByModel;
+    }
+
+    /**
+     * Takes over what the upstream holds from one who knows better: the upstream's own report, or the VM that orders.
+     *
+     * @param holdings adapters by model
+     */
+    public void replaceHoldings(Map<String, Set<String>> holdings) {
+        adaptersByModel.clear();
+        holdings.forEach((model, adapters) -> adaptersByModel.put(model, new HashSet<>(adapters)));
+    }
+
+    /**
+     * Notes that the upstream now holds an adapter.
+     *
+     * @param model the model
+     * @param adapter the adapter
+     */
+    public void addAdapter(String model, String adapter) {
+        adaptersByModel.computeIfPresent(model, (name, adapters) -> {
+            adapters.add(adapter);
+            return adapters;
+        });
+    }
+
+    /**
+     * Notes that the upstream said that it lacks a model or adapter.
+     *
+     * @param model the model
+     * @param adapter the adapter, empty for the model itself
+     */
+    public void markMissing(String model, String adapter) {
+        if (adapter.isEmpty()) {
+            adaptersByModel.remove(model);
+        } else if (adaptersByModel.containsKey(model)) {
+            adaptersByModel.get(model).remove(adapter);
+        }
+    }
+
+    /**
+     * Counts a request that is sent there.
+     *
+     * @param promptTokens its prompt
+     * @param totalTokens prompt and output
+     */
+    public void begin(long promptTokens, long totalTokens) {
+        running++;
+        unreadTokens += promptTokens;
+        reservedTokens += totalTokens;
+    }
+
+    /**
+     * Counts the first token of a request.
+     *
+     * @param promptTokens its prompt
+     */
+    public void promptRead(long promptTokens) {
+        unreadTokens -= promptTokens;
+    }
+
+    /**
+     * Counts a request that has ended.
+     *
+     * @param unreadPromptTokens its prompt where no token came, else 0
+     * @param totalTokens prompt and output
+     */
+    public void end(long unreadPromptTokens, long totalTokens) {
+        running--;
+        unreadTokens -= unreadPromptTokens;
+        reservedTokens -= totalTokens;
+    }
+
+    /**
+     * Takes the load from a peer in.
+     *
+     * @param peer the peer's name
+     * @param use the load
+     */
+    public void hear(String peer, PeerUse use) {
+        peerUses.put(peer, use);
+    }
+
+    /**
+     * Returns the load of all VMs together.
+     *
+     * @param now the present time
+     * @return own counts and those of the peers that were heard lately
+     */
+    public PeerUse load(MonotonicTime now) {
+        int allRunning = running;
+        long allUnread = unreadTokens;
+        long allReserved = reservedTokens;
+        MonotonicTime oldest = now.plus(PEER_USE_LIFETIME.negated());
+        for (PeerUse use : peerUses.values()) {
+            if (!use.heardAt().isBefore(oldest)) {
+                allRunning += use.running();
+                allUnread += use.unreadTokens();
+                allReserved += use.reservedTokens();
+            }
+        }
+        return new PeerUse(allRunning, allUnread, allReserved, now);
+    }
+
+    /**
+     * Returns the load from this process alone.
+     *
+     * @param now the present time
+     * @return own counts
+     */
+    public PeerUse ownLoad(MonotonicTime now) {
+        return new PeerUse(running, unreadTokens, reservedTokens, now);
+    }
+
+    /**
+     * Remembers the parts of a prompt that the upstream has read.
+     *
+     * @param model the model for which it read them
+     * @param parts the parts in order
+     */
+    public void rememberParts(String model, List<PromptPart> parts) {
+        parts.forEach(part -> readParts.put(model + ' ' + part.identifier(), part.tokens()));
+    }
+
+    /**
+     * Estimates how much of a prompt the upstream keeps.
+     *
+     * @param model the model
+     * @param parts the parts of the prompt in order
+     * @return tokens of the leading parts that were read there before
+     */
+    public long keptTokens(String model, List<PromptPart> parts) {
+        long kept = 0;
+        for (PromptPart part : parts) {
+            if (!readParts.containsKey(model + ' ' + part.identifier())) {
+                break;
+            }
+            kept += part.tokens();
+        }
+        return kept;
+    }
+
+    /**
+     * Notes that an adapter is used.
+     *
+     * @param modelAndAdapter the adapter as {@code model/adapter}
+     * @param now the present time
+     */
+    public void noteAdapterUse(String modelAndAdapter, MonotonicTime now) {
+        adapterUses.put(modelAndAdapter, now);
+    }
+
+    /**
+     * Returns when an adapter was last used from here.
+     *
+     * @param modelAndAdapter the adapter as {@code model/adapter}
+     * @return a number that is greater for a later use
+     */
+    public long lastAdapterUse(String modelAndAdapter) {
+        MonotonicTime used = adapterUses.get(modelAndAdapter);
+        return used == null ? Long.MIN_VALUE : used.nanoseconds();
+    }
+
+    /**
+     * Notes how an attempt ended.
+     *
+     * @param isFailure whether the upstream failed, not the request
+     * @param now the present time
+     */
+    public void record(boolean isFailure, MonotonicTime now) {
+        fade(now);
+        recentAnswers++;
+        if (isFailure) {
+            recentFailures++;
+        }
+    }
+
+    /**
+     * Notes that the upstream could not be reached or denied to be the one that was meant.
+     *
+     * @param now the present time
+     */
+    public void suspect(MonotonicTime now) {
+        suspectedUntil = now.plus(SUSPICION);
+    }
+
+    /**
+     * Tells whether the upstream could not be reached lately.
+     *
+     * @param now the present time
+     * @return true while other upstreams are to be preferred
+     */
+    public boolean isSuspected(MonotonicTime now) {
+        return now.isBefore(suspectedUntil);
+    }
+
+    /**
+     * Returns the part of recent attempts that failed.
+     *
+     * @param now the present time
+     * @return 0 to 1, pulled towards 0 while few attempts were made
+     */
+    public double failureRate(MonotonicTime now) {
+        fade(now);
+        return recentFailures / (recentAnswers + 2);
+    }
+
+    private void fade(MonotonicTime now) {
+        double seconds = now.secondsSince(fadedAt);
+        if (seconds > 0) {
+            double kept = Math.pow(0.5, seconds / FAILURE_HALF_LIFE_SECONDS);
+            recentFailures *= kept;
+            recentAnswers *= kept;
+            fadedAt = now;
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamTable.java
@@ -0,0 +1,99 @@
+package org.pollenhoist.serving.upstream;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.pollenhoist.common.DecisionLog;
+import org.pollenhoist.common.MonotonicTime;
+
+/** All upstreams that register themselves, by identifier. Confined to the event loop. */
+public final class UpstreamTable {
+
+    private static final DecisionLog LOG = DecisionLog.of("upstream");
+
+    private final Map<String, Upstream> upstreams = new LinkedHashMap<>();
+
+    /**
+     * Takes an upstream's description in. A new lifetime starts anew: its load and its memory are empty.
+     *
+     * @param description the description
+     * @param now the present time
+     */
+    public void put(UpstreamDescription description, MonotonicTime now) {
+        Upstream known = upstreams.get(description.identifier());
+        if (known != null && isSameLifetime(known.description(), description)) {
+            if (!known.description().isLeaving() && description.isLeaving()) {
+                LOG.event("upstream_leaving", "upstream", description.identifier());
+            }
+            known.describe(description);
+            return;
+        }
+        if (known != null) {
+            known.markGone();
+        }
+        upstreams.put(description.identifier(), new Upstream(description, now));
+        LOG.event(
+                "upstream_joined",
+                "upstream",
+                description.identifier(),
+                "service",
+                description.service(),
+                "address",
+                description.address(),
+                "models",
+                description.models().size());
+    }
+
+    private static boolean isSameLifetime(UpstreamDescription known, UpstreamDescription description) {
+        return known.startedMilliseconds() == description.startedMilliseconds()
+                && known.address().equals(description.address())
+                && known.service().equals(description.service());
+    }
+
+    /**
+     * Takes out an upstream that is no longer registered.
+     *
+     * @param identifier its identifier
+     * @param reason why, for the log
+     */
+    public void remove(String identifier, String reason) {
+        Upstream removed = upstreams.remove(identifier);
+        if (removed != null) {
+            removed.markGone();
+            LOG.event("upstream_gone", "upstream", identifier, "reason", reason);
+        }
+    }
+
+    /**
+     * Finds an upstream.
+     *
+     * @param identifier its identifier
+     * @return the upstream, or empty
+     */
+    public Optional<Upstream> find(String identifier) {
+        return Optional.ofNullable(upstreams.get(identifier));
+    }
+
+    /**
+     * Returns all upstreams.
+     *
+     * @return the upstreams in the order in which they came
+     */
+    public Collection<Upstream> all() {
+        return upstreams.values();
+    }
+
+    /**
+     * Returns the upstreams of a service that may get new work.
+     *
+     * @param service the service's name
+     * @return the upstreams
+     */
+    public Stream<Upstream> usable(String service) {
+        return upstreams.values().stream()
+                .filter(upstream ->
+                        upstream.isUsable() && upstream.description().service().equals(service));
+    }
+}
