Keep an engine's known count and holdings against its lagging reports

Cause: a report is some hundred milliseconds old. Ruled out: dropped log lines, a second order's answer. Change: the end of a load keeps the count of orders; a report that shows an order in progress changes nothing; models are planned 3 s after the placement begins, when all engines have registered.

--- a/serving/src/main/java/org/pollenhoist/serving/placement/EngineBook.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/EngineBook.java
@@ -57,27 +57,27 @@
         pausedUntil = until;
     }
 
-    /** Takes a report over, unless an order was sent since it was asked for. */
-    void reported(EngineStatus status) {
+    /**
+     * Takes a report over, unless an order was sent since it was asked for. A report is some hundred milliseconds old: one
+     * that shows an order in progress which is not known here was made before its end, or before this VM led.
+     */
+    void reported(EngineStatus status, Duration pause, MonotonicTime now) {
         isReporting = false;
         if (inFlight.isPresent()) {
             return;
         }
+        if (status.isOccupied()) {
+            if (modelOrder.isEmpty()) {
+                resynchronize(now.plus(pause));
+            }
+            return;
+        }
         sequence = Optional.of(status.orderSequence());
         Map<String, Set<String>> holdings = new HashMap<>();
         for (HeldModel model : status.models()) {
             holdings.put(model.name(), model.adapters());
         }
-        if (modelOrder.isPresent() && modelOrder.get() instanceof EngineOrder.UnloadModel unload) {
-            // The model is still there until its runs have ended; no new ones are to go there.
-            boolean isDone = !holdings.containsKey(unload.model());
-            holdings.remove(unload.model());
-            if (isDone) {
-                modelOrder = Optional.empty();
-            }
-        } else if (!status.isOccupied()) {
-            modelOrder = Optional.empty();
-        }
+        modelOrder = Optional.empty();
         upstream.replaceHoldings(holdings);
     }
 
@@ -155,7 +155,6 @@
     void completeModelOrder(boolean isDone) {
         if (isDone) {
             modelOrder = Optional.empty();
-            sequence = Optional.empty();
         }
     }
 
--- a/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
@@ -41,6 +41,9 @@
     /** How often models are planned. */
     private static final Duration MODEL_PLAN_INTERVAL = Duration.ofMillis(400);
 
+    /** Engines register within two of their reports to the store; before that a model seems to be nowhere. */
+    private static final Duration FIRST_MODEL_PLAN = Duration.ofSeconds(3);
+
     /** How often an engine is asked whether an order on a model is done. */
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(700);
 
@@ -123,6 +126,7 @@
         if (!wasOrdering) {
             wasOrdering = true;
             books.clear();
+            nextModelPlan = now.plus(FIRST_MODEL_PLAN);
             LOG.event("placement_begins", "fencing_token", leadership.fencingToken());
         }
         boolean isModelPlanDue = !now.isBefore(nextModelPlan);
@@ -176,8 +180,18 @@
         book.reportAsked(now);
         control.report(book.upstream().description(), answer -> {
             MonotonicTime answeredAt = clock.get();
+            LOG.event(
+                    "engine_report",
+                    "upstream",
+                    book.upstream().description().identifier(),
+                    "sequence",
+                    answer.map(EngineStatus::orderSequence).orElse(-1L),
+                    "occupied",
+                    answer.map(EngineStatus::isOccupied).orElse(false),
+                    "models",
+                    answer.map(status -> status.models().toString()).orElse("no answer"));
             if (answer.isPresent()) {
-                book.reported(answer.get());
+                book.reported(answer.get(), CONFLICT_PAUSE, answeredAt);
                 onChange.run();
             } else {
                 book.reportFailed(answeredAt.plus(CONFLICT_PAUSE));
