Refuse what can't be answered in time, load more models at once, and drop late orders with their connection

Loads ran five at a time, while the weight store serves as many as it starts in one load's time. A digest of more than 2,048 bytes was cut by the receive buffer, so most VMs never learned of adapters. Change: arrivals of models are told to all VMs and decide whether waiting helps; a first event after two goals is refused at once; cancelled exchanges reset their connection; a stop closes idle connections 2.6 s after the signal.

--- a/serving/src/main/java/org/pollenhoist/serving/catalog/Route.java
+++ b/serving/src/main/java/org/pollenhoist/serving/catalog/Route.java
@@ -12,6 +12,7 @@
  * @param kind what may be repeated
  * @param timeout the longest time that a caller is kept waiting
  * @param answerGoal the time within which the answer, or a stream's first event, is worth most
+ * @param gapGoal the longest pause between events of a stream that is on time; zero for other kinds
  * @param priority its rank, 0 first
  * @param maximumAttempts how many upstreams may run one request
  * @param isPublic whether requests need no key
@@ -25,12 +26,17 @@
         RequestKind kind,
         Duration timeout,
         Duration answerGoal,
+        Duration gapGoal,
         int priority,
         int maximumAttempts,
         boolean isPublic,
         boolean isResumable,
         List<WeightedService> services) {
 
+    private static final Duration LEAST_PATIENCE = Duration.ofSeconds(2);
+    private static final int PATIENCE_IN_GOALS = 4;
+    private static final int PATIENCE_IN_GAPS = 8;
+
     /** Copies the services. */
     public Route {
         services = List.copyOf(services);
@@ -49,6 +55,22 @@
         };
     }
 
+    /**
+     * Returns how long a caller waits for the first event of a stream before it leaves.
+     *
+     * @return two seconds, four times the goal or eight times the longest pause, whichever is longest; the timeout for
+     *     other kinds
+     */
+    public Duration firstEventPatience() {
+        if (kind != RequestKind.STREAM) {
+            return timeout;
+        }
+        Duration byGoal = answerGoal.multipliedBy(PATIENCE_IN_GOALS);
+        Duration byGap = gapGoal.multipliedBy(PATIENCE_IN_GAPS);
+        Duration longer = byGoal.compareTo(byGap) > 0 ? byGoal : byGap;
+        return longer.compareTo(LEAST_PATIENCE) > 0 ? longer : LEAST_PATIENCE;
+    }
+
     /**
      * Picks the service of one request.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
@@ -159,6 +159,13 @@
         ahead.clear();
     }
 
+    void closeIfIdle() {
+        if (!isBusy() && !isClosing) {
+            isClosing = true;
+            context.close();
+        }
+    }
+
     void sweep(MonotonicTime now) {
         if (answer != null || isClosing) {
             return;
--- a/serving/src/main/java/org/pollenhoist/serving/http/CallerServer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/CallerServer.java
@@ -120,6 +120,14 @@
         isStopping = true;
     }
 
+    /**
+     * Closes the connections on which nothing is being read or answered. A request that crosses the close was not read,
+     * so its caller may send it again.
+     */
+    public void closeIdle() {
+        connections.stream().toList().forEach(CallerConnection::closeIfIdle);
+    }
+
     /**
      * Returns how many requests are being read or answered.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -79,6 +80,13 @@
         context.channel().config().setAutoRead(isReading);
     }
 
+    /** Drops what was not delivered yet: it must not arrive after its sender has given it up. */
+    void reset() {
+        isReusable = false;
+        context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        context.close();
+    }
+
     void close() {
         isReusable = false;
         context.close();
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpExchange.java
@@ -55,13 +55,14 @@
         }
     }
 
-    /** Ends the exchange without a word to the listener; the connection is closed, so that the other end stops. */
+    /** Ends the exchange without a word to the listener; the connection is reset, so that the other end stops
+     * and bytes that a partition holds up do not arrive after it. */
     public void cancel() {
         if (!isEnded) {
             isEnded = true;
             releaseUnsent();
             if (connection != null) {
-                connection.close();
+                connection.reset();
             }
         }
     }
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
@@ -1,5 +1,6 @@
 package org.pollenhoist.serving.node;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,6 +14,7 @@
 import org.pollenhoist.serving.request.DemandCounter;
 import org.pollenhoist.serving.upstream.PeerUse;
 import org.pollenhoist.serving.upstream.Upstream;
+import org.pollenhoist.serving.upstream.UpstreamTable;
 import org.pollenhoist.vm.generated.ModelDemand;
 import org.pollenhoist.vm.generated.TeamSpending;
 import org.pollenhoist.vm.generated.UpstreamHolding;
@@ -44,6 +46,7 @@
             List<ModelWant> wants,
             boolean isPlacing,
             boolean isStopping,
+            boolean isFull,
             MonotonicTime now) {
         VmDigest.Builder digest = VmDigest.newBuilder()
                 .setVmName(vmName)
@@ -57,20 +60,25 @@
                 .setTeam(one.team())
                 .setAdmittedTokens(one.admitted())
                 .setLevelTokens(one.level())));
-        demand.forEach((model, total) -> digest.addDemands(ModelDemand.newBuilder()
-                .setModel(model)
-                .setRequests(total.requests())
-                .setTokens(total.tokens())));
+        if (isFull) {
+            demand.forEach((model, total) -> digest.addDemands(ModelDemand.newBuilder()
+                    .setModel(model)
+                    .setRequests(total.requests())
+                    .setTokens(total.tokens())));
+        }
         upstreams.forEach(upstream -> addUse(digest, upstream, now));
         addWants(digest, wants);
-        if (isPlacing) {
-            upstreams.forEach(upstream -> addHoldings(digest, upstream));
+        if (isPlacing && isFull) {
+            upstreams.forEach(upstream -> addHoldings(digest, upstream, now));
         }
         return digest.build();
     }
 
     private static void addUse(VmDigest.Builder digest, Upstream upstream, MonotonicTime now) {
         PeerUse own = upstream.ownLoad(now);
+        if (own.running() == 0) {
+            return;
+        }
         digest.addUpstreamUses(UpstreamUse.newBuilder()
                 .setUpstream(upstream.description().identifier())
                 .setRunning(own.running())
@@ -88,7 +96,14 @@
                 .setWaiting(count.intValue())));
     }
 
-    private static void addHoldings(VmDigest.Builder digest, Upstream upstream) {
+    private static void addHoldings(VmDigest.Builder digest, Upstream upstream, MonotonicTime now) {
+        upstream.arrivals()
+                .forEach((model, expected) -> digest.addHoldings(UpstreamHolding.newBuilder()
+                        .setUpstream(upstream.description().identifier())
+                        .setStartedMilliseconds(upstream.description().startedMilliseconds())
+                        .setModel(model)
+                        .setArrivesInMilliseconds(
+                                (int) Math.max(1, expected.since(now).toMillis()))));
         upstream.holdings()
                 .forEach((model, adapters) -> digest.addHoldings(UpstreamHolding.newBuilder()
                         .setUpstream(upstream.description().identifier())
@@ -97,14 +112,27 @@
                         .addAllAdapters(adapters)));
     }
 
-    /** Reads what the upstreams hold, as the ordering VM says. */
-    static Map<HolderKey, Map<String, Set<String>>> holdings(VmDigest digest) {
+    /** Takes over what the upstreams hold and load, as the ordering VM says. */
+    static void applyHoldings(VmDigest digest, UpstreamTable upstreams, MonotonicTime now) {
         Map<HolderKey, Map<String, Set<String>>> holdings = new HashMap<>();
-        digest.getHoldingsList()
-                .forEach(holding -> holdings.computeIfAbsent(
-                                new HolderKey(holding.getUpstream(), holding.getStartedMilliseconds()),
-                                key -> new HashMap<>())
-                        .put(holding.getModel(), new HashSet<>(holding.getAdaptersList())));
-        return holdings;
+        Map<HolderKey, Map<String, MonotonicTime>> arrivals = new HashMap<>();
+        for (UpstreamHolding holding : digest.getHoldingsList()) {
+            HolderKey key = new HolderKey(holding.getUpstream(), holding.getStartedMilliseconds());
+            holdings.computeIfAbsent(key, ignored -> new HashMap<>());
+            arrivals.computeIfAbsent(key, ignored -> new HashMap<>());
+            if (holding.getArrivesInMilliseconds() > 0) {
+                Duration wait = Duration.ofMillis(holding.getArrivesInMilliseconds());
+                arrivals.get(key).put(holding.getModel(), now.plus(wait));
+            } else {
+                holdings.get(key).put(holding.getModel(), new HashSet<>(holding.getAdaptersList()));
+            }
+        }
+        holdings.forEach((key, held) -> upstreams
+                .find(key.identifier())
+                .filter(upstream -> upstream.description().startedMilliseconds() == key.startedMilliseconds())
+                .ifPresent(upstream -> {
+                    upstream.replaceHoldings(held);
+                    upstream.setArrivals(arrivals.get(key));
+                }));
     }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -53,6 +53,7 @@
 import org.pollenhoist.serving.upstream.PeerUse;
 import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamTable;
+import org.pollenhoist.vm.generated.VmDigest;
 
 /**
  * A serving process: it takes callers' requests, sends them to upstreams, and takes its part in ordering models. All
@@ -77,11 +78,17 @@
     /** How often peers are told the state of this VM. */
     private static final Duration DIGEST_INTERVAL = Duration.ofMillis(250);
 
+    /** How often peers are told what changes slowly as well: demand, and what engines hold. */
+    private static final Duration FULL_DIGEST_INTERVAL = Duration.ofSeconds(1);
+
     /** Shortest time between two digests. */
     private static final Duration DIGEST_PAUSE = Duration.ofMillis(4);
 
-    /** How long a balancer may still send new connections after the VM ceased to be ready: two checks and a half. */
-    private static final Duration BALANCER_LAG = Duration.ofMillis(3_200);
+    /**
+     * How long a balancer may still send new connections after the VM ceased to be ready: two checks, and the way of a
+     * connection. What comes later could not be finished before the process is killed.
+     */
+    private static final Duration BALANCER_LAG = Duration.ofMillis(2_600);
 
     /** Time before the kill at which a planned stop ends in any case. */
     private static final Duration KILL_MARGIN = Duration.ofMillis(600);
@@ -117,6 +124,8 @@
     private Optional<Catalog> catalog = Optional.empty();
     private long digestSequence;
     private MonotonicTime digestSentAt;
+    private MonotonicTime fullDigestSentAt;
+    private boolean areHoldingsChanged;
     private boolean isDigestScheduled;
     private boolean isRegistering;
     private MonotonicTime leaderMissingSince;
@@ -130,6 +139,7 @@
         this.loop = loop;
         MonotonicTime now = bootClock.read();
         digestSentAt = now;
+        fullDigestSentAt = now;
         leaderMissingSince = now;
         sweptAt = now;
         limits = new FleetLimits(settings.isFirstStart());
@@ -350,12 +360,13 @@
         if (placement.isOrdering(now)) {
             loop.execute(() -> place(bootClock.read()));
         } else {
-            digestSoon();
+            tellOrderingVm();
         }
     }
 
     private void holdingsChanged() {
         if (placement.isOrdering(bootClock.read())) {
+            areHoldingsChanged = true;
             digestSoon();
             loop.execute(() -> {
                 MonotonicTime now = bootClock.read();
@@ -365,6 +376,16 @@
         }
     }
 
+    /** The VM that orders learns at once what is waited for here; all others have no use for it. */
+    private void tellOrderingVm() {
+        MonotonicTime now = bootClock.read();
+        peers.heard(now).stream()
+                .filter(report -> report.digest().getIsPlacing())
+                .findFirst()
+                .ifPresent(report ->
+                        peers.sendTo(digest(false, now), report.digest().getVmName()));
+    }
+
     private void digestSoon() {
         if (isDigestScheduled) {
             return;
@@ -381,8 +402,17 @@
     }
 
     private void sendDigest(MonotonicTime now) {
+        boolean isFull = areHoldingsChanged || now.since(fullDigestSentAt).compareTo(FULL_DIGEST_INTERVAL) >= 0;
         digestSentAt = now;
-        peers.send(new DigestWriter(settings.vmName(), settings.failureDomain(), incarnation)
+        if (isFull) {
+            fullDigestSentAt = now;
+            areHoldingsChanged = false;
+        }
+        peers.send(digest(isFull, now));
+    }
+
+    private VmDigest digest(boolean isFull, MonotonicTime now) {
+        return new DigestWriter(settings.vmName(), settings.failureDomain(), incarnation)
                 .write(
                         ++digestSequence,
                         mirror.revision(),
@@ -392,7 +422,8 @@
                         queue.wants(),
                         placement.isOrdering(now),
                         stoppingSince.isPresent(),
-                        now));
+                        isFull,
+                        now);
     }
 
     private void hear(PeerReport report) {
@@ -406,24 +437,13 @@
                                 spending.getTeam(), spending.getAdmittedTokens(), spending.getLevelTokens()))
                         .toList(),
                 now);
-        report.digest()
-                .getUpstreamUsesList()
-                .forEach(use -> upstreams
-                        .find(use.getUpstream())
-                        .ifPresent(upstream -> upstream.hear(
-                                vm,
-                                new PeerUse(use.getRunning(), use.getUnreadTokens(), use.getReservedTokens(), now))));
+        hearUses(report);
         report.digest()
                 .getDemandsList()
                 .forEach(
                         one -> demandRates.hear(vm, report.digest().getIncarnation(), one.getModel(), one.getTokens()));
-        if (report.digest().getIsPlacing() && !placement.isOrdering(now)) {
-            DigestWriter.holdings(report.digest())
-                    .forEach((key, holdings) -> upstreams
-                            .find(key.identifier())
-                            .filter(upstream ->
-                                    upstream.description().startedMilliseconds() == key.startedMilliseconds())
-                            .ifPresent(upstream -> upstream.replaceHoldings(holdings)));
+        if (report.digest().getHoldingsCount() > 0 && !placement.isOrdering(now)) {
+            DigestWriter.applyHoldings(report.digest(), upstreams, now);
             queue.pump(now);
         }
         if (placement.isOrdering(now) && report.digest().getWantsCount() > 0) {
@@ -431,6 +451,22 @@
         }
     }
 
+    private void hearUses(PeerReport report) {
+        String vm = report.digest().getVmName();
+        upstreams.all().forEach(upstream -> upstream.hear(vm, new PeerUse(0, 0, 0, report.heardAt())));
+        report.digest()
+                .getUpstreamUsesList()
+                .forEach(use -> upstreams
+                        .find(use.getUpstream())
+                        .ifPresent(upstream -> upstream.hear(
+                                vm,
+                                new PeerUse(
+                                        use.getRunning(),
+                                        use.getUnreadTokens(),
+                                        use.getReservedTokens(),
+                                        report.heardAt()))));
+    }
+
     /** Gives up readiness at once, goes on serving while the balancer notices, and ends once nothing runs any more. */
     public void stop(Runnable whenStopped) {
         loop.execute(() -> {
@@ -455,6 +491,10 @@
 
     private void stopWhenDone(MonotonicTime since, MonotonicTime now) {
         Duration elapsed = now.since(since);
+        if (elapsed.compareTo(BALANCER_LAG) >= 0) {
+            handler.refuseNew();
+            callers.closeIdle();
+        }
         boolean isDrained = elapsed.compareTo(BALANCER_LAG) >= 0
                 && handler.runningRequests() == 0
                 && callers.runningRequests() == 0;
--- a/serving/src/main/java/org/pollenhoist/serving/peer/PeerExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/peer/PeerExchange.java
@@ -7,7 +7,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.epoll.EpollDatagramChannel;
 import io.netty.channel.socket.DatagramPacket;
@@ -31,6 +33,9 @@
     /** A peer is heard while its last digest is not older than this: three of them may be lost. */
     public static final Duration HEARD_FOR = Duration.ofMillis(1_100);
 
+    /** Largest datagram over IPv4; what is longer than the receive buffer would be cut without a word. */
+    private static final int MAXIMUM_DATAGRAM_BYTES = 65_507;
+
     private static final DecisionLog LOG = DecisionLog.of("peer");
 
     private final EventLoop loop;
@@ -66,6 +71,7 @@
         ChannelFuture bound = new Bootstrap()
                 .group(loop)
                 .channel(EpollDatagramChannel.class)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAXIMUM_DATAGRAM_BYTES))
                 .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                     @Override
                     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
@@ -142,6 +148,19 @@
         channel.flush();
     }
 
+    /**
+     * Sends a digest to one peer.
+     *
+     * @param digest the digest
+     * @param vm the peer's name; nothing is sent where its address is not known
+     */
+    public void sendTo(VmDigest digest, String vm) {
+        InetSocketAddress address = addresses.get(vm);
+        if (address != null) {
+            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(digest.toByteArray()), address));
+        }
+    }
+
     /**
      * Returns the newest digests of the peers that are heard.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/placement/AdapterPlan.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/AdapterPlan.java
@@ -51,7 +51,7 @@
             }
             List<EngineView> possible = engines.stream()
                     .filter(view -> view.isAdapterOrderPossible()
-                            && view.holdings().containsKey(want.model())
+                            && view.models().contains(want.model())
                             && !ordered.contains(view.identifier()))
                     .sorted(Comparator.comparingLong(view -> -weight(want, view)))
                     .toList();
--- a/serving/src/main/java/org/pollenhoist/serving/placement/EngineBook.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/EngineBook.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -180,6 +181,24 @@
         return holdings;
     }
 
+    /** Which model is being loaded, and when it is expected. */
+    Map<String, MonotonicTime> arrivals(Duration loadTime) {
+        return modelOrder.isPresent() && modelOrder.get() instanceof EngineOrder.LoadModel load
+                ? Map.of(load.model(), modelOrderSince.plus(loadTime))
+                : Map.of();
+    }
+
+    /** The models that requests can use there, or can once the order in progress is done. */
+    Set<String> models() {
+        Set<String> models = new HashSet<>(upstream.holdings().keySet());
+        for (Optional<EngineOrder> order : List.of(inFlight, modelOrder)) {
+            if (order.isPresent() && order.get() instanceof EngineOrder.LoadModel load) {
+                models.add(load.model());
+            }
+        }
+        return models;
+    }
+
     private static void addPossible(Map<String, Set<String>> holdings, EngineOrder order) {
         switch (order) {
             case EngineOrder.LoadModel load -> holdings.computeIfAbsent(load.model(), name -> new HashSet<>());
--- a/serving/src/main/java/org/pollenhoist/serving/placement/EngineView.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/EngineView.java
@@ -8,7 +8,8 @@
  *
  * @param identifier the engine
  * @param failureDomain where it runs
- * @param holdings adapters by model, those on their way included
+ * @param holdings adapters by model, with all that may still be there or come: what takes room
+ * @param models models that requests can use there or soon can
  * @param localCopies models whose weights it has in memory or on disk
  * @param isModelOrderPossible whether an order on a model may be sent now
  * @param isAdapterOrderPossible whether an order on an adapter may be sent now
@@ -18,6 +19,7 @@
         String identifier,
         String failureDomain,
         Map<String, Set<String>> holdings,
+        Set<String> models,
         Set<String> localCopies,
         boolean isModelOrderPossible,
         boolean isAdapterOrderPossible,
@@ -26,6 +28,7 @@
     /** Copies the collections. */
     public EngineView {
         holdings = Map.copyOf(holdings);
+        models = Set.copyOf(models);
         localCopies = Set.copyOf(localCopies);
     }
 
--- a/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
@@ -24,6 +24,9 @@
     /** Work of one copy, in engines, from which a further copy is worth a load. */
     private static final double BUSY_WORK = 0.12;
 
+    /** Work of one copy, in engines, from which a further copy goes before a first copy of a model nobody asks for. */
+    private static final double OVERLOADED_WORK = 0.35;
+
     /** A copy is taken from another model only where that model's copies stay less busy by this factor. */
     private static final double DONOR_FACTOR = 0.5;
 
@@ -46,7 +49,7 @@
         this.workByModel = Map.copyOf(workByModel);
         for (EngineView view : views) {
             engines.put(view.identifier(), view);
-            view.holdings().keySet().forEach(model -> copies.merge(model, 1, Integer::sum));
+            view.models().forEach(model -> copies.merge(model, 1, Integer::sum));
         }
     }
 
@@ -58,14 +61,15 @@
      * @return the orders, the most urgent first
      */
     public List<PlannedOrder> plan(Set<String> wanted, int maximumOrders) {
-        missingModels(wanted).forEach(model -> {
-            if (orders.size() < maximumOrders) {
-                place(model, wanted.contains(model), "no_copy");
-            }
-        });
-        while (orders.size() < maximumOrders && growBusiest()) {
-            // Each round adds one copy.
-        }
+        List<String> missing = missingModels(wanted);
+        missing.stream()
+                .filter(model -> isAsked(model, wanted))
+                .forEach(model -> placeFirst(model, wanted, maximumOrders));
+        growBusiest(OVERLOADED_WORK, maximumOrders);
+        missing.stream()
+                .filter(model -> !isAsked(model, wanted))
+                .forEach(model -> placeFirst(model, wanted, maximumOrders));
+        growBusiest(BUSY_WORK, maximumOrders);
         return List.copyOf(orders);
     }
 
@@ -78,6 +82,16 @@
                 .toList();
     }
 
+    private boolean isAsked(String model, Set<String> wanted) {
+        return wanted.contains(model) || work(model) > 0;
+    }
+
+    private void placeFirst(String model, Set<String> wanted, int maximumOrders) {
+        if (orders.size() < maximumOrders) {
+            place(model, wanted.contains(model), "no_copy");
+        }
+    }
+
     private double work(String model) {
         return workByModel.getOrDefault(model, 0.0);
     }
@@ -86,12 +100,19 @@
         return count <= 0 ? Double.MAX_VALUE : work(model) / count;
     }
 
-    private boolean growBusiest() {
-        List<String> busy = engine.models().keySet().stream()
-                .filter(model -> copies.getOrDefault(model, 0) > 0 && workOfCopy(model, copies.get(model)) > BUSY_WORK)
+    /** Adds copies, one at a time, to the models whose copies have the most work. */
+    private void growBusiest(double leastWork, int maximumOrders) {
+        boolean isGrown = true;
+        while (isGrown && orders.size() < maximumOrders) {
+            isGrown = busiest(leastWork).stream().anyMatch(model -> place(model, false, "busy"));
+        }
+    }
+
+    private List<String> busiest(double leastWork) {
+        return engine.models().keySet().stream()
+                .filter(model -> copies.getOrDefault(model, 0) > 0 && workOfCopy(model, copies.get(model)) > leastWork)
                 .sorted(Comparator.comparingDouble(model -> -workOfCopy(model, copies.get(model))))
                 .toList();
-        return busy.stream().anyMatch(model -> place(model, false, "busy"));
     }
 
     private boolean place(String model, boolean mayTakeLastCopy, String reason) {
@@ -123,7 +144,7 @@
 
     /** Work that the models of an engine bring it. */
     private double busyWork(EngineView view) {
-        return view.holdings().keySet().stream()
+        return view.models().stream()
                 .mapToDouble(model -> workOfCopy(model, Math.max(1, copies.getOrDefault(model, 1))))
                 .sum();
     }
@@ -131,7 +152,7 @@
     private long copiesInDomain(String model, String failureDomain) {
         return engines.values().stream()
                 .filter(view -> view.failureDomain().equals(failureDomain)
-                        && view.holdings().containsKey(model))
+                        && view.models().contains(model))
                 .count();
     }
 
@@ -141,7 +162,7 @@
                 : workOfCopy(model, copies.get(model) + 1) * DONOR_FACTOR;
         record Eviction(EngineView view, String victim) {}
         Optional<Eviction> best = possible(model)
-                .flatMap(view -> view.holdings().keySet().stream().map(victim -> new Eviction(view, victim)))
+                .flatMap(view -> view.models().stream().map(victim -> new Eviction(view, victim)))
                 .filter(eviction -> mayTakeLastCopy || copies.getOrDefault(eviction.victim(), 0) > 1)
                 .filter(eviction -> copies.getOrDefault(eviction.victim(), 0) <= 1
                         ? work(eviction.victim()) == 0
--- a/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
@@ -45,16 +45,13 @@
     private static final Duration FIRST_MODEL_PLAN = Duration.ofSeconds(3);
 
     /** How often an engine is asked whether an order on a model is done. */
-    private static final Duration CHECK_INTERVAL = Duration.ofMillis(700);
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(350);
 
     /** Window over which loads from the weight store are counted. */
     private static final Duration LOAD_WINDOW = Duration.ofSeconds(5);
 
-    /** Part of the weight store's rate that one VM uses: in one window two VMs may lead one after the other. */
-    private static final double LOAD_RATE_PART = 0.6;
-
-    /** Loads that run at once; beyond a few, each of them takes longer. */
-    private static final int MAXIMUM_RUNNING_LOADS = 5;
+    /** Loads that a VM starts in its first window: the VM that ordered before may have used most of the window. */
+    private static final int FIRST_WINDOW_LOADS = 4;
 
     private static final double MILLISECONDS_PER_SECOND = 1_000.0;
 
@@ -69,6 +66,7 @@
     private final Deque<MonotonicTime> loads = new ArrayDeque<>();
     private boolean wasOrdering;
     private MonotonicTime nextModelPlan;
+    private MonotonicTime orderingSince;
 
     /**
      * Creates a driver.
@@ -97,6 +95,7 @@
         this.pace = pace;
         this.onChange = onChange;
         this.nextModelPlan = clock.get();
+        this.orderingSince = nextModelPlan;
     }
 
     /**
@@ -127,6 +126,7 @@
             wasOrdering = true;
             books.clear();
             nextModelPlan = now.plus(FIRST_MODEL_PLAN);
+            orderingSince = now;
             LOG.event("placement_begins", "fencing_token", leadership.fencingToken());
         }
         boolean isModelPlanDue = !now.isBefore(nextModelPlan);
@@ -155,6 +155,7 @@
                 boolean isLoaded = order instanceof EngineOrder.LoadModel load && upstream.holds(load.model(), "");
                 book.completeModelOrder(isLoaded);
             });
+            upstream.setArrivals(book.arrivals(expectedTime(book, engine)));
             boolean isDone = book.isCheckDue(expectedTime(book, engine), CHECK_INTERVAL, now);
             if (book.isReportNeeded(now) || isDone) {
                 askForReport(book, now);
@@ -201,13 +202,14 @@
 
     private EngineView view(EngineBook book, MonotonicTime now) {
         Upstream upstream = book.upstream();
-        boolean isFree = book.isFree(now) && !book.isModelOrderRunning();
+        boolean isFree = book.isFree(now);
         return new EngineView(
                 upstream.description().identifier(),
                 upstream.description().failureDomain(),
                 book.possibleHoldings(now),
+                book.models(),
                 upstream.description().localCopies(),
-                isFree,
+                isFree && !book.isModelOrderRunning(),
                 isFree,
                 upstream.load(now).running());
     }
@@ -251,10 +253,22 @@
         while (!loads.isEmpty() && loads.getFirst().isBefore(oldest)) {
             loads.removeFirst();
         }
-        int allowed = (int) (engine.storeLoadsPerSecond() * LOAD_WINDOW.toSeconds() * LOAD_RATE_PART);
+        int allowed = (int) (engine.storeLoadsPerSecond() * LOAD_WINDOW.toSeconds());
+        if (now.since(orderingSince).compareTo(LOAD_WINDOW) < 0) {
+            allowed = Math.min(allowed, FIRST_WINDOW_LOADS);
+        }
         int running =
                 (int) engines.stream().filter(EngineBook::isModelOrderRunning).count();
-        return Math.min(allowed - loads.size(), MAXIMUM_RUNNING_LOADS - running);
+        return Math.min(allowed - loads.size(), loadsAtOnce(engine) - running);
+    }
+
+    /** Loads that the weight store serves at full speed: as many as it starts in the time that one of them takes. */
+    private static int loadsAtOnce(Engine engine) {
+        double longest = engine.models().values().stream()
+                .mapToDouble(model -> model.loadTime().toMillis() / MILLISECONDS_PER_SECOND)
+                .max()
+                .orElse(1);
+        return Math.max(1, (int) (engine.storeLoadsPerSecond() * longest));
     }
 
     private static Map<String, EngineBook> byIdentifier(List<EngineBook> engines) {
@@ -265,7 +279,8 @@
 
     private void send(EngineBook book, PlannedOrder planned, MonotonicTime now) {
         EngineOrder order = planned.order();
-        if (order instanceof EngineOrder.LoadModel) {
+        if (order instanceof EngineOrder.LoadModel load
+                && !book.upstream().description().localCopies().contains(load.model())) {
             loads.addLast(now);
         }
         long expected = book.expectedSequence();
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestHandler.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestHandler.java
@@ -13,6 +13,7 @@
     private final RequestEnvironment environment;
     private final Set<RequestRun> running = new LinkedHashSet<>();
     private long lastNumber;
+    private boolean isRefusingNew;
 
     /**
      * Creates a handler.
@@ -27,10 +28,19 @@
     public Runnable onRequest(IncomingRequest request, CallerAnswer answer) {
         RequestRun run = new RequestRun(environment, request, answer, ++lastNumber, running::remove);
         running.add(run);
-        run.start(environment.clock().get());
+        if (isRefusingNew) {
+            run.refuseStopping(environment.clock().get());
+        } else {
+            run.start(environment.clock().get());
+        }
         return run::callerGone;
     }
 
+    /** From now on new requests are refused, since the process ends before they could be answered. */
+    public void refuseNew() {
+        isRefusingNew = true;
+    }
+
     /**
      * Ends requests whose deadline has passed.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -56,6 +56,9 @@
     /** When callers are told to come back where nothing better is known; a balancer's and a store's lag are shorter. */
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
 
+    /** A caller of a stopping process may come back at once: the balancer sends it to another one. */
+    private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(50);
+
     /** Upstreams that may be tried for one request where nothing was sent to those before. */
     private static final int MAXIMUM_TRIES = 6;
 
@@ -129,6 +132,10 @@
         dispatch(now);
     }
 
+    void refuseStopping(MonotonicTime now) {
+        refuse(Refusal.notRunRetryAfter(ErrorCode.NOT_READY, "the process is stopping", STOPPING_RETRY_AFTER), now);
+    }
+
     private Optional<Refusal> admit(MonotonicTime now) {
         Optional<Catalog> catalog = environment.catalog().get();
         if (catalog.isEmpty()) {
@@ -231,9 +238,15 @@
                 arrivedAt,
                 deadline,
                 route.answerGoal(),
+                leavesAt(),
                 passedOver(now));
     }
 
+    private MonotonicTime leavesAt() {
+        MonotonicTime impatient = arrivedAt.plus(route.firstEventPatience());
+        return impatient.isBefore(deadline) ? impatient : deadline;
+    }
+
     private Set<String> passedOver(MonotonicTime now) {
         return passedOverUntil.entrySet().stream()
                 .filter(entry -> now.isBefore(entry.getValue()))
--- a/serving/src/main/java/org/pollenhoist/serving/routing/SelectionRequest.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/SelectionRequest.java
@@ -19,6 +19,7 @@
  * @param arrivedAt when it was read
  * @param deadline when it must be answered
  * @param goal the time within which its first token is worth most
+ * @param leavesAt when the caller leaves where no first event has come
  * @param excluded identifiers of upstreams that were tried
  */
 public record SelectionRequest(
@@ -32,6 +33,7 @@
         MonotonicTime arrivedAt,
         MonotonicTime deadline,
         Duration goal,
+        MonotonicTime leavesAt,
         Set<String> excluded) {
 
     /** Copies the collections. */
--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -38,6 +38,15 @@
     /** Part of an engine's memory that requests may reserve; the rest is headroom for what peers sent meanwhile. */
     private static final double MEMORY_PART = 0.95;
 
+    /** A first event that comes later than this many goals is not worth the delay that it brings to others. */
+    private static final double WORTHWHILE_GOALS = 2;
+
+    /** When a caller is told to come back whose request waited in vain for room. */
+    private static final Duration FULL_RETRY = Duration.ofMillis(700);
+
+    /** How much later than expected a load may end. */
+    private static final Duration ARRIVAL_TOLERANCE = Duration.ofMillis(1_500);
+
     /** When a caller whose request finds no upstream is told to come back; a replaced upstream is back by then. */
     private static final Duration NO_UPSTREAM_RETRY = Duration.ofSeconds(1);
 
@@ -95,7 +104,9 @@
             }
         }
         if (best == null) {
-            return new Selection.Wait("upstreams_full", false);
+            return isTooLate(request, Duration.ZERO, now)
+                    ? new Selection.Refuse("upstreams_full", FULL_RETRY)
+                    : new Selection.Wait("upstreams_full", false);
         }
         return new Selection.Send(best, Duration.ofMillis((long) bestCost), "least_cost");
     }
@@ -127,14 +138,27 @@
             }
         }
         if (best == null) {
-            return new Selection.Wait("engines_full", false);
+            return isTooLate(request, Duration.ZERO, now)
+                    ? new Selection.Refuse("engines_full", FULL_RETRY)
+                    : new Selection.Wait("engines_full", false);
         }
-        if (request.deadline().isBefore(now.plus(bestWait))) {
+        if (isTooLate(request, bestWait, now)) {
             return new Selection.Refuse("too_late_for_all_engines", bestWait);
         }
         return new Selection.Send(best, bestWait, "least_cost");
     }
 
+    /**
+     * Whether an answer would come after the caller has left, or so late that it is worth little while it delays the
+     * answers of others.
+     */
+    private static boolean isTooLate(SelectionRequest request, Duration wait, MonotonicTime now) {
+        MonotonicTime answer = now.plus(wait);
+        Duration worthwhile = Duration.ofMillis(Math.round(request.goal().toMillis() * WORTHWHILE_GOALS));
+        return request.leavesAt().isBefore(answer)
+                || request.arrivedAt().plus(worthwhile).isBefore(answer);
+    }
+
     private static boolean hasRoom(PeerUse load, SelectionRequest request, Engine engine) {
         boolean hasMemory = load.running() == 0
                 || load.reservedTokens() + request.totalTokens() <= engine.memoryTokens() * MEMORY_PART;
@@ -149,15 +173,19 @@
             return new Selection.Refuse("unknown_model", NO_UPSTREAM_RETRY);
         }
         if (usable.stream().anyMatch(upstream -> upstream.holds(request.model(), ""))) {
-            return new Selection.Wait("adapter_not_loaded", true);
+            return isTooLate(request, Duration.ZERO, now)
+                    ? new Selection.Refuse("adapter_not_loaded", NO_UPSTREAM_RETRY)
+                    : new Selection.Wait("adapter_not_loaded", true);
         }
         Duration load = loadTime(model, usable);
-        boolean isInTime = now.plus(load).isBefore(request.deadline());
-        boolean hasWaited = request.arrivedAt().isBefore(now);
-        // A request that has waited for the load keeps its place, since the load may be nearly done.
-        return isInTime || hasWaited
-                ? new Selection.Wait("model_not_loaded", true)
-                : new Selection.Refuse("model_not_loaded", load);
+        Optional<MonotonicTime> arrival = usable.stream()
+                .flatMap(upstream -> Optional.ofNullable(upstream.arrivals().get(request.model())).stream())
+                .min(MonotonicTime::compareTo);
+        // A load that is under way may be a little late; a new one begins once the ordering VM has heard of it.
+        MonotonicTime expected =
+                arrival.map(time -> time.plus(ARRIVAL_TOLERANCE)).orElse(now.plus(load));
+        boolean isInTime = expected.isBefore(request.leavesAt()) && now.isBefore(expected);
+        return isInTime ? new Selection.Wait("model_not_loaded", true) : new Selection.Refuse("model_not_loaded", load);
     }
 
     private static Duration loadTime(Model model, List<Upstream> usable) {
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
@@ -40,6 +40,7 @@
         }
     };
 
+    private final Map<String, MonotonicTime> arrivals = new HashMap<>();
     private UpstreamDescription description;
     private boolean isGone;
     private int running;
@@ -128,6 +129,25 @@
         holdings.forEach((model, adapters) -> adaptersByModel.put(model, new HashSet<>(adapters)));
     }
 
+    /**
+     * Sets which models are being loaded there.
+     *
+     * @param expected when each of them is expected
+     */
+    public void setArrivals(Map<String, MonotonicTime> expected) {
+        arrivals.clear();
+        arrivals.putAll(expected);
+    }
+
+    /**
+     * Returns which models are being loaded there.
+     *
+     * @return when each of them is expected
+     */
+    public Map<String, MonotonicTime> arrivals() {
+        return arrivals;
+    }
+
     /**
      * Notes that the upstream now holds an adapter.
      *
--- /dev/null
+++ b/serving/src/test/java/org/pollenhoist/serving/limit/FleetBucketTest.java
@@ -0,0 +1,117 @@
+package org.pollenhoist.serving.limit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollenhoist.common.MonotonicTime;
+
+class FleetBucketTest {
+
+    private static final MonotonicTime START = MonotonicTime.of(Duration.ofSeconds(100));
+    private static final double RATE = 1_000;
+    private static final double BURST = 5_000;
+
+    private final FleetBucket bucket = new FleetBucket(RATE, BURST, 1, START);
+
+    private static MonotonicTime after(long milliseconds) {
+        return START.plus(Duration.ofMillis(milliseconds));
+    }
+
+    @Nested
+    class Taking {
+
+        @Test
+        void should_admit_burst_and_then_rate() {
+            assertThat(bucket.tryTake(5_000, START)).isTrue();
+            assertThat(bucket.tryTake(1, START)).isFalse();
+            assertThat(bucket.tryTake(1_000, after(1_000))).isTrue();
+        }
+
+        @Test
+        void should_tell_how_long_to_wait() {
+            bucket.tryTake(5_000, START);
+            assertThat(bucket.timeUntil(500, START)).isEqualTo(Duration.ofMillis(500));
+        }
+
+        @Test
+        void should_admit_request_larger_than_burst_when_full() {
+            assertThat(bucket.tryTake(7_000, START)).isTrue();
+            assertThat(bucket.level(START)).isEqualTo(-2_000);
+        }
+
+        @Test
+        void should_not_count_what_never_reached_an_upstream() {
+            bucket.tryTake(5_000, START);
+            bucket.giveBack(5_000, START);
+            assertThat(bucket.tryTake(5_000, START)).isTrue();
+            assertThat(bucket.admitted()).isEqualTo(5_000);
+        }
+    }
+
+    @Nested
+    class Peers {
+
+        @Test
+        void should_take_out_what_a_peer_admitted_since_its_last_report() {
+            bucket.hear("b", 1, 100, START);
+            bucket.hear("b", 1, 2_100, START);
+            assertThat(bucket.level(START)).isEqualTo(3_000);
+        }
+
+        @Test
+        void should_make_up_for_lost_reports() {
+            bucket.hear("b", 1, 0, START);
+            bucket.hear("b", 1, 4_000, START);
+            assertThat(bucket.tryTake(2_000, START)).isFalse();
+        }
+
+        @Test
+        void should_take_out_all_of_a_restarted_peer() {
+            bucket.hear("b", 1, 9_000, START);
+            bucket.hear("b", 2, 1_000, START);
+            assertThat(bucket.level(START)).isEqualTo(4_000);
+        }
+    }
+
+    @Nested
+    class Partition {
+
+        @Test
+        void should_use_only_the_part_of_the_fleet_that_is_heard() {
+            bucket.setReachablePart(0.25, START);
+            assertThat(bucket.tryTake(1_250, START)).isTrue();
+            assertThat(bucket.tryTake(1, START)).isFalse();
+            assertThat(bucket.tryTake(250, after(1_000))).isTrue();
+            assertThat(bucket.tryTake(1, after(1_000))).isFalse();
+        }
+
+        @Test
+        void should_keep_all_parts_together_within_rate_and_burst() {
+            FleetBucket other = new FleetBucket(RATE, BURST, 1, START);
+            bucket.setReachablePart(0.5, START);
+            other.setReachablePart(0.5, START);
+            long admitted = 0;
+            for (int step = 0; step <= 100; step++) {
+                MonotonicTime now = after(step * 100L);
+                admitted += bucket.tryTake(200, now) ? 200 : 0;
+                admitted += other.tryTake(200, now) ? 200 : 0;
+            }
+            assertThat(admitted).isLessThanOrEqualTo(15_000);
+        }
+    }
+
+    @Nested
+    class Restart {
+
+        @Test
+        void should_not_refill_the_burst() {
+            FleetLimits limits = new FleetLimits(false);
+            var team = new org.pollenhoist.serving.catalog.Team(
+                    "crews", java.util.Set.of("k"), java.util.OptionalInt.empty(), RATE, BURST, true, 200);
+            limits.configure(java.util.List.of(team), START);
+            assertThat(limits.tryTake(team, 500, START)).isEqualTo(Duration.ofMillis(500));
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/pollenhoist/serving/request/EventStreamTest.java
@@ -0,0 +1,65 @@
+package org.pollenhoist.serving.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class EventStreamTest {
+
+    private final EventStream stream = new EventStream(UnpooledByteBufAllocator.DEFAULT);
+
+    private Optional<String> append(String text) {
+        return stream.append(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8))
+                .map((ByteBuf events) -> events.toString(StandardCharsets.UTF_8));
+    }
+
+    @Nested
+    class Cutting {
+
+        @Test
+        void should_hold_an_event_back_until_it_is_whole() {
+            assertThat(append("id: 1\ndata: x")).isEmpty();
+            assertThat(append("y\n\nid: 2\nda")).contains("id: 1\ndata: xy\n\n");
+            assertThat(stream.hasPartialEvent()).isTrue();
+            assertThat(append("ta: z\n\n")).contains("id: 2\ndata: z\n\n");
+            assertThat(stream.hasPartialEvent()).isFalse();
+        }
+
+        @Test
+        void should_understand_lines_that_end_with_carriage_returns() {
+            assertThat(append("id: 1\r\ndata: x\r\n\r\n")).contains("id: 1\r\ndata: x\r\n\r\n");
+        }
+
+        @Test
+        void should_drop_a_piece_of_an_event() {
+            append("id: 1\ndata: x");
+            stream.dropPartialEvent();
+
+            assertThat(stream.hasPartialEvent()).isFalse();
+        }
+    }
+
+    @Nested
+    class Identifiers {
+
+        @Test
+        void should_be_that_of_the_last_whole_event() {
+            append("id: 7\ndata: x\n\nid: 8\ndata: id: 99\n\nid: 9\n");
+
+            assertThat(stream.lastIdentifier()).hasValue(8);
+        }
+
+        @Test
+        void should_be_absent_where_no_event_bore_one() {
+            append("data: x\n\n");
+
+            assertThat(stream.lastIdentifier()).isEmpty();
+        }
+    }
+}
