--- a/library/src/main/java/org/pollenhoist/vm/CrashVerdictExchange.java
+++ b/library/src/main/java/org/pollenhoist/vm/CrashVerdictExchange.java
@@ -49,7 +49,13 @@
         };
     }
 
-    static CrashVerdict toMessage(CrashNotice notice) {
+    /**
+     * Writes a notice as a message.
+     *
+     * @param notice the notice
+     * @return the message
+     */
+    public static CrashVerdict toMessage(CrashNotice notice) {
         CrashVerdict.Builder verdict = CrashVerdict.newBuilder()
                 .setFingerprint(ByteString.copyFrom(notice.fingerprint().toBytes()))
                 .setRemainingSeconds((int) notice.remaining().toSeconds())
@@ -59,7 +65,13 @@
         return verdict.build();
     }
 
-    static CrashNotice fromMessage(CrashVerdict verdict) {
+    /**
+     * Reads a notice from a message.
+     *
+     * @param verdict the message
+     * @return the notice
+     */
+    public static CrashNotice fromMessage(CrashVerdict verdict) {
         Set<UpstreamName> upstreams =
                 verdict.getUpstreamsList().stream().map(UpstreamName::of).collect(Collectors.toUnmodifiableSet());
         Optional<VmName> trialVm =
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnections.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnections.java
@@ -19,8 +19,8 @@
 import org.pollenhoist.common.MonotonicTime;
 
 /**
- * Connections to upstreams, the store and peers, kept open between exchanges. One exchange at a time uses a connection; a
- * connection on which anything unexpected came is not used again. Confined to the event loop.
+ * Connections to upstreams, the store and peers, kept open between exchanges. One exchange at a time uses a
+ * connection; a connection on which anything unexpected came is not used again. Confined to the event loop.
  */
 public final class HttpConnections {
 
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
@@ -0,0 +1,166 @@
+package org.pollenhoist.serving.node;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.request.CrashQuarantine;
+import org.pollenhoist.serving.limit.FleetLimits;
+import org.pollenhoist.serving.peer.PeerExchange;
+import org.pollenhoist.serving.peer.PeerReport;
+import org.pollenhoist.serving.placement.DemandRates;
+import org.pollenhoist.serving.upstream.PeerUse;
+import org.pollenhoist.serving.upstream.UpstreamTable;
+import org.pollenhoist.vm.CrashVerdictExchange;
+import org.pollenhoist.vm.generated.VmDigest;
+
+/** Tells peers the state of this VM and takes theirs over. Confined to the event loop. */
+final class DigestExchange {
+
+    /** How often peers are told the state of this VM. */
+    private static final Duration INTERVAL = Duration.ofMillis(250);
+
+    /** How often peers are told what changes slowly as well: demand, and what engines hold. */
+    private static final Duration FULL_INTERVAL = Duration.ofSeconds(1);
+
+    /** Shortest time between two digests. */
+    private static final Duration PAUSE = Duration.ofMillis(4);
+
+    /** Where the state comes from and goes to. */
+    interface Parts {
+
+        /** Describes this VM now. */
+        VmDigest describe(long sequence, boolean isFull, MonotonicTime now);
+
+        /** Whether this VM orders models, so that its own knowledge of the engines is the best. */
+        boolean isOrdering(MonotonicTime now);
+
+        /** What engines hold has changed. */
+        void onHoldings(MonotonicTime now);
+
+        /** A peer's requests wait for models or adapters. */
+        void onWants(MonotonicTime now);
+    }
+
+    private final EventLoop loop;
+    private final Supplier<MonotonicTime> clock;
+    private final PeerExchange peers;
+    private final UpstreamTable upstreams;
+    private final FleetLimits limits;
+    private final DemandRates demandRates;
+    private final CrashQuarantine quarantine;
+    private final Parts parts;
+    private long sequence;
+    private MonotonicTime sentAt;
+    private MonotonicTime fullSentAt;
+    private boolean isFullDue;
+    private boolean isScheduled;
+
+    DigestExchange(
+            EventLoop loop,
+            Supplier<MonotonicTime> clock,
+            PeerExchange peers,
+            UpstreamTable upstreams,
+            FleetLimits limits,
+            DemandRates demandRates,
+            CrashQuarantine quarantine,
+            Parts parts) {
+        this.loop = loop;
+        this.clock = clock;
+        this.peers = peers;
+        this.upstreams = upstreams;
+        this.limits = limits;
+        this.demandRates = demandRates;
+        this.quarantine = quarantine;
+        this.parts = parts;
+        this.sentAt = clock.get();
+        this.fullSentAt = sentAt;
+    }
+
+    void tick(MonotonicTime now) {
+        if (now.since(sentAt).compareTo(INTERVAL) >= 0) {
+            send(now);
+        }
+    }
+
+    void send(MonotonicTime now) {
+        boolean isFull = isFullDue || now.since(fullSentAt).compareTo(FULL_INTERVAL) >= 0;
+        sentAt = now;
+        if (isFull) {
+            fullSentAt = now;
+            isFullDue = false;
+        }
+        peers.send(parts.describe(++sequence, isFull, now));
+    }
+
+    /** All peers learn at once what the engines hold now. */
+    void announceHoldings() {
+        isFullDue = true;
+        if (isScheduled) {
+            return;
+        }
+        isScheduled = true;
+        Duration due = PAUSE.minus(clock.get().since(sentAt));
+        loop.schedule(
+                () -> {
+                    isScheduled = false;
+                    send(clock.get());
+                },
+                Math.max(0, due.toMillis()),
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** The VM that orders learns at once what is waited for here; all others have no use for it. */
+    void tellOrderingVm() {
+        MonotonicTime now = clock.get();
+        peers.heard(now).stream()
+                .filter(report -> report.digest().getIsPlacing())
+                .findFirst()
+                .ifPresent(report -> peers.sendTo(
+                        parts.describe(++sequence, false, now), report.digest().getVmName()));
+    }
+
+    void hear(PeerReport report) {
+        MonotonicTime now = report.heardAt();
+        VmDigest digest = report.digest();
+        limits.hear(
+                digest.getVmName(),
+                digest.getIncarnation(),
+                digest.getSpendingList().stream()
+                        .map(spending -> new FleetLimits.Spending(
+                                spending.getTeam(), spending.getAdmittedTokens(), spending.getLevelTokens()))
+                        .toList(),
+                now);
+        hearUses(report);
+        digest.getCrashVerdictsList()
+                .forEach(verdict -> quarantine.receive(CrashVerdictExchange.fromMessage(verdict), now));
+        digest.getDemandsList()
+                .forEach(demand -> demandRates.hear(
+                        digest.getVmName(), digest.getIncarnation(), demand.getModel(), demand.getTokens()));
+        boolean isOrdering = parts.isOrdering(now);
+        if (digest.getHoldingsCount() > 0 && !isOrdering) {
+            DigestWriter.applyHoldings(digest, upstreams, now);
+            parts.onHoldings(now);
+        }
+        if (digest.getWantsCount() > 0 && isOrdering) {
+            parts.onWants(now);
+        }
+    }
+
+    private void hearUses(PeerReport report) {
+        String vm = report.digest().getVmName();
+        upstreams.all().forEach(upstream -> upstream.hear(vm, new PeerUse(0, 0, 0, report.heardAt())));
+        report.digest()
+                .getUpstreamUsesList()
+                .forEach(use -> upstreams
+                        .find(use.getUpstream())
+                        .ifPresent(upstream -> upstream.hear(
+                                vm,
+                                new PeerUse(
+                                        use.getRunning(),
+                                        use.getUnreadTokens(),
+                                        use.getReservedTokens(),
+                                        report.heardAt()))));
+    }
+}
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
@@ -9,12 +9,14 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.request.CrashNotice;
 import org.pollenhoist.serving.limit.FleetLimits;
 import org.pollenhoist.serving.placement.ModelWant;
 import org.pollenhoist.serving.request.DemandCounter;
 import org.pollenhoist.serving.upstream.PeerUse;
 import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamTable;
+import org.pollenhoist.vm.CrashVerdictExchange;
 import org.pollenhoist.vm.generated.ModelDemand;
 import org.pollenhoist.vm.generated.TeamSpending;
 import org.pollenhoist.vm.generated.UpstreamHolding;
@@ -47,6 +49,7 @@
             boolean isPlacing,
             boolean isStopping,
             boolean isFull,
+            List<CrashNotice> crashNotices,
             MonotonicTime now) {
         VmDigest.Builder digest = VmDigest.newBuilder()
                 .setVmName(vmName)
@@ -68,6 +71,7 @@
         }
         upstreams.forEach(upstream -> addUse(digest, upstream, now));
         addWants(digest, wants);
+        crashNotices.forEach(notice -> digest.addCrashVerdicts(CrashVerdictExchange.toMessage(notice)));
         if (isPlacing && isFull) {
             upstreams.forEach(upstream -> addHoldings(digest, upstream, now));
         }
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
@@ -0,0 +1,157 @@
+package org.pollenhoist.serving.node;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.pollenhoist.common.DecisionLog;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.common.PollenhoistException;
+import org.pollenhoist.serving.catalog.Catalog;
+import org.pollenhoist.serving.peer.PeerExchange;
+import org.pollenhoist.serving.store.Store;
+import org.pollenhoist.serving.store.StoreAnswer;
+import org.pollenhoist.serving.store.StoreItem;
+import org.pollenhoist.serving.store.StoreMirror;
+import org.pollenhoist.serving.upstream.UpstreamDescription;
+import org.pollenhoist.serving.upstream.UpstreamTable;
+
+/**
+ * Sorts what the store holds: the configuration in force, the upstreams, the peers, and this VM's own entry. Confined
+ * to the event loop.
+ */
+final class FleetState implements StoreMirror.Listener {
+
+    static final String LEADER_KEY = "pollenhoist/placement";
+
+    private static final DecisionLog LOG = DecisionLog.of("node");
+    private static final String VM_PREFIX = "pollenhoist/vms/";
+
+    private final ServingSettings settings;
+    private final PlatformBinding binding;
+    private final Supplier<MonotonicTime> clock;
+    private final UpstreamTable upstreams;
+    private final PeerExchange peers;
+    private final Store store;
+    private final Consumer<Catalog> onCatalog;
+    private Optional<Catalog> catalog = Optional.empty();
+    private boolean isLoaded;
+    private boolean isRegistered;
+    private boolean isRegistering;
+
+    FleetState(
+            ServingSettings settings,
+            PlatformBinding binding,
+            Supplier<MonotonicTime> clock,
+            UpstreamTable upstreams,
+            PeerExchange peers,
+            Store store,
+            Consumer<Catalog> onCatalog) {
+        this.settings = settings;
+        this.binding = binding;
+        this.clock = clock;
+        this.upstreams = upstreams;
+        this.peers = peers;
+        this.store = store;
+        this.onCatalog = onCatalog;
+    }
+
+    Optional<Catalog> catalog() {
+        return catalog;
+    }
+
+    @Override
+    public void onWritten(StoreItem item) {
+        if (item.key().equals(binding.catalogKey())) {
+            install(item);
+        } else if (item.key().startsWith(binding.upstreamPrefix())) {
+            installUpstream(item);
+        } else if (item.key().startsWith(VM_PREFIX)) {
+            installPeer(item);
+        }
+    }
+
+    @Override
+    public void onRemoved(String key) {
+        if (key.startsWith(binding.upstreamPrefix())) {
+            upstreams.remove(key.substring(binding.upstreamPrefix().length()), "entry removed");
+        } else if (key.startsWith(VM_PREFIX)) {
+            String vm = key.substring(VM_PREFIX.length());
+            peers.removePeer(vm);
+            if (vm.equals(settings.vmName())) {
+                isRegistered = false;
+            }
+        }
+    }
+
+    @Override
+    public void onLoaded() {
+        isLoaded = true;
+    }
+
+    private void install(StoreItem item) {
+        Catalog found;
+        try {
+            found = binding.readCatalog(item.value());
+        } catch (PollenhoistException unreadable) {
+            LOG.event("configuration_unreadable", "revision", item.revision(), "reason", unreadable.getMessage());
+            return;
+        }
+        long before = catalog.map(Catalog::version).orElse(0L);
+        if (found.version() < before) {
+            LOG.event("configuration_older", "version", found.version(), "in_force", before);
+            return;
+        }
+        LOG.event("configuration_in_force", "version", found.version(), "before", before, "revision", item.revision());
+        catalog = Optional.of(found);
+        onCatalog.accept(found);
+    }
+
+    private void installUpstream(StoreItem item) {
+        String identifier = item.key().substring(binding.upstreamPrefix().length());
+        Optional<UpstreamDescription> description = binding.readUpstream(identifier, item.value());
+        if (description.isPresent()) {
+            upstreams.put(description.get(), clock.get());
+        } else {
+            upstreams.remove(identifier, "unreadable entry at revision " + item.revision());
+        }
+    }
+
+    private void installPeer(StoreItem item) {
+        String vm = item.key().substring(VM_PREFIX.length());
+        String address = new String(item.value(), StandardCharsets.UTF_8);
+        if (vm.equals(settings.vmName())) {
+            isRegistered = address.equals(ownAddress());
+            return;
+        }
+        int colon = address.lastIndexOf(':');
+        peers.putPeer(
+                vm, new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+    }
+
+    private String ownAddress() {
+        InetSocketAddress address = settings.peerAddress();
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    /** Writes this VM's entry where the store does not show it, so that peers find it. */
+    void registerWhereMissing() {
+        if (!isLoaded || isRegistered || isRegistering) {
+            return;
+        }
+        isRegistering = true;
+        byte[] value = ownAddress().getBytes(StandardCharsets.UTF_8);
+        store.commit(
+                List.of(),
+                List.of(new Store.Write(VM_PREFIX + settings.vmName(), value, OptionalLong.empty())),
+                List.of(),
+                answer -> {
+                    isRegistering = false;
+                    isRegistered = answer instanceof StoreAnswer.Success<Long>;
+                    LOG.event("registration", "done", isRegistered, "address", ownAddress());
+                });
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/node/InternalEndpoints.java
@@ -0,0 +1,73 @@
+package org.pollenhoist.serving.node;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.catalog.CallerLimits;
+import org.pollenhoist.serving.http.CallerAnswer;
+import org.pollenhoist.serving.http.CallerServer;
+import org.pollenhoist.serving.http.IncomingRequest;
+
+/** Addresses of a process that no caller uses: readiness, metrics, and what peers ask. Confined to the event loop. */
+final class InternalEndpoints {
+
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int NOT_READY = 503;
+
+    private final EventLoop loop;
+    private final Supplier<MonotonicTime> clock;
+
+    InternalEndpoints(EventLoop loop, Supplier<MonotonicTime> clock) {
+        this.loop = loop;
+        this.clock = clock;
+    }
+
+    ChannelFuture listen(InetSocketAddress address, String path, Consumer<CallerAnswer> onRequest) {
+        return new CallerServer(loop, clock, () -> CallerLimits.DEFAULTS, (request, answer) -> {
+                    answer(request, answer, path, onRequest);
+                    return () -> {};
+                })
+                .listen(address);
+    }
+
+    private static void answer(
+            IncomingRequest request, CallerAnswer answer, String path, Consumer<CallerAnswer> onRequest) {
+        request.body().release();
+        if (request.head().uri().equals(path)) {
+            onRequest.accept(answer);
+        } else {
+            answer.sendWhole(NOT_FOUND, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+        }
+    }
+
+    static Consumer<CallerAnswer> readiness(BooleanSupplier isReady) {
+        return answer -> answer.sendWhole(
+                isReady.getAsBoolean() ? OK : NOT_READY, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+    }
+
+    static Consumer<CallerAnswer> metrics(PrometheusRegistry registry) {
+        return answer -> {
+            ByteArrayOutputStream text = new ByteArrayOutputStream();
+            try {
+                PrometheusTextFormatWriter.create().write(text, registry.scrape());
+            } catch (IOException impossible) {
+                throw new IllegalStateException("writing to memory failed", impossible);
+            }
+            DefaultHttpHeaders headers = new DefaultHttpHeaders();
+            headers.set(HttpHeaderNames.CONTENT_TYPE, PrometheusTextFormatWriter.CONTENT_TYPE);
+            answer.sendWhole(OK, headers, Unpooled.wrappedBuffer(text.toByteArray()));
+        };
+    }
+}
--- a/serving/src/main/java/org/pollenhoist/serving/node/ProcessSignals.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ProcessSignals.java
@@ -3,8 +3,8 @@
 import java.lang.reflect.Proxy;
 
 /**
- * Reacts to the signals that supervisors send. The platform's class for it has no standard interface, so it is reached by
- * reflection.
+ * Reacts to the signals that supervisors send. The platform's class for it has no standard interface, so it is
+ * reached by reflection.
  */
 public final class ProcessSignals {
 
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -1,36 +1,26 @@
 package org.pollenhoist.serving.node;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.epoll.EpollEventLoopGroup;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.common.PollenhoistException;
+import org.pollenhoist.common.VmName;
+import org.pollenhoist.request.CrashQuarantine;
 import org.pollenhoist.serving.catalog.CallerLimits;
 import org.pollenhoist.serving.catalog.Catalog;
-import org.pollenhoist.serving.http.CallerAnswer;
 import org.pollenhoist.serving.http.CallerServer;
 import org.pollenhoist.serving.http.HttpCalls;
 import org.pollenhoist.serving.http.HttpConnections;
-import org.pollenhoist.serving.http.IncomingRequest;
 import org.pollenhoist.serving.limit.FleetLimits;
 import org.pollenhoist.serving.peer.PeerExchange;
 import org.pollenhoist.serving.peer.PeerReport;
@@ -47,11 +37,8 @@
 import org.pollenhoist.serving.routing.ReadingPace;
 import org.pollenhoist.serving.routing.UpstreamSelector;
 import org.pollenhoist.serving.store.Store;
-import org.pollenhoist.serving.store.StoreAnswer;
 import org.pollenhoist.serving.store.StoreItem;
 import org.pollenhoist.serving.store.StoreMirror;
-import org.pollenhoist.serving.upstream.PeerUse;
-import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamTable;
 import org.pollenhoist.vm.generated.VmDigest;
 
@@ -65,25 +52,12 @@
 
     private static final DecisionLog LOG = DecisionLog.of("node");
 
-    private static final String OWN_PREFIX = "pollenhoist/";
-    private static final String VM_PREFIX = OWN_PREFIX + "vms/";
-    private static final String LEADER_KEY = OWN_PREFIX + "placement";
-
     /** How often deadlines and waiting requests are looked at. */
     private static final Duration TICK = Duration.ofMillis(50);
 
     /** How often idle connections are looked at. */
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
-    /** How often peers are told the state of this VM. */
-    private static final Duration DIGEST_INTERVAL = Duration.ofMillis(250);
-
-    /** How often peers are told what changes slowly as well: demand, and what engines hold. */
-    private static final Duration FULL_DIGEST_INTERVAL = Duration.ofSeconds(1);
-
-    /** Shortest time between two digests. */
-    private static final Duration DIGEST_PAUSE = Duration.ofMillis(4);
-
     /**
      * How long a balancer may still send new connections after the VM ceased to be ready: two checks, and the way of a
      * connection. What comes later could not be finished before the process is killed.
@@ -105,29 +79,26 @@
     private final BootClock bootClock = new BootClock();
     private final long incarnation = ThreadLocalRandom.current().nextLong();
     private final UpstreamTable upstreams = new UpstreamTable();
-    private final FleetLimits limits;
     private final ReadingPace pace = new ReadingPace();
     private final RequestQueue queue = new RequestQueue();
     private final DemandCounter demand = new DemandCounter();
-    private final DemandRates demandRates;
     private final Map<String, FleetRetryBudget> retryBudgets = new HashMap<>();
     private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final CrashNotices crashNotices = new CrashNotices(bootClock::read);
+    private final FleetLimits limits;
+    private final DemandRates demandRates;
     private final HttpConnections connections;
-    private final Store store;
-    private final StoreMirror mirror;
     private final PeerExchange peers;
+    private final DigestExchange digests;
+    private final FleetState state;
+    private final StoreMirror mirror;
+    private final StoreRelayExchange relay;
     private final Leadership leadership;
     private final PlacementDriver placement;
+    private final CrashQuarantine quarantine;
     private final RequestHandler handler;
     private final CallerServer callers;
 
-    private Optional<Catalog> catalog = Optional.empty();
-    private long digestSequence;
-    private MonotonicTime digestSentAt;
-    private MonotonicTime fullDigestSentAt;
-    private boolean areHoldingsChanged;
-    private boolean isDigestScheduled;
-    private boolean isRegistering;
     private MonotonicTime leaderMissingSince;
     private MonotonicTime sweptAt;
     private Optional<MonotonicTime> stoppingSince = Optional.empty();
@@ -138,20 +109,21 @@
         this.binding = binding;
         this.loop = loop;
         MonotonicTime now = bootClock.read();
-        digestSentAt = now;
-        fullDigestSentAt = now;
         leaderMissingSince = now;
         sweptAt = now;
         limits = new FleetLimits(settings.isFirstStart());
         demandRates = new DemandRates(now);
         connections = new HttpConnections(loop, bootClock::read);
         HttpCalls calls = new HttpCalls(loop, connections);
-        store = binding.store(calls, settings);
-        mirror = new StoreMirror(loop, bootClock::read, store, new MirrorListener());
+        quarantine = new CrashQuarantine(VmName.of(settings.vmName()), crashNotices::add);
         peers = new PeerExchange(loop, bootClock::read, settings.vmName(), this::hear);
+        Store store = binding.store(calls, settings);
+        state = new FleetState(settings, binding, bootClock::read, upstreams, peers, store, this::configure);
+        mirror = new StoreMirror(loop, bootClock::read, store, state);
+        relay = new StoreRelayExchange(calls, peers, mirror, now);
         leadership = new Leadership(
                 store,
-                LEADER_KEY,
+                FleetState.LEADER_KEY,
                 settings.vmName() + ' ' + Long.toHexString(incarnation),
                 settings.placementTurn(),
                 settings.isFirstStart(),
@@ -164,6 +136,8 @@
                 upstreams,
                 pace,
                 this::holdingsChanged);
+        digests = new DigestExchange(
+                loop, bootClock::read, peers, upstreams, limits, demandRates, quarantine, new DigestParts());
         handler = new RequestHandler(environment());
         callers = new CallerServer(loop, bootClock::read, this::callerLimits, handler);
     }
@@ -171,7 +145,7 @@
     private RequestEnvironment environment() {
         return new RequestEnvironment(
                 bootClock::read,
-                () -> catalog,
+                state::catalog,
                 upstreams,
                 limits,
                 new UpstreamSelector(settings.failureDomain(), pace),
@@ -182,6 +156,7 @@
                 this::retryBudget,
                 () -> peers.peers().size() + 1,
                 demand,
+                quarantine,
                 new RequestMetrics(registry),
                 this::wantBegan);
     }
@@ -193,7 +168,7 @@
     }
 
     private CallerLimits callerLimits() {
-        return catalog.map(Catalog::limits).orElse(CallerLimits.DEFAULTS);
+        return state.catalog().map(Catalog::limits).orElse(CallerLimits.DEFAULTS);
     }
 
     /**
@@ -233,10 +208,15 @@
     }
 
     private List<ChannelFuture> listen() {
+        InternalEndpoints endpoints = new InternalEndpoints(loop, bootClock::read);
         return List.of(
                 callers.listen(settings.callerAddress()),
-                listenLocally(settings.readinessAddress(), binding.readinessPath(), this::answerReadiness),
-                listenLocally(settings.metricsAddress(), "/metrics", this::answerMetrics),
+                endpoints.listen(
+                        settings.readinessAddress(),
+                        binding.readinessPath(),
+                        InternalEndpoints.readiness(this::isReady)),
+                endpoints.listen(settings.metricsAddress(), "/metrics", InternalEndpoints.metrics(registry)),
+                endpoints.listen(settings.peerAddress(), StoreRelayExchange.PATH, relay::answer),
                 peers.listen(settings.peerAddress()));
     }
 
@@ -245,46 +225,8 @@
         loop.scheduleWithFixedDelay(this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private ChannelFuture listenLocally(
-            InetSocketAddress address, String path, java.util.function.Consumer<CallerAnswer> onRequest) {
-        return new CallerServer(loop, bootClock::read, () -> CallerLimits.DEFAULTS, (request, answer) -> {
-                    answerLocally(request, answer, path, onRequest);
-                    return () -> {};
-                })
-                .listen(address);
-    }
-
-    private static void answerLocally(
-            IncomingRequest request,
-            CallerAnswer answer,
-            String path,
-            java.util.function.Consumer<CallerAnswer> onRequest) {
-        request.body().release();
-        if (request.head().uri().equals(path)) {
-            onRequest.accept(answer);
-        } else {
-            answer.sendWhole(404, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
-        }
-    }
-
-    private void answerReadiness(CallerAnswer answer) {
-        answer.sendWhole(isReady() ? 200 : 503, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
-    }
-
-    private void answerMetrics(CallerAnswer answer) {
-        ByteArrayOutputStream text = new ByteArrayOutputStream();
-        try {
-            PrometheusTextFormatWriter.create().write(text, registry.scrape());
-        } catch (IOException impossible) {
-            throw new IllegalStateException("writing to memory failed", impossible);
-        }
-        DefaultHttpHeaders headers = new DefaultHttpHeaders();
-        headers.set(HttpHeaderNames.CONTENT_TYPE, PrometheusTextFormatWriter.CONTENT_TYPE);
-        answer.sendWhole(200, headers, Unpooled.wrappedBuffer(text.toByteArray()));
-    }
-
     private boolean isReady() {
-        return catalog.isPresent() && stoppingSince.isEmpty();
+        return state.catalog().isPresent() && stoppingSince.isEmpty();
     }
 
     private void tick() {
@@ -292,16 +234,13 @@
             MonotonicTime now = bootClock.read();
             handler.expire(now);
             mirror.tick(now);
+            relay.tick(now);
             limits.setReachablePart(reachablePart(now), now);
             queue.pump(now);
             lead(now);
-            if (now.since(digestSentAt).compareTo(DIGEST_INTERVAL) >= 0) {
-                sendDigest(now);
-            }
+            digests.tick(now);
             if (now.since(sweptAt).compareTo(SWEEP_INTERVAL) >= 0) {
-                sweptAt = now;
-                callers.sweep(now);
-                connections.closeIdle(now);
+                sweep(now);
             }
             stoppingSince.ifPresent(since -> stopWhenDone(since, now));
         } catch (RuntimeException failure) {
@@ -310,22 +249,35 @@
         }
     }
 
+    private void sweep(MonotonicTime now) {
+        sweptAt = now;
+        callers.sweep(now);
+        connections.closeIdle(now);
+        if (stoppingSince.isEmpty()) {
+            state.registerWhereMissing();
+        }
+    }
+
     private double reachablePart(MonotonicTime now) {
-        int known = peers.peers().size() + 1;
-        int heard = (int) peers.heard(now).stream()
-                        .filter(report -> peers.peers().contains(report.digest().getVmName()))
-                        .count()
-                + 1;
-        return (double) heard / known;
+        long heard = peers.heard(now).stream()
+                .filter(report -> peers.peers().contains(report.digest().getVmName()))
+                .count();
+        return (heard + 1.0) / (peers.peers().size() + 1);
+    }
+
+    private void configure(Catalog catalog) {
+        MonotonicTime now = bootClock.read();
+        limits.configure(catalog.teams(), now);
+        queue.pump(now);
     }
 
     private void lead(MonotonicTime now) {
-        Optional<StoreItem> record = mirror.find(LEADER_KEY);
+        Optional<StoreItem> record = mirror.find(FleetState.LEADER_KEY);
         if (record.isPresent()) {
             leaderMissingSince = now;
         }
-        boolean mayApply = catalog.isPresent()
-                && now.since(leaderMissingSince).compareTo(APPLICATION_STEP.multipliedBy(placeInLine(now))) >= 0;
+        Duration vacant = now.since(leaderMissingSince);
+        boolean mayApply = isReady() && vacant.compareTo(APPLICATION_STEP.multipliedBy(placeInLine(now))) >= 0;
         leadership.tick(
                 record.map(StoreItem::value), record.map(StoreItem::revision).orElse(0L), mayApply, now);
         place(now);
@@ -338,36 +290,34 @@
     }
 
     private void place(MonotonicTime now) {
-        if (catalog.isPresent() && leadership.isHolder()) {
+        if (state.catalog().isPresent() && leadership.isHolder()) {
             demand.totals()
                     .forEach((model, total) -> demandRates.hear(settings.vmName(), incarnation, model, total.tokens()));
-            placement.tick(catalog.get(), allWants(now), demandRates.rates(now), now);
+            placement.tick(state.catalog().get(), allWants(now), demandRates.rates(now), now);
         }
     }
 
     private List<ModelWant> allWants(MonotonicTime now) {
         List<ModelWant> wants = new ArrayList<>(queue.wants());
-        peers.heard(now)
-                .forEach(report -> report.digest()
-                        .getWantsList()
-                        .forEach(want ->
-                                wants.add(new ModelWant(want.getService(), want.getModel(), want.getAdapter()))));
+        for (PeerReport report : peers.heard(now)) {
+            report.digest()
+                    .getWantsList()
+                    .forEach(want -> wants.add(new ModelWant(want.getService(), want.getModel(), want.getAdapter())));
+        }
         return wants;
     }
 
     private void wantBegan() {
-        MonotonicTime now = bootClock.read();
-        if (placement.isOrdering(now)) {
+        if (placement.isOrdering(bootClock.read())) {
             loop.execute(() -> place(bootClock.read()));
         } else {
-            tellOrderingVm();
+            digests.tellOrderingVm();
         }
     }
 
     private void holdingsChanged() {
         if (placement.isOrdering(bootClock.read())) {
-            areHoldingsChanged = true;
-            digestSoon();
+            digests.announceHoldings();
             loop.execute(() -> {
                 MonotonicTime now = bootClock.read();
                 queue.pump(now);
@@ -376,98 +326,15 @@
         }
     }
 
-    /** The VM that orders learns at once what is waited for here; all others have no use for it. */
-    private void tellOrderingVm() {
-        MonotonicTime now = bootClock.read();
-        peers.heard(now).stream()
-                .filter(report -> report.digest().getIsPlacing())
-                .findFirst()
-                .ifPresent(report ->
-                        peers.sendTo(digest(false, now), report.digest().getVmName()));
-    }
-
-    private void digestSoon() {
-        if (isDigestScheduled) {
-            return;
-        }
-        isDigestScheduled = true;
-        Duration due = DIGEST_PAUSE.minus(bootClock.read().since(digestSentAt));
-        loop.schedule(
-                () -> {
-                    isDigestScheduled = false;
-                    sendDigest(bootClock.read());
-                },
-                Math.max(0, due.toMillis()),
-                TimeUnit.MILLISECONDS);
-    }
-
-    private void sendDigest(MonotonicTime now) {
-        boolean isFull = areHoldingsChanged || now.since(fullDigestSentAt).compareTo(FULL_DIGEST_INTERVAL) >= 0;
-        digestSentAt = now;
-        if (isFull) {
-            fullDigestSentAt = now;
-            areHoldingsChanged = false;
-        }
-        peers.send(digest(isFull, now));
-    }
-
-    private VmDigest digest(boolean isFull, MonotonicTime now) {
-        return new DigestWriter(settings.vmName(), settings.failureDomain(), incarnation)
-                .write(
-                        ++digestSequence,
-                        mirror.revision(),
-                        limits.report(now),
-                        upstreams.all(),
-                        demand.totals(),
-                        queue.wants(),
-                        placement.isOrdering(now),
-                        stoppingSince.isPresent(),
-                        isFull,
-                        now);
-    }
-
     private void hear(PeerReport report) {
-        MonotonicTime now = report.heardAt();
-        String vm = report.digest().getVmName();
-        limits.hear(
-                vm,
-                report.digest().getIncarnation(),
-                report.digest().getSpendingList().stream()
-                        .map(spending -> new FleetLimits.Spending(
-                                spending.getTeam(), spending.getAdmittedTokens(), spending.getLevelTokens()))
-                        .toList(),
-                now);
-        hearUses(report);
-        report.digest()
-                .getDemandsList()
-                .forEach(
-                        one -> demandRates.hear(vm, report.digest().getIncarnation(), one.getModel(), one.getTokens()));
-        if (report.digest().getHoldingsCount() > 0 && !placement.isOrdering(now)) {
-            DigestWriter.applyHoldings(report.digest(), upstreams, now);
-            queue.pump(now);
-        }
-        if (placement.isOrdering(now) && report.digest().getWantsCount() > 0) {
-            place(now);
-        }
+        digests.hear(report);
     }
 
-    private void hearUses(PeerReport report) {
-        String vm = report.digest().getVmName();
-        upstreams.all().forEach(upstream -> upstream.hear(vm, new PeerUse(0, 0, 0, report.heardAt())));
-        report.digest()
-                .getUpstreamUsesList()
-                .forEach(use -> upstreams
-                        .find(use.getUpstream())
-                        .ifPresent(upstream -> upstream.hear(
-                                vm,
-                                new PeerUse(
-                                        use.getRunning(),
-                                        use.getUnreadTokens(),
-                                        use.getReservedTokens(),
-                                        report.heardAt()))));
-    }
-
-    /** Gives up readiness at once, goes on serving while the balancer notices, and ends once nothing runs any more. */
+    /**
+     * Gives up readiness at once, goes on serving while the balancer notices, and ends once nothing runs any more.
+     *
+     * @param whenStopped runs on the event loop at the end
+     */
     public void stop(Runnable whenStopped) {
         loop.execute(() -> {
             if (stoppingSince.isPresent()) {
@@ -485,19 +352,18 @@
                     handler.runningRequests(),
                     "grace_ms",
                     settings.stopGrace().toMillis());
-            sendDigest(now);
+            digests.send(now);
         });
     }
 
     private void stopWhenDone(MonotonicTime since, MonotonicTime now) {
         Duration elapsed = now.since(since);
-        if (elapsed.compareTo(BALANCER_LAG) >= 0) {
+        boolean hasBalancerNoticed = elapsed.compareTo(BALANCER_LAG) >= 0;
+        if (hasBalancerNoticed) {
             handler.refuseNew();
             callers.closeIdle();
         }
-        boolean isDrained = elapsed.compareTo(BALANCER_LAG) >= 0
-                && handler.runningRequests() == 0
-                && callers.runningRequests() == 0;
+        boolean isDrained = hasBalancerNoticed && handler.runningRequests() == 0 && callers.runningRequests() == 0;
         boolean isOverdue = elapsed.compareTo(settings.stopGrace().minus(KILL_MARGIN)) >= 0;
         if (isDrained || isOverdue) {
             LOG.event(
@@ -512,124 +378,40 @@
         }
     }
 
-    private void install(StoreItem item) {
-        Catalog found;
-        try {
-            found = binding.readCatalog(item.value());
-        } catch (PollenhoistException unreadable) {
-            LOG.event("configuration_unreadable", "revision", item.revision(), "reason", unreadable.getMessage());
-            return;
-        }
-        if (catalog.isPresent() && found.version() < catalog.get().version()) {
-            LOG.event(
-                    "configuration_older",
-                    "version",
-                    found.version(),
-                    "in_force",
-                    catalog.get().version());
-            return;
-        }
-        MonotonicTime now = bootClock.read();
-        limits.configure(found.teams(), now);
-        LOG.event(
-                "configuration_in_force",
-                "version",
-                found.version(),
-                "before",
-                catalog.map(Catalog::version).orElse(0L),
-                "revision",
-                item.revision());
-        catalog = Optional.of(found);
-        queue.pump(now);
-    }
-
-    private void installUpstream(StoreItem item) {
-        String identifier = item.key().substring(binding.upstreamPrefix().length());
-        Optional<org.pollenhoist.serving.upstream.UpstreamDescription> description =
-                binding.readUpstream(identifier, item.value());
-        if (description.isPresent()) {
-            upstreams.put(description.get(), bootClock.read());
-        } else {
-            upstreams.remove(identifier, "unreadable entry at revision " + item.revision());
-        }
-    }
+    /** What this VM tells its peers, and what it does with what they tell. */
+    private final class DigestParts implements DigestExchange.Parts {
 
-    private void register() {
-        if (isRegistering || stoppingSince.isPresent()) {
-            return;
-        }
-        isRegistering = true;
-        InetSocketAddress address = settings.peerAddress();
-        String value = address.getAddress().getHostAddress() + ":" + address.getPort();
-        store.commit(
-                List.of(),
-                List.of(new Store.Write(
-                        VM_PREFIX + settings.vmName(), value.getBytes(StandardCharsets.UTF_8), OptionalLong.empty())),
-                List.of(),
-                answer -> {
-                    isRegistering = false;
-                    if (!(answer instanceof StoreAnswer.Success<Long>)) {
-                        LOG.event("registration_failed", "answer", answer);
-                        loop.schedule(this::registerWhereMissing, 1, TimeUnit.SECONDS);
-                    }
-                });
-    }
+        private final DigestWriter writer = new DigestWriter(settings.vmName(), settings.failureDomain(), incarnation);
 
-    private void registerWhereMissing() {
-        InetSocketAddress address = settings.peerAddress();
-        String value = address.getAddress().getHostAddress() + ":" + address.getPort();
-        boolean isRegistered = mirror.find(VM_PREFIX + settings.vmName())
-                .map(item -> new String(item.value(), StandardCharsets.UTF_8))
-                .filter(value::equals)
-                .isPresent();
-        if (!isRegistered) {
-            register();
+        @Override
+        public VmDigest describe(long sequence, boolean isFull, MonotonicTime now) {
+            return writer.write(
+                    sequence,
+                    mirror.revision(),
+                    limits.report(now),
+                    upstreams.all(),
+                    demand.totals(),
+                    queue.wants(),
+                    placement.isOrdering(now),
+                    stoppingSince.isPresent(),
+                    isFull,
+                    crashNotices.current(now),
+                    now);
         }
-    }
-
-    /** Sorts what the store holds. */
-    private final class MirrorListener implements StoreMirror.Listener {
 
         @Override
-        public void onWritten(StoreItem item) {
-            if (item.key().equals(binding.catalogKey())) {
-                install(item);
-            } else if (item.key().startsWith(binding.upstreamPrefix())) {
-                installUpstream(item);
-            } else if (item.key().startsWith(VM_PREFIX)) {
-                String[] parts = new String(item.value(), StandardCharsets.UTF_8).split(":", -1);
-                peers.putPeer(
-                        item.key().substring(VM_PREFIX.length()),
-                        new InetSocketAddress(parts[0], Integer.parseInt(parts[1])));
-            }
+        public boolean isOrdering(MonotonicTime now) {
+            return placement.isOrdering(now);
         }
 
         @Override
-        public void onRemoved(String key) {
-            if (key.startsWith(binding.upstreamPrefix())) {
-                upstreams.remove(key.substring(binding.upstreamPrefix().length()), "entry removed");
-            } else if (key.startsWith(VM_PREFIX)) {
-                String vm = key.substring(VM_PREFIX.length());
-                peers.removePeer(vm);
-                if (vm.equals(settings.vmName())) {
-                    register();
-                }
-            }
+        public void onHoldings(MonotonicTime now) {
+            queue.pump(now);
         }
 
         @Override
-        public void onLoaded() {
-            registerWhereMissing();
+        public void onWants(MonotonicTime now) {
+            place(now);
         }
     }
-
-    /**
-     * Tells whether an upstream is known, for tests.
-     *
-     * @param identifier its identifier
-     * @return the upstream
-     */
-    Optional<Upstream> upstream(String identifier) {
-        return upstreams.find(identifier);
-    }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/placement/AdapterPlan.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/AdapterPlan.java
@@ -50,7 +50,7 @@
                 continue;
             }
             List<EngineView> possible = engines.stream()
-                    .filter(view -> view.isAdapterOrderPossible()
+                    .filter(view -> view.isOrderPossible()
                             && view.models().contains(want.model())
                             && !ordered.contains(view.identifier()))
                     .sorted(Comparator.comparingLong(view -> -weight(want, view)))
--- a/serving/src/main/java/org/pollenhoist/serving/placement/EngineBook.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/EngineBook.java
@@ -17,7 +17,7 @@
  */
 final class EngineBook {
 
-    /** After this time an order without an answer does not act any more: engines drop it at their next accepted order. */
+    /** After this time an order without an answer does not act any more. */
     private static final Duration UNANSWERED_LIFETIME = Duration.ofSeconds(15);
 
     private record Unanswered(EngineOrder order, MonotonicTime until) {}
@@ -59,7 +59,8 @@
     }
 
     /**
-     * Takes a report over, unless an order was sent since it was asked for. A report is some hundred milliseconds old: one
+     * Takes a report over, unless an order was sent since it was asked for. A report is some hundred milliseconds
+     * old: one
      * that shows an order in progress which is not known here was made before its end, or before this VM led.
      */
     void reported(EngineStatus status, Duration pause, MonotonicTime now) {
@@ -68,7 +69,7 @@
             return;
         }
         if (status.isOccupied()) {
-            if (modelOrder.isEmpty()) {
+            if (sequence.isEmpty()) {
                 resynchronize(now.plus(pause));
             }
             return;
--- a/serving/src/main/java/org/pollenhoist/serving/placement/EngineView.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/EngineView.java
@@ -11,8 +11,7 @@
  * @param holdings adapters by model, with all that may still be there or come: what takes room
  * @param models models that requests can use there or soon can
  * @param localCopies models whose weights it has in memory or on disk
- * @param isModelOrderPossible whether an order on a model may be sent now
- * @param isAdapterOrderPossible whether an order on an adapter may be sent now
+ * @param isOrderPossible whether an order may be sent now
  * @param running requests that run there
  */
 public record EngineView(
@@ -21,8 +20,7 @@
         Map<String, Set<String>> holdings,
         Set<String> models,
         Set<String> localCopies,
-        boolean isModelOrderPossible,
-        boolean isAdapterOrderPossible,
+        boolean isOrderPossible,
         int running) {
 
     /** Copies the collections. */
--- a/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
@@ -12,8 +12,8 @@
 
 /**
  * Which VM orders models and adapters: the one whose name stands in the store under a lease. It stops by its own clock
- * before the store lets the lease end, and a new one keeps silent until the old one's last order lies a whole turn back.
- * Confined to the event loop.
+ * before the store lets the lease end, and a new one keeps silent until the old one's last order lies a whole turn
+ * back. Confined to the event loop.
  */
 public final class Leadership {
 
--- a/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
@@ -130,7 +130,7 @@
 
     private java.util.stream.Stream<EngineView> possible(String model) {
         return engines.values().stream()
-                .filter(view -> view.isModelOrderPossible()
+                .filter(view -> view.isOrderPossible()
                         && !ordered.contains(view.identifier())
                         && !view.holdings().containsKey(model));
     }
@@ -168,6 +168,8 @@
                         ? work(eviction.victim()) == 0
                         : workOfCopy(eviction.victim(), copies.get(eviction.victim()) - 1) < limit)
                 .min(Comparator.comparing((Eviction eviction) -> copies.getOrDefault(eviction.victim(), 0) <= 1)
+                        .thenComparing(
+                                eviction -> !eviction.view().localCopies().contains(model))
                         .thenComparing(eviction -> workOfCopy(
                                 eviction.victim(), Math.max(1, copies.getOrDefault(eviction.victim(), 1) - 1)))
                         .thenComparing(eviction -> eviction.view(), preference(model)));
--- a/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
@@ -202,14 +202,14 @@
 
     private EngineView view(EngineBook book, MonotonicTime now) {
         Upstream upstream = book.upstream();
-        boolean isFree = book.isFree(now);
+        // While a model is loaded or dropped, engines reject orders on adapters too.
+        boolean isFree = book.isFree(now) && !book.isModelOrderRunning();
         return new EngineView(
                 upstream.description().identifier(),
                 upstream.description().failureDomain(),
                 book.possibleHoldings(now),
                 book.models(),
                 upstream.description().localCopies(),
-                isFree && !book.isModelOrderRunning(),
                 isFree,
                 upstream.load(now).running());
     }
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/request/CrashSuspicion.java
@@ -0,0 +1,93 @@
+package org.pollenhoist.serving.request;
+
+import io.netty.buffer.ByteBufUtil;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.common.UpstreamName;
+import org.pollenhoist.request.Admission;
+import org.pollenhoist.request.CopyCount;
+import org.pollenhoist.request.CrashQuarantine;
+import org.pollenhoist.request.RequestFingerprint;
+import org.pollenhoist.serving.http.IncomingRequest;
+import org.pollenhoist.serving.upstream.Upstream;
+
+/**
+ * Whether one request may run in view of the upstreams that crashed under requests like it. Requests without a body are
+ * not followed: many different ones look the same. Confined to the event loop.
+ */
+final class CrashSuspicion {
+
+    /** What may be done with the request now. */
+    sealed interface Verdict {
+
+        /**
+         * It may run.
+         *
+         * @param excluded identifiers of upstreams where it may not
+         */
+        record Run(Set<UpstreamName> excluded) implements Verdict {}
+
+        /** It has to wait until it is known whether it may be tried once more. */
+        record Wait() implements Verdict {}
+
+        /**
+         * It may not run.
+         *
+         * @param reason why
+         * @param retryAfter when to come back
+         */
+        record Refuse(String reason, Duration retryAfter) implements Verdict {}
+    }
+
+    private final CrashQuarantine quarantine;
+    private final Optional<RequestFingerprint> fingerprint;
+    private Optional<Admission.Trial> trial = Optional.empty();
+    private MonotonicTime askAgainAt;
+
+    CrashSuspicion(CrashQuarantine quarantine, IncomingRequest request, MonotonicTime now) {
+        this.quarantine = quarantine;
+        this.askAgainAt = now;
+        this.fingerprint = request.body().isReadable()
+                ? Optional.of(RequestFingerprint.of(
+                        request.head().method().name(), request.head().uri(), ByteBufUtil.getBytes(request.body())))
+                : Optional.empty();
+    }
+
+    Verdict check(CopyCount copies, MonotonicTime now) {
+        if (fingerprint.isEmpty() || trial.isPresent()) {
+            return new Verdict.Run(Set.of());
+        }
+        if (now.isBefore(askAgainAt)) {
+            return new Verdict.Wait();
+        }
+        return switch (quarantine.admit(fingerprint.get(), copies, now)) {
+            case Admission.Unrestricted unrestricted -> new Verdict.Run(Set.of());
+            case Admission.Trial allowed -> {
+                trial = Optional.of(allowed);
+                yield new Verdict.Run(allowed.excluded());
+            }
+            case Admission.AskAgain later -> {
+                askAgainAt = now.plus(later.delay());
+                yield new Verdict.Wait();
+            }
+            case Admission.Refused refused ->
+                new Verdict.Refuse("suspected_of_crashing_upstreams", refused.retryAfter());
+            case Admission.Quarantined quarantined -> new Verdict.Refuse("crashes_upstreams", quarantined.remaining());
+        };
+    }
+
+    void recordBreak(Upstream upstream, MonotonicTime now) {
+        fingerprint.ifPresent(request -> quarantine.recordBreak(
+                request, UpstreamName.of(upstream.description().identifier()), now));
+    }
+
+    void recordSuccess(MonotonicTime now) {
+        fingerprint.ifPresent(request -> quarantine.recordSuccess(request, now));
+    }
+
+    void end() {
+        trial.ifPresent(ended -> quarantine.endTrial(fingerprint.orElseThrow(), ended));
+    }
+}
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
@@ -5,6 +5,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.request.CrashQuarantine;
 import org.pollenhoist.serving.catalog.Catalog;
 import org.pollenhoist.serving.http.HttpConnections;
 import org.pollenhoist.serving.limit.FleetLimits;
@@ -27,6 +28,7 @@
  * @param retryBudgets the retry budget of a service
  * @param fleetSize how many VMs the fleet has
  * @param demand counts what is asked of models
+ * @param quarantine knows requests that crash upstreams
  * @param metrics counts outcomes
  * @param onWant is told at once when a request begins to wait for a model or adapter
  */
@@ -43,5 +45,6 @@
         Function<String, FleetRetryBudget> retryBudgets,
         IntSupplier fleetSize,
         DemandCounter demand,
+        CrashQuarantine quarantine,
         RequestMetrics metrics,
         Runnable onWant) {}
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -2,18 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -22,17 +15,14 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.pollenhoist.caller.Refusal;
-import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.ErrorCode;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.common.PollenhoistException;
-import org.pollenhoist.serving.catalog.Catalog;
+import org.pollenhoist.common.UpstreamName;
 import org.pollenhoist.serving.catalog.Route;
 import org.pollenhoist.serving.catalog.Service;
 import org.pollenhoist.serving.catalog.Team;
 import org.pollenhoist.serving.http.CallerAnswer;
 import org.pollenhoist.serving.http.ConnectionOptions;
-import org.pollenhoist.serving.http.HopHeaders;
 import org.pollenhoist.serving.http.HttpExchange;
 import org.pollenhoist.serving.http.IncomingRequest;
 import org.pollenhoist.serving.http.Target;
@@ -48,8 +38,6 @@
  */
 final class RequestRun implements RequestQueue.Waiting {
 
-    private static final DecisionLog LOG = DecisionLog.of("request");
-
     /** How long an upstream that rejected a request is passed over for it; an adapter is loaded well within that. */
     private static final Duration REJECTED_PAUSE = Duration.ofMillis(150);
 
@@ -62,8 +50,6 @@
     /** Upstreams that may be tried for one request where nothing was sent to those before. */
     private static final int MAXIMUM_TRIES = 6;
 
-    private static final double MILLISECONDS_PER_SECOND = 1_000.0;
-
     private final RequestEnvironment environment;
     private final IncomingRequest incoming;
     private final CallerAnswer answer;
@@ -72,6 +58,7 @@
     private final MonotonicTime arrivedAt;
     private final Map<String, MonotonicTime> passedOverUntil = new HashMap<>();
 
+    private String identifier = "";
     private CallerRequest asked;
     private Route route;
     private Service service;
@@ -87,6 +74,7 @@
     private boolean isFirstAnswerSeen;
     private Optional<ModelWant> want = Optional.empty();
     private Attempt attempt;
+    private CrashSuspicion suspicion;
     private OptionalLong lastEvent = OptionalLong.empty();
 
     RequestRun(
@@ -120,12 +108,25 @@
     }
 
     void start(MonotonicTime now) {
-        Optional<Refusal> refusal = admit(now);
-        if (refusal.isPresent()) {
-            refuse(refusal.get(), now);
-            return;
+        switch (new RequestAdmission(environment, incoming.head()).decide(now)) {
+            case RequestAdmission.Result.Refused refused -> {
+                identifier = refused.identifier();
+                refuse(refused.refusal(), now);
+            }
+            case RequestAdmission.Result.Admitted admitted -> begin(admitted, now);
         }
+    }
+
+    private void begin(RequestAdmission.Result.Admitted admitted, MonotonicTime now) {
+        asked = admitted.asked();
+        identifier = asked.identifier();
+        route = admitted.route();
+        service = admitted.service();
+        team = admitted.team();
+        reservedTokens = admitted.tokens();
+        deadline = admitted.deadline();
         environment.retryBudgets().apply(service.name()).recordRequest(now);
+        suspicion = new CrashSuspicion(environment.quarantine(), incoming, now);
         if (!asked.model().isEmpty()) {
             environment.demand().record(asked.model(), asked.totalTokens());
         }
@@ -136,82 +137,10 @@
         refuse(Refusal.notRunRetryAfter(ErrorCode.NOT_READY, "the process is stopping", STOPPING_RETRY_AFTER), now);
     }
 
-    private Optional<Refusal> admit(MonotonicTime now) {
-        Optional<Catalog> catalog = environment.catalog().get();
-        if (catalog.isEmpty()) {
-            return Optional.of(Refusal.notRunRetryAfter(
-                    ErrorCode.NOT_READY, "no configuration is known here yet", DEFAULT_RETRY_AFTER));
-        }
-        try {
-            asked = environment.format().read(incoming.head());
-        } catch (PollenhoistException malformed) {
-            return Optional.of(Refusal.notRun(malformed.code(), malformed.getMessage()));
-        }
-        Optional<Refusal> refusal = findRoute(catalog.get());
-        if (refusal.isEmpty()) {
-            refusal = identify(catalog.get());
-        }
-        if (refusal.isEmpty()) {
-            refusal = reserve(now);
-        }
-        return refusal;
-    }
-
-    private Optional<Refusal> findRoute(Catalog catalog) {
-        if (asked.identifier().isEmpty()) {
-            return Optional.of(Refusal.notRun(ErrorCode.INVALID_REQUEST, "the request has no identifier"));
-        }
-        String uri = incoming.head().uri();
-        int query = uri.indexOf('?');
-        String path = query < 0 ? uri : uri.substring(0, query);
-        Optional<Route> found = catalog.route(incoming.head().headers().get(HttpHeaderNames.HOST, ""), path);
-        if (found.isEmpty()) {
-            return Optional.of(Refusal.notRun(ErrorCode.NOT_FOUND, "no route leads to this host and path"));
-        }
-        route = found.get();
-        double point = (asked.identifier().hashCode() & 0xffff) / (double) 0x10000;
-        Optional<Service> target = catalog.service(route.serviceAt(point));
-        if (target.isEmpty()) {
-            return Optional.of(Refusal.notRun(ErrorCode.UPSTREAM_UNAVAILABLE, "the route's service is not configured"));
-        }
-        service = target.get();
-        return Optional.empty();
-    }
-
-    private Optional<Refusal> identify(Catalog catalog) {
-        if (!catalog.needsKeys() || route.isPublic()) {
-            return Optional.empty();
-        }
-        team = asked.key().flatMap(catalog::teamOf);
-        return team.isPresent()
-                ? Optional.empty()
-                : Optional.of(Refusal.notRun(ErrorCode.UNAUTHORIZED, "the key is missing, unknown or withdrawn"));
-    }
-
-    private Optional<Refusal> reserve(MonotonicTime now) {
-        Duration patience = asked.timeBudget().orElse(route.timeout());
-        deadline = now.plus(patience.compareTo(route.timeout()) < 0 ? patience : route.timeout());
-        if (team.isEmpty() || !team.get().isLimited()) {
-            return Optional.empty();
-        }
-        long tokens = cost(team.get());
-        Duration wait = environment.limits().tryTake(team.get(), tokens, now);
-        if (!wait.isZero()) {
-            return Optional.of(Refusal.notRunRetryAfter(
-                    ErrorCode.RATE_LIMITED, "team " + team.get().name() + " has used its rate and burst up", wait));
-        }
-        reservedTokens = tokens;
-        return Optional.empty();
-    }
-
-    private long cost(Team payer) {
-        if (!payer.isCountedInTokens()) {
-            return 1;
-        }
-        return asked.isTokenCountGiven() ? asked.totalTokens() : payer.plainTokens();
-    }
-
     private void dispatch(MonotonicTime now) {
+        if (!isCleared(now)) {
+            return;
+        }
         Selection selection =
                 environment.selector().select(selectionRequest(now), service, environment.upstreams(), now);
         boolean isWaitWorthwhile = !passedOver(now).isEmpty();
@@ -220,12 +149,30 @@
             case Selection.Wait wait -> enqueue(wait);
             case Selection.Refuse refusal when isWaitWorthwhile -> enqueue(new Selection.Wait(refusal.reason(), false));
             case Selection.Refuse refusal -> {
-                LOG.event("route", "request", asked.identifier(), "decision", "refuse", "reason", refusal.reason());
+                RequestLog.refused(identifier, asked, refusal.reason());
                 giveUp(refusal.reason(), refusal.retryAfter(), now);
             }
         }
     }
 
+    /** Whether the request is not suspected of crashing upstreams, or may run as the one trial of its kind. */
+    private boolean isCleared(MonotonicTime now) {
+        switch (suspicion.check(this::copies, now)) {
+            case CrashSuspicion.Verdict.Run run -> {
+                run.excluded().forEach(upstream -> passedOverUntil.put(upstream.value(), deadline));
+                return true;
+            }
+            case CrashSuspicion.Verdict.Wait wait ->
+                enqueue(new Selection.Wait("suspected_of_crashing_upstreams", false));
+            case CrashSuspicion.Verdict.Refuse refusal -> giveUp(refusal.reason(), refusal.retryAfter(), now);
+        }
+        return false;
+    }
+
+    private int copies(Set<UpstreamName> without) {
+        return environment.upstreams().countHolders(service.name(), asked.model(), without);
+    }
+
     private SelectionRequest selectionRequest(MonotonicTime now) {
         return new SelectionRequest(
                 service.name(),
@@ -263,7 +210,7 @@
         if (!isWaiting) {
             isWaiting = true;
             environment.queue().add(this);
-            LOG.event("route", "request", asked.identifier(), "decision", "wait", "reason", wait.reason());
+            RequestLog.waiting(identifier, asked, wait.reason());
         }
         if (isNewWant) {
             environment.onWant().run();
@@ -271,9 +218,7 @@
     }
 
     private String wantedAdapter() {
-        boolean isModelHeld =
-                environment.upstreams().usable(service.name()).anyMatch(upstream -> upstream.holds(asked.model(), ""));
-        return isModelHeld ? asked.adapter() : "";
+        return copies(Set.of()) > 0 ? asked.adapter() : "";
     }
 
     @Override
@@ -304,26 +249,7 @@
         tries++;
         Upstream upstream = send.upstream();
         PeerUse load = upstream.load(now);
-        LOG.event(
-                "route",
-                "request",
-                asked.identifier(),
-                "decision",
-                "send",
-                "upstream",
-                upstream.description().identifier(),
-                "reason",
-                send.reason(),
-                "try",
-                tries,
-                "running",
-                load.running(),
-                "unread_tokens",
-                load.unreadTokens(),
-                "expected_ms",
-                send.expectedWait().toMillis(),
-                "waited_ms",
-                now.since(arrivedAt).toMillis());
+        RequestLog.sent(identifier, asked, send, load, tries, now.since(arrivedAt));
         if (!asked.adapter().isEmpty()) {
             upstream.noteAdapterUse(asked.model() + "/" + asked.adapter(), now);
         }
@@ -365,15 +291,7 @@
 
     private void refuse(Refusal refusal, MonotonicTime now) {
         giveTokensBack(refusal, now);
-        HttpHeaders headers = new DefaultHttpHeaders();
-        headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-        if (asked != null && !asked.identifier().isEmpty()) {
-            environment.format().identify(headers, asked.identifier());
-        }
-        refusal.retryAfter()
-                .ifPresent(wait -> headers.set(
-                        HttpHeaderNames.RETRY_AFTER,
-                        String.format(Locale.ROOT, "%.3f", wait.toMillis() / MILLISECONDS_PER_SECOND)));
+        HttpHeaders headers = Messages.refusal(refusal, identifier, environment.format());
         end(refusal.code().text(), refusal.message(), now);
         answer.sendWhole(refusal.status(), headers, Unpooled.wrappedBuffer(refusal.body()));
     }
@@ -400,10 +318,9 @@
         if (isEnded || now.isBefore(deadline)) {
             return;
         }
-        boolean isAtUpstream = attempt != null && attempt.isOpen();
         if (isAnswerBegun) {
             giveUp("deadline", DEFAULT_RETRY_AFTER, now);
-        } else if (mayHaveRun || isAtUpstream) {
+        } else if (mayHaveRun || (attempt != null && attempt.isOpen())) {
             refuse(Refusal.outcomeUnknown(ErrorCode.DEADLINE_EXCEEDED, "no answer in time"), now);
         } else {
             refuse(
@@ -421,27 +338,21 @@
         if (attempt != null) {
             attempt.cancel();
         }
+        if (suspicion != null) {
+            suspicion.end();
+        }
         incoming.body().release();
         String routeName = route == null ? "none" : route.name();
         environment.metrics().countRequest(routeName, outcome);
-        LOG.event(
-                "request_end",
-                "request",
-                asked == null ? "" : asked.identifier(),
-                "route",
+        RequestLog.ended(
+                identifier,
                 routeName,
-                "team",
                 team.map(Team::name).orElse(""),
-                "outcome",
                 outcome,
-                "reason",
                 reason,
-                "tries",
                 tries,
-                "ran",
                 mayHaveRun,
-                "total_ms",
-                now.since(arrivedAt).toMillis());
+                now.since(arrivedAt));
         onEnd.accept(this);
     }
 
@@ -453,21 +364,13 @@
     }
 
     private FullHttpRequest upstreamRequest(Upstream upstream, MonotonicTime now) {
-        HttpRequest head = incoming.head();
-        DefaultFullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, head.method(), head.uri(), incoming.body().retainedDuplicate());
         Forwarding forwarding = new Forwarding(
                 upstream.description().identifier(),
                 deadline.since(now),
                 team.map(Team::name),
                 service.engine().isPresent() ? OptionalInt.of(priority()) : OptionalInt.empty(),
                 lastEvent.isPresent() ? Optional.of(lastEvent.getAsLong()) : Optional.empty());
-        environment.format().forward(head.headers(), forwarding, request.headers());
-        if (incoming.body().isReadable() || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            request.headers()
-                    .set(HttpHeaderNames.CONTENT_LENGTH, incoming.body().readableBytes());
-        }
-        return request;
+        return Messages.toUpstream(incoming, forwarding, environment.format());
     }
 
     /** One attempt at one upstream. */
@@ -512,9 +415,7 @@
         private void beginAnswer(HttpResponse head) {
             if (!isAnswerBegun) {
                 isAnswerBegun = true;
-                HttpHeaders headers = new DefaultHttpHeaders();
-                HopHeaders.copyEndToEnd(head.headers(), headers, Set.of());
-                answer.begin(head.status().code(), headers);
+                answer.begin(head.status().code(), Messages.toCaller(head));
             }
         }
 
@@ -522,6 +423,7 @@
         protected void onStreamEnd(HttpResponse head) {
             MonotonicTime now = environment.clock().get();
             beginAnswer(head);
+            suspicion.recordSuccess(now);
             end("ok", "complete", now);
             answer.end();
         }
@@ -531,9 +433,8 @@
             MonotonicTime now = environment.clock().get();
             runs++;
             mayHaveRun = true;
-            boolean isFailure = read.isServerError();
-            upstream.record(isFailure, now);
-            boolean mayRetry = isFailure
+            upstream.record(read.isServerError(), now);
+            boolean mayRetry = read.isServerError()
                     && route.isRepeatable()
                     && runs < route.maximumAttempts()
                     && now.isBefore(deadline)
@@ -552,10 +453,8 @@
                 return;
             }
             noteFirstAnswer(now);
-            HttpHeaders headers = new DefaultHttpHeaders();
-            HopHeaders.copyEndToEnd(head.headers(), headers, Set.of());
             end(read.isSuccess() ? "ok" : "upstream_status_" + read.status(), "complete", now);
-            answer.sendWhole(head.status().code(), headers, body);
+            answer.sendWhole(head.status().code(), Messages.toCaller(head), body);
         }
 
         @Override
@@ -592,6 +491,7 @@
             runs++;
             mayHaveRun = true;
             upstream.record(true, now);
+            suspicion.recordBreak(upstream, now);
             passedOverUntil.put(upstream.description().identifier(), deadline);
             tryElsewhere(reason, now);
         }
--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -12,11 +12,11 @@
 import org.pollenhoist.serving.upstream.UpstreamTable;
 
 /**
- * Chooses the upstream of a request: of those that hold what it needs the one with the shortest expected wait. A request
- * that can't be answered in time by any is refused at once, one that can waits for room.
+ * Chooses the upstream of a request: of those that hold what it needs the one with the shortest expected wait. A
+ * request that can't be answered in time by any is refused at once, one that can waits for room.
  *
- * <p>Answers loads in which a few models get most requests: without prompt lengths in the estimate, long prompts pile up
- * at one engine while another one is idle.
+ * <p>Answers loads in which a few models get most requests: without prompt lengths in the estimate, long prompts pile
+ * up at one engine while another one is idle.
  */
 public final class UpstreamSelector {
 
@@ -38,8 +38,11 @@
     /** Part of an engine's memory that requests may reserve; the rest is headroom for what peers sent meanwhile. */
     private static final double MEMORY_PART = 0.95;
 
-    /** A first event that comes later than this many goals is not worth the delay that it brings to others. */
-    private static final double WORTHWHILE_GOALS = 2;
+    /**
+     * Part of the goal up to which a wait is accepted. Where more comes than engines can read, a longer queue makes
+     * every answer late and serves no more of them.
+     */
+    private static final double WORTHWHILE_GOALS = 0.9;
 
     /** When a caller is told to come back whose request waited in vain for room. */
     private static final Duration FULL_RETRY = Duration.ofMillis(700);
--- a/serving/src/main/java/org/pollenhoist/serving/store/Store.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/Store.java
@@ -6,8 +6,8 @@
 import java.util.function.Consumer;
 
 /**
- * The platform's key-value store. Calls return at once; the answer arrives on the event loop, exactly once for each call
- * and within the time-out of the implementation.
+ * The platform's key-value store. Calls return at once; the answer arrives on the event loop, exactly once for each
+ * call and within the time-out of the implementation.
  */
 public interface Store {
 
--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
@@ -2,9 +2,11 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -187,6 +189,37 @@
         }
     }
 
+    /**
+     * Takes over what a peer knows of the store, where that is newer.
+     *
+     * @param known all items that the peer knows
+     * @param knownRevision the revision up to which it knows them
+     */
+    public void adopt(List<StoreItem> known, long knownRevision) {
+        if (knownRevision <= revision) {
+            return;
+        }
+        LOG.event("store_relayed", "items", known.size(), "revision", knownRevision, "before", revision);
+        revision = knownRevision;
+        Set<String> missing = new HashSet<>(items.keySet());
+        known.forEach(item -> missing.remove(item.key()));
+        known.forEach(this::apply);
+        missing.forEach(this::remove);
+        if (!isLoaded) {
+            isLoaded = true;
+            listener.onLoaded();
+        }
+    }
+
+    /**
+     * Returns all items that are known.
+     *
+     * @return the items
+     */
+    public Collection<StoreItem> items() {
+        return items.values();
+    }
+
     /**
      * Lets removals take effect whose time has come.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamTable.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamTable.java
@@ -4,9 +4,11 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.common.UpstreamName;
 
 /** All upstreams that register themselves, by identifier. Confined to the event loop. */
 public final class UpstreamTable {
@@ -96,4 +98,20 @@
                 .filter(upstream ->
                         upstream.isUsable() && upstream.description().service().equals(service));
     }
+
+    /**
+     * Counts the upstreams of a service that may get new work and hold a model.
+     *
+     * @param service the service's name
+     * @param model the model, empty where any upstream will do
+     * @param without upstreams that do not count
+     * @return the number of the others
+     */
+    public int countHolders(String service, String model, Set<UpstreamName> without) {
+        return (int) usable(service)
+                .filter(upstream -> model.isEmpty() || upstream.holds(model, ""))
+                .filter(upstream ->
+                        !without.contains(UpstreamName.of(upstream.description().identifier())))
+                .count();
+    }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/placement/ModelPlanTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/placement/ModelPlanTest.java
@@ -29,7 +29,7 @@
     private static EngineView engine(String name, boolean isFree, Set<String> copies, String... models) {
         Map<String, Set<String>> holdings = new HashMap<>();
         List.of(models).forEach(held -> holdings.put(held, Set.of()));
-        return new EngineView(name, "north", holdings, Set.of(models), copies, isFree, isFree, 0);
+        return new EngineView(name, "north", holdings, Set.of(models), copies, isFree, 0);
     }
 
     @Nested
@@ -123,7 +123,6 @@
                     Set.of("a", "b"),
                     Set.of(),
                     false,
-                    false,
                     0);
             List<EngineView> engines = List.of(dropping, engine("two", "a", "b", "c"), engine("three", "a", "b", "d"));
 
--- /dev/null
+++ b/serving/src/test/java/org/pollenhoist/serving/routing/UpstreamSelectorTest.java
@@ -0,0 +1,254 @@
+package org.pollenhoist.serving.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.catalog.Engine;
+import org.pollenhoist.serving.catalog.Model;
+import org.pollenhoist.serving.catalog.Service;
+import org.pollenhoist.serving.request.PromptPart;
+import org.pollenhoist.serving.upstream.HeldModel;
+import org.pollenhoist.serving.upstream.PeerUse;
+import org.pollenhoist.serving.upstream.Upstream;
+import org.pollenhoist.serving.upstream.UpstreamDescription;
+import org.pollenhoist.serving.upstream.UpstreamTable;
+
+class UpstreamSelectorTest {
+
+    private static final MonotonicTime NOW = MonotonicTime.of(Duration.ofSeconds(100));
+    private static final Duration GOAL = Duration.ofMillis(800);
+    private static final Service ENGINES = new Service(
+            "llm", 100, Optional.of(new Engine(4, 10_000, 220, 8, 2, Map.of("m", model("m"), "rare", model("rare")))));
+    private static final Service PLAIN = new Service("app", 100, Optional.empty());
+
+    private final UpstreamTable table = new UpstreamTable();
+    private final UpstreamSelector selector = new UpstreamSelector("north", new ReadingPace());
+
+    private static Model model(String name) {
+        return new Model(name, 70, Duration.ofSeconds(8), Duration.ofSeconds(2), Duration.ofSeconds(1), 10, 1);
+    }
+
+    private Upstream add(String name, String domain, Set<String> copies, HeldModel... models) {
+        table.put(
+                new UpstreamDescription(
+                        name,
+                        1,
+                        models.length == 0 && copies.isEmpty() ? "app" : "llm",
+                        new InetSocketAddress(1),
+                        domain,
+                        2,
+                        false,
+                        0,
+                        List.of(models),
+                        copies),
+                NOW);
+        return table.find(name).orElseThrow();
+    }
+
+    private Upstream engine(String name) {
+        return add(name, "north", Set.of("m"), new HeldModel("m", 1, Set.of("a1")));
+    }
+
+    private static SelectionRequest request(String service, String model, String adapter, Duration patience) {
+        return new SelectionRequest(
+                service,
+                model,
+                adapter,
+                1_000,
+                1_200,
+                List.of(new PromptPart("p", 800)),
+                1,
+                NOW,
+                NOW.plus(patience),
+                GOAL,
+                NOW.plus(patience),
+                Set.of());
+    }
+
+    private Selection select(String model, String adapter, Duration patience) {
+        return selector.select(request("llm", model, adapter, patience), ENGINES, table, NOW);
+    }
+
+    private static String upstreamOf(Selection selection) {
+        assertThat(selection).isInstanceOf(Selection.Send.class);
+        return ((Selection.Send) selection).upstream().description().identifier();
+    }
+
+    @Nested
+    class Engines {
+
+        @Test
+        void should_prefer_the_one_with_fewer_unread_tokens() {
+            engine("busy").begin(5_000, 5_100);
+            engine("idle");
+
+            assertThat(upstreamOf(select("m", "", Duration.ofSeconds(5)))).isEqualTo("idle");
+        }
+
+        @Test
+        void should_count_the_load_of_peers() {
+            engine("one").hear("peer", new PeerUse(1, 5_000, 5_100, NOW));
+            engine("two");
+
+            assertThat(upstreamOf(select("m", "", Duration.ofSeconds(5)))).isEqualTo("two");
+        }
+
+        @Test
+        void should_forget_the_load_of_a_peer_that_is_not_heard_any_more() {
+            engine("one").hear("peer", new PeerUse(1, 5_000, 5_100, NOW.plus(Duration.ofSeconds(-2))));
+            engine("two").begin(100, 200);
+
+            assertThat(upstreamOf(select("m", "", Duration.ofSeconds(5)))).isEqualTo("one");
+        }
+
+        @Test
+        void should_prefer_the_one_that_keeps_the_prompt() {
+            engine("one");
+            engine("two").rememberParts("m", List.of(new PromptPart("p", 800)));
+
+            assertThat(upstreamOf(select("m", "", Duration.ofSeconds(5)))).isEqualTo("two");
+        }
+
+        @Test
+        void should_go_only_where_the_adapter_is() {
+            add("without", "north", Set.of("m"), new HeldModel("m", 1, Set.of()));
+            engine("with").begin(5_000, 5_100);
+
+            assertThat(upstreamOf(select("m", "a1", Duration.ofSeconds(5)))).isEqualTo("with");
+        }
+
+        @Test
+        void should_wait_for_room() {
+            Upstream only = engine("one");
+            for (int count = 0; count < 4; count++) {
+                only.begin(10, 20);
+            }
+
+            assertThat(select("m", "", Duration.ofSeconds(5))).isEqualTo(new Selection.Wait("engines_full", false));
+        }
+
+        @Test
+        void should_refuse_what_would_come_after_the_caller_has_left() {
+            engine("one").begin(90_000, 100);
+
+            assertThat(select("m", "", Duration.ofSeconds(3))).isInstanceOf(Selection.Refuse.class);
+        }
+    }
+
+    @Nested
+    class Overload {
+
+        /** Ten times what one engine reads: those that are admitted are on time, the rest is told so at once. */
+        @Test
+        void should_keep_admitted_requests_on_time_when_more_comes_than_engines_read() {
+            Upstream only = engine("one");
+            int admitted = 0;
+            int refused = 0;
+            for (int count = 0; count < 100; count++) {
+                switch (select("m", "", Duration.ofSeconds(3))) {
+                    case Selection.Send send -> {
+                        assertThat(send.expectedWait()).isLessThanOrEqualTo(GOAL);
+                        only.begin(1_000, 0);
+                        only.end(0, 0);
+                        admitted++;
+                    }
+                    case Selection.Refuse refusal -> refused++;
+                    case Selection.Wait wait -> throw new AssertionError("nothing is gained by waiting: " + wait);
+                }
+            }
+            assertThat(admitted).isPositive();
+            assertThat(refused).isPositive();
+        }
+    }
+
+    @Nested
+    class Missing {
+
+        @Test
+        void should_wait_for_an_adapter() {
+            engine("one");
+
+            assertThat(select("m", "a9", Duration.ofSeconds(5)))
+                    .isEqualTo(new Selection.Wait("adapter_not_loaded", true));
+        }
+
+        @Test
+        void should_wait_for_a_model_that_can_be_loaded_in_time() {
+            engine("one");
+
+            assertThat(select("rare", "", Duration.ofSeconds(15)))
+                    .isEqualTo(new Selection.Wait("model_not_loaded", true));
+        }
+
+        @Test
+        void should_refuse_at_once_where_a_load_takes_longer_than_the_caller_waits() {
+            engine("one");
+
+            assertThat(select("rare", "", Duration.ofSeconds(5)))
+                    .isEqualTo(new Selection.Refuse("model_not_loaded", Duration.ofSeconds(8)));
+        }
+
+        @Test
+        void should_wait_for_a_load_under_way_that_ends_in_time() {
+            engine("one").setArrivals(Map.of("rare", NOW.plus(Duration.ofSeconds(1))));
+
+            assertThat(select("rare", "", Duration.ofSeconds(5)))
+                    .isEqualTo(new Selection.Wait("model_not_loaded", true));
+        }
+
+        @Test
+        void should_refuse_a_model_that_is_not_configured() {
+            engine("one");
+
+            assertThat(select("unknown", "", Duration.ofSeconds(5))).isInstanceOf(Selection.Refuse.class);
+        }
+    }
+
+    @Nested
+    class PlainServices {
+
+        private Selection select() {
+            return selector.select(request("app", "", "", Duration.ofSeconds(2)), PLAIN, table, NOW);
+        }
+
+        @Test
+        void should_prefer_the_own_failure_domain_when_equally_loaded() {
+            add("far", "south", Set.of());
+            add("near", "north", Set.of());
+
+            assertThat(upstreamOf(select())).isEqualTo("near");
+        }
+
+        @Test
+        void should_leave_the_own_failure_domain_when_it_is_busier() {
+            add("near", "north", Set.of()).begin(0, 0);
+            add("far", "south", Set.of());
+
+            assertThat(upstreamOf(select())).isEqualTo("far");
+        }
+
+        @Test
+        void should_avoid_one_that_fails() {
+            Upstream failing = add("failing", "north", Set.of());
+            add("sound", "south", Set.of());
+            for (int count = 0; count < 5; count++) {
+                failing.record(true, NOW);
+            }
+
+            assertThat(upstreamOf(select())).isEqualTo("sound");
+        }
+
+        @Test
+        void should_refuse_when_there_is_none() {
+            assertThat(select()).isInstanceOf(Selection.Refuse.class);
+        }
+    }
+}
