--- a/serving/src/main/java/org/pollenhoist/serving/limit/FleetLimits.java
+++ b/serving/src/main/java/org/pollenhoist/serving/limit/FleetLimits.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.catalog.Team;
 
@@ -22,6 +23,8 @@
      */
     public record Spending(String team, long admitted, long level) {}
 
+    private static final DecisionLog LOG = DecisionLog.of("limit");
+
     private final double startingPart;
     private final Map<String, FleetBucket> buckets = new HashMap<>();
     private final Set<String> peersHeard = new HashSet<>();
@@ -86,6 +89,20 @@
         if (bucket == null || bucket.tryTake(tokens, now)) {
             return Duration.ZERO;
         }
+        LOG.event(
+                "limit_reached",
+                "team",
+                team.name(),
+                "tokens",
+                tokens,
+                "level",
+                Math.round(bucket.level(now)),
+                "rate",
+                team.ratePerSecond(),
+                "burst",
+                team.burst(),
+                "reachable_part",
+                reachablePart);
         return bucket.timeUntil(tokens, now);
     }
 
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
@@ -2,6 +2,11 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
@@ -11,6 +16,7 @@
 import org.pollenhoist.serving.peer.PeerReport;
 import org.pollenhoist.serving.placement.DemandRates;
 import org.pollenhoist.serving.upstream.PeerUse;
+import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamTable;
 import org.pollenhoist.vm.CrashVerdictExchange;
 import org.pollenhoist.vm.generated.VmDigest;
@@ -31,7 +37,10 @@
     interface Parts {
 
         /** Describes this VM now. */
-        VmDigest describe(long sequence, boolean isFull, MonotonicTime now);
+        VmDigest describe(long sequence, boolean isFull, Collection<Upstream> engines, MonotonicTime now);
+
+        /** All engines and other upstreams that are known. */
+        Collection<Upstream> engines();
 
         /** Whether this VM orders models, so that its own knowledge of the engines is the best. */
         boolean isOrdering(MonotonicTime now);
@@ -54,7 +63,7 @@
     private long sequence;
     private MonotonicTime sentAt;
     private MonotonicTime fullSentAt;
-    private boolean isFullDue;
+    private final Set<Upstream> changedEngines = new LinkedHashSet<>();
     private boolean isScheduled;
 
     DigestExchange(
@@ -84,19 +93,23 @@
         }
     }
 
+    /** Sends what is due; what changes slowly goes to the VM that orders, and what engines hold goes to all. */
     void send(MonotonicTime now) {
-        boolean isFull = isFullDue || now.since(fullSentAt).compareTo(FULL_INTERVAL) >= 0;
+        boolean isFull = now.since(fullSentAt).compareTo(FULL_INTERVAL) >= 0;
         sentAt = now;
+        Set<Upstream> announced = new LinkedHashSet<>(changedEngines);
+        changedEngines.clear();
         if (isFull) {
             fullSentAt = now;
-            isFullDue = false;
+            announced.addAll(parts.engines());
+            orderingVm(now).ifPresent(vm -> peers.sendTo(parts.describe(++sequence, true, List.of(), now), vm));
         }
-        peers.send(parts.describe(++sequence, isFull, now));
+        peers.send(parts.describe(++sequence, false, announced, now));
     }
 
-    /** All peers learn at once what the engines hold now. */
-    void announceHoldings() {
-        isFullDue = true;
+    /** All peers learn at once what an engine holds now. */
+    void announceHoldings(Upstream engine) {
+        changedEngines.add(engine);
         if (isScheduled) {
             return;
         }
@@ -114,11 +127,14 @@
     /** The VM that orders learns at once what is waited for here; all others have no use for it. */
     void tellOrderingVm() {
         MonotonicTime now = clock.get();
-        peers.heard(now).stream()
+        orderingVm(now).ifPresent(vm -> peers.sendTo(parts.describe(++sequence, false, List.of(), now), vm));
+    }
+
+    private Optional<String> orderingVm(MonotonicTime now) {
+        return peers.heard(now).stream()
                 .filter(report -> report.digest().getIsPlacing())
-                .findFirst()
-                .ifPresent(report -> peers.sendTo(
-                        parts.describe(++sequence, false, now), report.digest().getVmName()));
+                .map(report -> report.digest().getVmName())
+                .findFirst();
     }
 
     void hear(PeerReport report) {
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
@@ -49,6 +49,7 @@
             boolean isPlacing,
             boolean isStopping,
             boolean isFull,
+            Collection<Upstream> announcedEngines,
             List<CrashNotice> crashNotices,
             MonotonicTime now) {
         VmDigest.Builder digest = VmDigest.newBuilder()
@@ -72,8 +73,8 @@
         upstreams.forEach(upstream -> addUse(digest, upstream, now));
         addWants(digest, wants);
         crashNotices.forEach(notice -> digest.addCrashVerdicts(CrashVerdictExchange.toMessage(notice)));
-        if (isPlacing && isFull) {
-            upstreams.forEach(upstream -> addHoldings(digest, upstream, now));
+        if (isPlacing) {
+            announcedEngines.forEach(upstream -> addHoldings(digest, upstream, now));
         }
         return digest.build();
     }
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -6,6 +6,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,6 +40,7 @@
 import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreItem;
 import org.pollenhoist.serving.store.StoreMirror;
+import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamTable;
 import org.pollenhoist.vm.generated.VmDigest;
 
@@ -315,9 +317,9 @@
         }
     }
 
-    private void holdingsChanged() {
+    private void holdingsChanged(Upstream engine) {
         if (placement.isOrdering(bootClock.read())) {
-            digests.announceHoldings();
+            digests.announceHoldings(engine);
             loop.execute(() -> {
                 MonotonicTime now = bootClock.read();
                 queue.pump(now);
@@ -384,7 +386,7 @@
         private final DigestWriter writer = new DigestWriter(settings.vmName(), settings.failureDomain(), incarnation);
 
         @Override
-        public VmDigest describe(long sequence, boolean isFull, MonotonicTime now) {
+        public VmDigest describe(long sequence, boolean isFull, Collection<Upstream> engines, MonotonicTime now) {
             return writer.write(
                     sequence,
                     mirror.revision(),
@@ -395,10 +397,16 @@
                     placement.isOrdering(now),
                     stoppingSince.isPresent(),
                     isFull,
+                    engines,
                     crashNotices.current(now),
                     now);
         }
 
+        @Override
+        public Collection<Upstream> engines() {
+            return upstreams.all();
+        }
+
         @Override
         public boolean isOrdering(MonotonicTime now) {
             return placement.isOrdering(now);
--- a/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
@@ -61,7 +62,7 @@
     private final EngineControl control;
     private final UpstreamTable upstreams;
     private final ReadingPace pace;
-    private final Runnable onChange;
+    private final Consumer<Upstream> onChange;
     private final Map<Upstream, EngineBook> books = new HashMap<>();
     private final Deque<MonotonicTime> loads = new ArrayDeque<>();
     private boolean wasOrdering;
@@ -86,7 +87,7 @@
             EngineControl control,
             UpstreamTable upstreams,
             ReadingPace pace,
-            Runnable onChange) {
+            Consumer<Upstream> onChange) {
         this.loop = loop;
         this.clock = clock;
         this.leadership = leadership;
@@ -193,7 +194,7 @@
                     answer.map(status -> status.models().toString()).orElse("no answer"));
             if (answer.isPresent()) {
                 book.reported(answer.get(), CONFLICT_PAUSE, answeredAt);
-                onChange.run();
+                onChange.accept(book.upstream());
             } else {
                 book.reportFailed(answeredAt.plus(CONFLICT_PAUSE));
             }
@@ -285,7 +286,7 @@
         }
         long expected = book.expectedSequence();
         book.sent(order);
-        onChange.run();
+        onChange.accept(book.upstream());
         control.order(book.upstream().description(), order, expected, leadership.fencingToken(), outcome -> {
             MonotonicTime answeredAt = clock.get();
             LOG.event(
@@ -306,7 +307,7 @@
                     answeredAt.since(now).toMillis());
             book.answered(order, outcome, CONFLICT_PAUSE, answeredAt);
             settle(book, order, outcome);
-            onChange.run();
+            onChange.accept(book.upstream());
         });
     }
 
@@ -322,7 +323,7 @@
                     () -> {
                         book.settled(load.model(), load.adapter());
                         book.upstream().addAdapter(load.model(), load.adapter());
-                        onChange.run();
+                        onChange.accept(book.upstream());
                     },
                     ADAPTER_SETTLING.toMillis(),
                     TimeUnit.MILLISECONDS);
