--- a/serving/src/main/java/org/pollenhoist/serving/placement/EngineBook.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/EngineBook.java
@@ -27,6 +27,8 @@
     private Optional<EngineOrder> inFlight = Optional.empty();
     private Optional<EngineOrder> modelOrder = Optional.empty();
     private MonotonicTime modelOrderSince;
+    private Optional<String> roomFor = Optional.empty();
+    private MonotonicTime roomKeptUntil;
     private MonotonicTime pausedUntil;
     private MonotonicTime checkedAt;
     private boolean isReporting;
@@ -36,6 +38,7 @@
     EngineBook(Upstream upstream, MonotonicTime now) {
         this.upstream = upstream;
         this.pausedUntil = now;
+        this.roomKeptUntil = now;
         this.modelOrderSince = now;
         this.checkedAt = now;
     }
@@ -182,6 +185,16 @@
         return holdings;
     }
 
+    /** Keeps the room that a drop makes for a model; any other order gives it up. */
+    void makeRoomFor(String model, MonotonicTime until) {
+        roomFor = model.isEmpty() ? Optional.empty() : Optional.of(model);
+        roomKeptUntil = until;
+    }
+
+    Optional<String> roomFor(MonotonicTime now) {
+        return now.isBefore(roomKeptUntil) ? roomFor : Optional.empty();
+    }
+
     /** Which model is being loaded, and when it is expected. */
     Map<String, MonotonicTime> arrivals(Duration loadTime) {
         return modelOrder.isPresent() && modelOrder.get() instanceof EngineOrder.LoadModel load
--- a/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
@@ -34,6 +34,7 @@
     private final Map<String, Double> workByModel;
     private final Map<String, Integer> copies = new HashMap<>();
     private final Map<String, EngineView> engines = new HashMap<>();
+    private final Map<String, String> roomFor;
     private final Set<String> ordered = new HashSet<>();
     private final List<PlannedOrder> orders = new ArrayList<>();
 
@@ -43,13 +44,20 @@
      * @param engine what the engines have in common
      * @param workByModel what is asked of each model, in engines that it would keep busy
      * @param views the engines
+     * @param roomFor the models for which room was made, by engine
      */
-    public ModelPlan(Engine engine, Map<String, Double> workByModel, Collection<EngineView> views) {
+    public ModelPlan(
+            Engine engine, Map<String, Double> workByModel, Collection<EngineView> views, Map<String, String> roomFor) {
         this.engine = engine;
+        this.roomFor = Map.copyOf(roomFor);
         this.workByModel = Map.copyOf(workByModel);
         for (EngineView view : views) {
             engines.put(view.identifier(), view);
             view.models().forEach(model -> copies.merge(model, 1, Integer::sum));
+            String expected = roomFor.get(view.identifier());
+            if (expected != null && !view.models().contains(expected)) {
+                copies.merge(expected, 1, Integer::sum);
+            }
         }
     }
 
@@ -61,6 +69,7 @@
      * @return the orders, the most urgent first
      */
     public List<PlannedOrder> plan(Set<String> wanted, int maximumOrders) {
+        useRoom(maximumOrders);
         List<String> missing = missingModels(wanted);
         missing.stream()
                 .filter(model -> isAsked(model, wanted))
@@ -73,6 +82,27 @@
         return List.copyOf(orders);
     }
 
+    /** Loads the models for which room was made; nothing else may take that room. */
+    private void useRoom(int maximumOrders) {
+        roomFor.forEach((identifier, model) -> {
+            EngineView view = engines.get(identifier);
+            boolean isPossible = view != null
+                    && view.isOrderPossible()
+                    && !view.holdings().containsKey(model)
+                    && hasRoom(view, model);
+            if (isPossible && orders.size() < maximumOrders) {
+                orders.add(new PlannedOrder(identifier, new EngineOrder.LoadModel(model), "room_made"));
+            }
+            ordered.add(identifier);
+        });
+    }
+
+    private boolean hasRoom(EngineView view, String model) {
+        Model definition = engine.models().get(model);
+        return definition != null
+                && AdapterPlan.usedMegabytes(engine, view) + definition.weightMegabytes() <= engine.weightMegabytes();
+    }
+
     private List<String> missingModels(Set<String> wanted) {
         return engine.models().keySet().stream()
                 .filter(model -> copies.getOrDefault(model, 0) == 0)
@@ -116,11 +146,8 @@
     }
 
     private boolean place(String model, boolean mayTakeLastCopy, String reason) {
-        Model definition = engine.models().get(model);
-        Optional<EngineView> roomy = possible(model)
-                .filter(view -> AdapterPlan.usedMegabytes(engine, view) + definition.weightMegabytes()
-                        <= engine.weightMegabytes())
-                .min(preference(model));
+        Optional<EngineView> roomy =
+                possible(model).filter(view -> hasRoom(view, model)).min(preference(model));
         if (roomy.isPresent()) {
             add(new PlannedOrder(roomy.get().identifier(), new EngineOrder.LoadModel(model), reason), model);
             return true;
@@ -157,9 +184,7 @@
     }
 
     private boolean makeRoom(String model, boolean mayTakeLastCopy, String reason) {
-        double limit = copies.getOrDefault(model, 0) == 0
-                ? Double.MAX_VALUE
-                : workOfCopy(model, copies.get(model) + 1) * DONOR_FACTOR;
+        double limit = acceptableWork(model, mayTakeLastCopy);
         record Eviction(EngineView view, String victim) {}
         Optional<Eviction> best = possible(model)
                 .flatMap(view -> view.models().stream().map(victim -> new Eviction(view, victim)))
@@ -178,13 +203,22 @@
                     new PlannedOrder(
                             eviction.view().identifier(),
                             new EngineOrder.UnloadModel(eviction.victim()),
-                            reason + "_" + model),
+                            reason + "_" + model,
+                            model),
                     model);
             copies.merge(eviction.victim(), -1, Integer::sum);
         });
         return best.isPresent();
     }
 
+    /** How much work the remaining copies of a model may have that gives one up. */
+    private double acceptableWork(String model, boolean isWanted) {
+        if (copies.getOrDefault(model, 0) > 0) {
+            return workOfCopy(model, copies.get(model) + 1) * DONOR_FACTOR;
+        }
+        return isWanted || work(model) > 0 ? OVERLOADED_WORK : BUSY_WORK;
+    }
+
     private void add(PlannedOrder order, String gaining) {
         orders.add(order);
         ordered.add(order.engine());
--- a/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
@@ -39,6 +39,9 @@
     /** How long after its acceptance an adapter can be used; adapters take up to some thirty milliseconds. */
     private static final Duration ADAPTER_SETTLING = Duration.ofMillis(35);
 
+    /** How long room is kept for the model for which it was made; a drop waits for its runs to end. */
+    private static final Duration ROOM_KEPT = Duration.ofSeconds(10);
+
     /** How often models are planned. */
     private static final Duration MODEL_PLAN_INTERVAL = Duration.ofMillis(400);
 
@@ -244,7 +247,10 @@
             return;
         }
         Map<String, EngineBook> byIdentifier = byIdentifier(engines);
-        for (PlannedOrder order : new ModelPlan(engine, work, views).plan(wanted, room)) {
+        Map<String, String> roomFor = new HashMap<>();
+        engines.forEach(book -> book.roomFor(now)
+                .ifPresent(model -> roomFor.put(book.upstream().description().identifier(), model)));
+        for (PlannedOrder order : new ModelPlan(engine, work, views, roomFor).plan(wanted, room)) {
             send(byIdentifier.get(order.engine()), order, now);
         }
     }
@@ -286,6 +292,9 @@
         }
         long expected = book.expectedSequence();
         book.sent(order);
+        if (order instanceof EngineOrder.LoadModel || order instanceof EngineOrder.UnloadModel) {
+            book.makeRoomFor(planned.roomFor(), now.plus(ROOM_KEPT));
+        }
         onChange.accept(book.upstream());
         control.order(book.upstream().description(), order, expected, leadership.fencingToken(), outcome -> {
             MonotonicTime answeredAt = clock.get();
--- a/serving/src/test/java/org/pollenhoist/serving/placement/ModelPlanTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/placement/ModelPlanTest.java
@@ -39,7 +39,7 @@
         void should_load_model_without_a_copy_where_there_is_room() {
             List<EngineView> engines = List.of(engine("one", "a", "b"), engine("two", "a", "b", "c"));
 
-            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of(), engines).plan(Set.of(), 4);
+            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of(), engines, Map.of()).plan(Set.of(), 4);
 
             assertThat(orders).containsExactly(new PlannedOrder("one", new EngineOrder.LoadModel("d"), "no_copy"));
         }
@@ -48,7 +48,7 @@
         void should_prefer_an_engine_with_a_copy_on_its_disk() {
             List<EngineView> engines = List.of(engine("one", "a", "b"), engine("two", true, Set.of("d"), "a", "c"));
 
-            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of(), engines).plan(Set.of(), 1);
+            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of(), engines, Map.of()).plan(Set.of(), 1);
 
             assertThat(orders).containsExactly(new PlannedOrder("two", new EngineOrder.LoadModel("d"), "no_copy"));
         }
@@ -56,8 +56,10 @@
         @Test
         void should_make_room_only_where_another_copy_is_left() {
             List<EngineView> engines = List.of(engine("one", "a", "b", "c"), engine("two", "a", "b", "c"));
+            // The copies of a and b are needed.
 
-            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of("a", 1.0, "b", 1.0), engines).plan(Set.of(), 4);
+            List<PlannedOrder> orders =
+                    new ModelPlan(ENGINE, Map.of("a", 1.0, "b", 1.0), engines, Map.of()).plan(Set.of(), 4);
 
             assertThat(orders).hasSize(1);
             assertThat(orders.get(0).order()).isEqualTo(new EngineOrder.UnloadModel("c"));
@@ -67,7 +69,7 @@
         void should_not_give_last_copies_up_for_a_model_that_nobody_waits_for() {
             List<EngineView> engines = List.of(engine("one", "a", "b", "c"));
 
-            assertThat(new ModelPlan(ENGINE, Map.of(), engines).plan(Set.of(), 4))
+            assertThat(new ModelPlan(ENGINE, Map.of(), engines, Map.of()).plan(Set.of(), 4))
                     .isEmpty();
         }
 
@@ -75,12 +77,51 @@
         void should_give_an_idle_last_copy_up_for_a_model_that_requests_wait_for() {
             List<EngineView> engines = List.of(engine("one", "a", "b", "c"));
 
-            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of("a", 0.5, "b", 0.5), engines).plan(Set.of("d"), 4);
+            List<PlannedOrder> orders =
+                    new ModelPlan(ENGINE, Map.of("a", 0.5, "b", 0.5), engines, Map.of()).plan(Set.of("d"), 4);
 
             assertThat(orders).extracting(PlannedOrder::order).containsExactly(new EngineOrder.UnloadModel("c"));
         }
     }
 
+    @Nested
+    class Room {
+
+        @Test
+        void should_be_used_for_the_model_it_was_made_for() {
+            List<EngineView> engines = List.of(engine("one", "a", "b"), engine("two", "a", "c", "d"));
+
+            List<PlannedOrder> orders =
+                    new ModelPlan(ENGINE, Map.of("a", 9.0), engines, Map.of("one", "d")).plan(Set.of(), 4);
+
+            assertThat(orders).containsExactly(new PlannedOrder("one", new EngineOrder.LoadModel("d"), "room_made"));
+        }
+
+        @Test
+        void should_not_be_made_twice_for_one_model() {
+            EngineView dropping = new EngineView(
+                    "one",
+                    "north",
+                    Map.of("a", Set.of(), "b", Set.of(), "c", Set.of()),
+                    Set.of("a", "b"),
+                    Set.of(),
+                    false,
+                    0);
+            List<EngineView> engines = List.of(dropping, engine("two", "a", "b", "c"));
+
+            assertThat(new ModelPlan(ENGINE, Map.of(), engines, Map.of("one", "d")).plan(Set.of("d"), 4))
+                    .isEmpty();
+        }
+
+        @Test
+        void should_not_be_made_at_the_cost_of_busy_copies_for_a_model_nobody_asks_for() {
+            List<EngineView> engines = List.of(engine("one", "a", "b", "c"), engine("two", "a", "b", "c"));
+
+            assertThat(new ModelPlan(ENGINE, Map.of("a", 1.0, "b", 1.0, "c", 1.0), engines, Map.of()).plan(Set.of(), 4))
+                    .isEmpty();
+        }
+    }
+
     @Nested
     class Busy {
 
@@ -89,7 +130,7 @@
             List<EngineView> engines =
                     List.of(engine("one", "a", "b", "c"), engine("two", "b", "c", "d"), engine("three", "b", "c", "d"));
 
-            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of("a", 2.0), engines).plan(Set.of(), 1);
+            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of("a", 2.0), engines, Map.of()).plan(Set.of(), 1);
 
             assertThat(orders).hasSize(1);
             assertThat(orders.get(0).order()).isInstanceOf(EngineOrder.UnloadModel.class);
@@ -101,7 +142,7 @@
             List<EngineView> engines =
                     List.of(engine("one", "a", "b", "c"), engine("two", "b", "c", "d"), engine("three", "b", "c", "d"));
 
-            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of("a", 9.0), engines).plan(Set.of(), 9);
+            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of("a", 9.0), engines, Map.of()).plan(Set.of(), 9);
 
             for (String model : List.of("b", "c", "d")) {
                 long dropped = orders.stream()
@@ -126,7 +167,7 @@
                     0);
             List<EngineView> engines = List.of(dropping, engine("two", "a", "b", "c"), engine("three", "a", "b", "d"));
 
-            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of("a", 9.0), engines).plan(Set.of(), 9);
+            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of("a", 9.0), engines, Map.of()).plan(Set.of(), 9);
 
             assertThat(orders)
                     .extracting(PlannedOrder::order)
@@ -137,7 +178,7 @@
         void should_leave_engines_alone_on_which_an_order_is_in_progress() {
             List<EngineView> engines = List.of(engine("one", false, Set.of(), "a", "b"));
 
-            assertThat(new ModelPlan(ENGINE, Map.of("a", 9.0), engines).plan(Set.of("d"), 9))
+            assertThat(new ModelPlan(ENGINE, Map.of("a", 9.0), engines, Map.of()).plan(Set.of("d"), 9))
                     .isEmpty();
         }
     }
