--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -75,7 +75,6 @@
     /** How long a VM's place in line for the placement lease delays its application. */
     private static final Duration APPLICATION_STEP = Duration.ofMillis(150);
 
-    private final ServingSettings settings;
     private final PlatformBinding binding;
     private final EventLoop loop;
     private final BootClock bootClock = new BootClock();
@@ -101,6 +100,7 @@
     private final RequestHandler handler;
     private final CallerServer callers;
 
+    private ServingSettings settings;
     private MonotonicTime leaderMissingSince;
     private MonotonicTime sweptAt;
     private Optional<MonotonicTime> stoppingSince = Optional.empty();
@@ -332,6 +332,26 @@
         digests.hear(report);
     }
 
+    /**
+     * Takes changed settings over, as far as a running process can: the bounds of retries and of a planned stop.
+     * Addresses and names need a restart.
+     *
+     * @param changed the settings as they are now
+     */
+    public void reload(ServingSettings changed) {
+        loop.execute(() -> {
+            boolean isSame = changed.equals(settings);
+            boolean isApplicable = changed.vmName().equals(settings.vmName())
+                    && changed.callerAddress().equals(settings.callerAddress())
+                    && changed.peerAddress().equals(settings.peerAddress());
+            LOG.event("reload", "changed", !isSame, "applied", !isSame && isApplicable);
+            if (!isSame && isApplicable) {
+                settings = changed;
+                retryBudgets.clear();
+            }
+        });
+    }
+
     /**
      * Gives up readiness at once, goes on serving while the balancer notices, and ends once nothing runs any more.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingSettings.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import org.pollenhoist.settings.FindingCode;
 import org.pollenhoist.settings.Findings;
 import org.pollenhoist.settings.InvalidSettingsException;
@@ -59,7 +60,10 @@
         findings.throwIfAny();
         TomlTable vm = root.table("vm");
         TomlTable listen = root.table("listen");
+        TomlTable store = root.table("store");
+        TomlTable shutdown = root.table("shutdown");
         TomlTable retries = root.table("retries");
+        TomlTable placement = root.table("placement");
         ServingSettings settings = new ServingSettings(
                 vm.text("name"),
                 vm.text("failure_domain"),
@@ -68,13 +72,13 @@
                 endpoint(listen, "readiness"),
                 endpoint(listen, "peers"),
                 endpoint(listen, "metrics"),
-                endpoint(root.table("store"), "address"),
-                seconds(root.table("shutdown").number("grace_seconds", 1, LONGEST_SECONDS)),
+                endpoint(store, "address"),
+                seconds(shutdown.number("grace_seconds", 1, LONGEST_SECONDS)),
                 retries.number("ratio", 0, 1),
                 seconds(retries.number("window_seconds", 1, LONGEST_SECONDS)),
                 retries.number("allowance", 0, MOST_RETRIES),
-                Duration.ofMillis(root.table("placement").integer("turn_milliseconds", 100, LONGEST_MILLISECONDS)));
-        root.rejectUnknownKeys();
+                Duration.ofMillis(placement.integer("turn_milliseconds", 100, LONGEST_MILLISECONDS)));
+        List.of(root, vm, listen, store, shutdown, retries, placement).forEach(TomlTable::rejectUnknownKeys);
         findings.throwIfAny();
         return settings;
     }
--- a/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
@@ -1,8 +1,10 @@
 package org.pollenhoist.serving.placement;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -30,11 +32,15 @@
     /** A copy is taken from another model only where that model's copies stay less busy by this factor. */
     private static final double DONOR_FACTOR = 0.5;
 
+    /** Of so many orders one goes to a model without a copy first. */
+    private static final int ORDERS_PER_MISSING = 3;
+
     private final Engine engine;
     private final Map<String, Double> workByModel;
     private final Map<String, Integer> copies = new HashMap<>();
     private final Map<String, EngineView> engines = new HashMap<>();
     private final Map<String, String> roomFor;
+    private final long earlierOrders;
     private final Set<String> ordered = new HashSet<>();
     private final List<PlannedOrder> orders = new ArrayList<>();
 
@@ -45,10 +51,16 @@
      * @param workByModel what is asked of each model, in engines that it would keep busy
      * @param views the engines
      * @param roomFor the models for which room was made, by engine
+     * @param earlierOrders how many orders earlier plans have led to
      */
     public ModelPlan(
-            Engine engine, Map<String, Double> workByModel, Collection<EngineView> views, Map<String, String> roomFor) {
+            Engine engine,
+            Map<String, Double> workByModel,
+            Collection<EngineView> views,
+            Map<String, String> roomFor,
+            long earlierOrders) {
         this.engine = engine;
+        this.earlierOrders = earlierOrders;
         this.roomFor = Map.copyOf(roomFor);
         this.workByModel = Map.copyOf(workByModel);
         for (EngineView view : views) {
@@ -71,13 +83,13 @@
     public List<PlannedOrder> plan(Set<String> wanted, int maximumOrders) {
         useRoom(maximumOrders);
         List<String> missing = missingModels(wanted);
-        missing.stream()
-                .filter(model -> isAsked(model, wanted))
-                .forEach(model -> placeFirst(model, wanted, maximumOrders));
-        growBusiest(OVERLOADED_WORK, maximumOrders);
-        missing.stream()
-                .filter(model -> !isAsked(model, wanted))
-                .forEach(model -> placeFirst(model, wanted, maximumOrders));
+        Deque<String> asked = new ArrayDeque<>(
+                missing.stream().filter(model -> isAsked(model, wanted)).toList());
+        boolean isPlaced = true;
+        while (isPlaced && orders.size() < maximumOrders) {
+            isPlaced = placeNext(asked, wanted);
+        }
+        missing.stream().filter(model -> !isAsked(model, wanted)).forEach(model -> placeFirst(model, maximumOrders));
         growBusiest(BUSY_WORK, maximumOrders);
         return List.copyOf(orders);
     }
@@ -116,9 +128,27 @@
         return wanted.contains(model) || work(model) > 0;
     }
 
-    private void placeFirst(String model, Set<String> wanted, int maximumOrders) {
+    /** Models without a copy get every third order, so that neither they nor overloaded models wait for all others. */
+    private boolean placeNext(Deque<String> asked, Set<String> wanted) {
+        boolean isMissingFirst = (earlierOrders + orders.size()) % ORDERS_PER_MISSING == 0;
+        if (isMissingFirst) {
+            return placeMissing(asked, wanted) || growOnce(OVERLOADED_WORK);
+        }
+        return growOnce(OVERLOADED_WORK) || placeMissing(asked, wanted);
+    }
+
+    private boolean placeMissing(Deque<String> asked, Set<String> wanted) {
+        boolean isPlaced = false;
+        while (!isPlaced && !asked.isEmpty()) {
+            String model = asked.removeFirst();
+            isPlaced = place(model, wanted.contains(model), "no_copy");
+        }
+        return isPlaced;
+    }
+
+    private void placeFirst(String model, int maximumOrders) {
         if (orders.size() < maximumOrders) {
-            place(model, wanted.contains(model), "no_copy");
+            place(model, false, "no_copy");
         }
     }
 
@@ -134,10 +164,14 @@
     private void growBusiest(double leastWork, int maximumOrders) {
         boolean isGrown = true;
         while (isGrown && orders.size() < maximumOrders) {
-            isGrown = busiest(leastWork).stream().anyMatch(model -> place(model, false, "busy"));
+            isGrown = growOnce(leastWork);
         }
     }
 
+    private boolean growOnce(double leastWork) {
+        return busiest(leastWork).stream().anyMatch(model -> place(model, false, "busy"));
+    }
+
     private List<String> busiest(double leastWork) {
         return engine.models().keySet().stream()
                 .filter(model -> copies.getOrDefault(model, 0) > 0 && workOfCopy(model, copies.get(model)) > leastWork)
--- a/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
@@ -69,6 +69,7 @@
     private final Map<Upstream, EngineBook> books = new HashMap<>();
     private final Deque<MonotonicTime> loads = new ArrayDeque<>();
     private boolean wasOrdering;
+    private long modelOrders;
     private MonotonicTime nextModelPlan;
     private MonotonicTime orderingSince;
 
@@ -250,7 +251,7 @@
         Map<String, String> roomFor = new HashMap<>();
         engines.forEach(book -> book.roomFor(now)
                 .ifPresent(model -> roomFor.put(book.upstream().description().identifier(), model)));
-        for (PlannedOrder order : new ModelPlan(engine, work, views, roomFor).plan(wanted, room)) {
+        for (PlannedOrder order : new ModelPlan(engine, work, views, roomFor, modelOrders).plan(wanted, room)) {
             send(byIdentifier.get(order.engine()), order, now);
         }
     }
@@ -294,6 +295,7 @@
         book.sent(order);
         if (order instanceof EngineOrder.LoadModel || order instanceof EngineOrder.UnloadModel) {
             book.makeRoomFor(planned.roomFor(), now.plus(ROOM_KEPT));
+            modelOrders++;
         }
         onChange.accept(book.upstream());
         control.order(book.upstream().description(), order, expected, leadership.fencingToken(), outcome -> {
--- a/serving/src/test/java/org/pollenhoist/serving/placement/ModelPlanTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/placement/ModelPlanTest.java
@@ -39,7 +39,7 @@
         void should_load_model_without_a_copy_where_there_is_room() {
             List<EngineView> engines = List.of(engine("one", "a", "b"), engine("two", "a", "b", "c"));
 
-            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of(), engines, Map.of()).plan(Set.of(), 4);
+            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of(), engines, Map.of(), 0).plan(Set.of(), 4);
 
             assertThat(orders).containsExactly(new PlannedOrder("one", new EngineOrder.LoadModel("d"), "no_copy"));
         }
@@ -48,7 +48,7 @@
         void should_prefer_an_engine_with_a_copy_on_its_disk() {
             List<EngineView> engines = List.of(engine("one", "a", "b"), engine("two", true, Set.of("d"), "a", "c"));
 
-            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of(), engines, Map.of()).plan(Set.of(), 1);
+            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of(), engines, Map.of(), 0).plan(Set.of(), 1);
 
             assertThat(orders).containsExactly(new PlannedOrder("two", new EngineOrder.LoadModel("d"), "no_copy"));
         }
@@ -59,7 +59,7 @@
             // The copies of a and b are needed.
 
             List<PlannedOrder> orders =
-                    new ModelPlan(ENGINE, Map.of("a", 1.0, "b", 1.0), engines, Map.of()).plan(Set.of(), 4);
+                    new ModelPlan(ENGINE, Map.of("a", 1.0, "b", 1.0), engines, Map.of(), 0).plan(Set.of(), 4);
 
             assertThat(orders).hasSize(1);
             assertThat(orders.get(0).order()).isEqualTo(new EngineOrder.UnloadModel("c"));
@@ -69,7 +69,7 @@
         void should_not_give_last_copies_up_for_a_model_that_nobody_waits_for() {
             List<EngineView> engines = List.of(engine("one", "a", "b", "c"));
 
-            assertThat(new ModelPlan(ENGINE, Map.of(), engines, Map.of()).plan(Set.of(), 4))
+            assertThat(new ModelPlan(ENGINE, Map.of(), engines, Map.of(), 0).plan(Set.of(), 4))
                     .isEmpty();
         }
 
@@ -78,12 +78,32 @@
             List<EngineView> engines = List.of(engine("one", "a", "b", "c"));
 
             List<PlannedOrder> orders =
-                    new ModelPlan(ENGINE, Map.of("a", 0.5, "b", 0.5), engines, Map.of()).plan(Set.of("d"), 4);
+                    new ModelPlan(ENGINE, Map.of("a", 0.5, "b", 0.5), engines, Map.of(), 0).plan(Set.of("d"), 4);
 
             assertThat(orders).extracting(PlannedOrder::order).containsExactly(new EngineOrder.UnloadModel("c"));
         }
     }
 
+    @Nested
+    class Turns {
+
+        @Test
+        void should_alternate_between_models_without_a_copy_and_overloaded_ones() {
+            List<EngineView> engines = List.of(engine("one", "a"), engine("two"), engine("three"), engine("four"));
+
+            List<PlannedOrder> orders =
+                    new ModelPlan(ENGINE, Map.of("a", 9.0), engines, Map.of(), 0).plan(Set.of("b", "c"), 4);
+
+            assertThat(orders)
+                    .extracting(PlannedOrder::order)
+                    .containsExactly(
+                            new EngineOrder.LoadModel("b"),
+                            new EngineOrder.LoadModel("a"),
+                            new EngineOrder.LoadModel("a"),
+                            new EngineOrder.LoadModel("c"));
+        }
+    }
+
     @Nested
     class Room {
 
@@ -92,7 +112,7 @@
             List<EngineView> engines = List.of(engine("one", "a", "b"), engine("two", "a", "c", "d"));
 
             List<PlannedOrder> orders =
-                    new ModelPlan(ENGINE, Map.of("a", 9.0), engines, Map.of("one", "d")).plan(Set.of(), 4);
+                    new ModelPlan(ENGINE, Map.of("a", 9.0), engines, Map.of("one", "d"), 0).plan(Set.of(), 4);
 
             assertThat(orders).containsExactly(new PlannedOrder("one", new EngineOrder.LoadModel("d"), "room_made"));
         }
@@ -109,7 +129,7 @@
                     0);
             List<EngineView> engines = List.of(dropping, engine("two", "a", "b", "c"));
 
-            assertThat(new ModelPlan(ENGINE, Map.of(), engines, Map.of("one", "d")).plan(Set.of("d"), 4))
+            assertThat(new ModelPlan(ENGINE, Map.of(), engines, Map.of("one", "d"), 0).plan(Set.of("d"), 4))
                     .isEmpty();
         }
 
@@ -117,7 +137,8 @@
         void should_not_be_made_at_the_cost_of_busy_copies_for_a_model_nobody_asks_for() {
             List<EngineView> engines = List.of(engine("one", "a", "b", "c"), engine("two", "a", "b", "c"));
 
-            assertThat(new ModelPlan(ENGINE, Map.of("a", 1.0, "b", 1.0, "c", 1.0), engines, Map.of()).plan(Set.of(), 4))
+            assertThat(new ModelPlan(ENGINE, Map.of("a", 1.0, "b", 1.0, "c", 1.0), engines, Map.of(), 0)
+                            .plan(Set.of(), 4))
                     .isEmpty();
         }
     }
@@ -130,7 +151,7 @@
             List<EngineView> engines =
                     List.of(engine("one", "a", "b", "c"), engine("two", "b", "c", "d"), engine("three", "b", "c", "d"));
 
-            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of("a", 2.0), engines, Map.of()).plan(Set.of(), 1);
+            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of("a", 2.0), engines, Map.of(), 0).plan(Set.of(), 1);
 
             assertThat(orders).hasSize(1);
             assertThat(orders.get(0).order()).isInstanceOf(EngineOrder.UnloadModel.class);
@@ -142,7 +163,7 @@
             List<EngineView> engines =
                     List.of(engine("one", "a", "b", "c"), engine("two", "b", "c", "d"), engine("three", "b", "c", "d"));
 
-            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of("a", 9.0), engines, Map.of()).plan(Set.of(), 9);
+            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of("a", 9.0), engines, Map.of(), 0).plan(Set.of(), 9);
 
             for (String model : List.of("b", "c", "d")) {
                 long dropped = orders.stream()
@@ -167,7 +188,7 @@
                     0);
             List<EngineView> engines = List.of(dropping, engine("two", "a", "b", "c"), engine("three", "a", "b", "d"));
 
-            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of("a", 9.0), engines, Map.of()).plan(Set.of(), 9);
+            List<PlannedOrder> orders = new ModelPlan(ENGINE, Map.of("a", 9.0), engines, Map.of(), 0).plan(Set.of(), 9);
 
             assertThat(orders)
                     .extracting(PlannedOrder::order)
@@ -178,7 +199,7 @@
         void should_leave_engines_alone_on_which_an_order_is_in_progress() {
             List<EngineView> engines = List.of(engine("one", false, Set.of(), "a", "b"));
 
-            assertThat(new ModelPlan(ENGINE, Map.of("a", 9.0), engines, Map.of()).plan(Set.of("d"), 9))
+            assertThat(new ModelPlan(ENGINE, Map.of("a", 9.0), engines, Map.of(), 0).plan(Set.of("d"), 9))
                     .isEmpty();
         }
     }
