--- /dev/null
+++ b/serving/src/test/java/org/pollenhoist/serving/request/RequestQueueTest.java
@@ -0,0 +1,87 @@
+package org.pollenhoist.serving.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.placement.ModelWant;
+
+class RequestQueueTest {
+
+    private static final MonotonicTime NOW = MonotonicTime.of(Duration.ofSeconds(100));
+
+    private final RequestQueue queue = new RequestQueue();
+    private final List<Long> started = new ArrayList<>();
+    private int places;
+
+    private final class Waiting implements RequestQueue.Waiting {
+
+        private final int priority;
+        private final long number;
+
+        private Waiting(int priority, long number) {
+            this.priority = priority;
+            this.number = number;
+        }
+
+        @Override
+        public int priority() {
+            return priority;
+        }
+
+        @Override
+        public long number() {
+            return number;
+        }
+
+        @Override
+        public Optional<ModelWant> want() {
+            return Optional.of(new ModelWant("s", "m" + number, ""));
+        }
+
+        @Override
+        public boolean tryStart(MonotonicTime now) {
+            if (places == 0) {
+                return false;
+            }
+            places--;
+            started.add(number);
+            return true;
+        }
+    }
+
+    @Nested
+    class Pumping {
+
+        /** A burst fills all engines; as places come free, the urgent go first, each kind in the order of arrival. */
+        @Test
+        void should_start_the_urgent_first_and_then_those_that_came_first() {
+            queue.add(new Waiting(1, 1));
+            queue.add(new Waiting(1, 2));
+            queue.add(new Waiting(0, 3));
+            queue.add(new Waiting(2, 4));
+            for (int round = 0; round < 4; round++) {
+                places = 1;
+                queue.pump(NOW);
+            }
+
+            assertThat(started).containsExactly(3L, 1L, 2L, 4L);
+            assertThat(queue.size()).isZero();
+        }
+
+        @Test
+        void should_keep_those_that_can_not_start() {
+            queue.add(new Waiting(1, 1));
+
+            queue.pump(NOW);
+
+            assertThat(queue.size()).isEqualTo(1);
+            assertThat(queue.wants()).containsExactly(new ModelWant("s", "m1", ""));
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
@@ -0,0 +1,223 @@
+package org.pollenhoist.serving.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.DefaultEventLoop;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollenhoist.common.MonotonicTime;
+
+class StoreMirrorTest {
+
+    private final DefaultEventLoop loop = new DefaultEventLoop();
+    private final ScriptedStore store = new ScriptedStore();
+    private final List<String> heard = new ArrayList<>();
+    private MonotonicTime now = MonotonicTime.of(Duration.ofSeconds(100));
+    private final StoreMirror mirror = new StoreMirror(loop, () -> now, store, new Listener());
+
+    @AfterEach
+    void stop() {
+        loop.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.SECONDS);
+    }
+
+    private static StoreItem item(String key, long revision) {
+        return new StoreItem(key, new byte[0], revision, false);
+    }
+
+    private static StoreItem removal(String key, long revision) {
+        return new StoreItem(key, new byte[0], revision, true);
+    }
+
+    private static StoreAnswer<StorePage> page(long revision, StoreItem... items) {
+        return new StoreAnswer.Success<>(new StorePage(List.of(items), revision, false));
+    }
+
+    private void load() {
+        mirror.start();
+        store.answer(page(5, item("a", 3), item("b", 4)));
+        heard.clear();
+    }
+
+    private void pass(long milliseconds) {
+        now = now.plus(Duration.ofMillis(milliseconds));
+        mirror.tick(now);
+    }
+
+    @Nested
+    class Reading {
+
+        @Test
+        void should_tell_all_items_and_watch_from_their_revision() {
+            mirror.start();
+            store.answer(page(5, item("a", 3), item("b", 4)));
+
+            assertThat(heard).containsExactly("a=3", "b=4", "loaded");
+            assertThat(store.calls.peekLast()).isEqualTo("watch 5");
+        }
+
+        @Test
+        void should_go_on_after_the_last_key_of_a_page() {
+            mirror.start();
+            store.answer(new StoreAnswer.Success<>(new StorePage(List.of(item("a", 3)), 5, true)));
+
+            assertThat(store.calls.peekLast()).isEqualTo("list a");
+        }
+
+        @Test
+        void should_read_anew_when_the_history_is_gone_and_drop_what_is_missing() {
+            load();
+            store.answer(new StoreAnswer.Rejected<>("410"));
+            store.answer(page(9, item("b", 4)));
+
+            assertThat(heard).containsExactly("-a");
+        }
+    }
+
+    @Nested
+    class Watching {
+
+        @Test
+        void should_tell_changes_once() {
+            load();
+            store.answer(page(7, item("a", 6), item("a", 6), removal("b", 7)));
+
+            assertThat(heard).containsExactly("a=6", "-b");
+            assertThat(mirror.revision()).isEqualTo(7);
+        }
+
+        @Test
+        void should_ignore_what_is_older_than_known() {
+            load();
+            store.answer(page(7, item("a", 2)));
+
+            assertThat(heard).isEmpty();
+        }
+    }
+
+    @Nested
+    class Outage {
+
+        private void outage() {
+            load();
+            store.answer(new StoreAnswer.Unavailable<>("no answer"));
+            loop.submit(() -> {}).syncUninterruptibly();
+            org.awaitility.Awaitility.await().until(() -> store.waiting.size() == 1);
+        }
+
+        @Test
+        void should_hold_a_removal_back_for_a_server_that_may_return() {
+            outage();
+            store.answer(page(8, removal("a", 8)));
+            pass(1_800);
+            assertThat(heard).isEmpty();
+
+            pass(200);
+
+            assertThat(heard).containsExactly("-a");
+        }
+
+        @Test
+        void should_forget_a_held_removal_when_the_entry_is_back() {
+            outage();
+            store.answer(page(8, removal("a", 8)));
+            store.answer(page(9, item("a", 9)));
+            pass(3_000);
+
+            assertThat(heard).containsExactly("a=9");
+        }
+    }
+
+    @Nested
+    class Relay {
+
+        @Test
+        void should_take_newer_items_over() {
+            load();
+            mirror.adopt(List.of(item("b", 8), item("c", 9)), 9);
+
+            assertThat(heard).containsExactly("b=8", "c=9", "-a");
+            assertThat(mirror.revision()).isEqualTo(9);
+        }
+
+        @Test
+        void should_ignore_what_a_peer_knows_less_of() {
+            load();
+            mirror.adopt(List.of(), 4);
+
+            assertThat(heard).isEmpty();
+        }
+    }
+
+    private final class Listener implements StoreMirror.Listener {
+
+        @Override
+        public void onWritten(StoreItem item) {
+            heard.add(item.key() + "=" + item.revision());
+        }
+
+        @Override
+        public void onRemoved(String key) {
+            heard.add("-" + key);
+        }
+
+        @Override
+        public void onLoaded() {
+            heard.add("loaded");
+        }
+    }
+
+    /** Keeps calls until the test answers them. */
+    private static final class ScriptedStore implements Store {
+
+        private final Deque<String> calls = new ArrayDeque<>();
+        private final Deque<Consumer<StoreAnswer<StorePage>>> waiting =
+                new java.util.concurrent.ConcurrentLinkedDeque<>();
+
+        private void answer(StoreAnswer<StorePage> answer) {
+            waiting.removeFirst().accept(answer);
+        }
+
+        @Override
+        public void list(String prefix, String afterKey, Consumer<StoreAnswer<StorePage>> answer) {
+            calls.add("list " + afterKey);
+            waiting.add(answer);
+        }
+
+        @Override
+        public void watch(String prefix, long afterRevision, Duration wait, Consumer<StoreAnswer<StorePage>> answer) {
+            calls.add("watch " + afterRevision);
+            waiting.add(answer);
+        }
+
+        @Override
+        public void commit(
+                List<Condition> conditions,
+                List<Write> writes,
+                List<String> removals,
+                Consumer<StoreAnswer<Long>> answer) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void grantLease(Duration duration, Consumer<StoreAnswer<Long>> answer) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void renewLease(long lease, Consumer<StoreAnswer<Duration>> answer) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void endLease(long lease) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
