Tell peers at once when a team presses on its limit, and refill only by what has reported lately

Cause: nine VMs spent a burst each before they heard of each other (698,725 tokens in 8 s at seven times the rate, bound 690,200), and after it each refilled its bucket for the whole fleet between two digests. Change: a VM whose unseen admissions, times the fleet's size, exceed half of the bucket's level sends a digest at once, 20 ms apart at the least; the bucket fills at the part of the rate whose VMs reported within 400 ms.

--- a/serving/src/main/java/org/pollenhoist/serving/limit/FleetBucket.java
+++ b/serving/src/main/java/org/pollenhoist/serving/limit/FleetBucket.java
@@ -14,14 +14,19 @@
  */
 final class FleetBucket {
 
+    /** Part of a bucket's level that all VMs together may admit before they have heard of each other's admissions. */
+    private static final double UNSEEN_PART = 0.5;
+
     private record PeerTotal(long incarnation, long admitted) {}
 
     private final Map<String, PeerTotal> totalsByPeer = new HashMap<>();
     private double ratePerSecond;
     private double burst;
     private double reachablePart = 1;
+    private double currentPart = 1;
     private double level;
     private long admitted;
+    private long reported;
     private MonotonicTime filledAt;
 
     FleetBucket(double ratePerSecond, double burst, double startingPart, MonotonicTime now) {
@@ -49,6 +54,17 @@
         reachablePart = part;
     }
 
+    /**
+     * Sets which part of the fleet has reported within the last moments. The bucket fills at that part of the rate only:
+     * what the others admit is not known yet.
+     */
+    void setCurrentPart(double part, MonotonicTime now) {
+        if (part != currentPart) {
+            fill(now);
+            currentPart = part;
+        }
+    }
+
     /** Takes tokens out; a request that is larger than the bucket passes once the bucket is full. */
     boolean tryTake(long tokens, MonotonicTime now) {
         fill(now);
@@ -92,6 +108,20 @@
         return admitted;
     }
 
+    /** Notes that the peers are told what was admitted so far. */
+    void markReported() {
+        reported = admitted;
+    }
+
+    /**
+     * Whether peers have to be told at once what was admitted here: if all VMs had admitted as much unseen, a good part
+     * of what is left would be gone already.
+     */
+    boolean isReportUrgent(int fleetSize, MonotonicTime now) {
+        long unseen = admitted - reported;
+        return unseen > 0 && unseen * fleetSize > Math.max(0, level(now)) * UNSEEN_PART;
+    }
+
     double level(MonotonicTime now) {
         fill(now);
         return level;
@@ -102,7 +132,7 @@
     }
 
     private double fillRate() {
-        return ratePerSecond * reachablePart;
+        return ratePerSecond * Math.min(reachablePart, currentPart);
     }
 
     private void fill(MonotonicTime now) {
--- a/serving/src/main/java/org/pollenhoist/serving/limit/FleetLimits.java
+++ b/serving/src/main/java/org/pollenhoist/serving/limit/FleetLimits.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.catalog.Team;
@@ -26,18 +27,25 @@
     private static final DecisionLog LOG = DecisionLog.of("limit");
 
     private final double startingPart;
+    private final IntSupplier fleetSize;
+    private final Runnable onUrgentReport;
     private final Map<String, FleetBucket> buckets = new HashMap<>();
     private final Set<String> peersHeard = new HashSet<>();
     private double reachablePart = 1;
+    private double currentPart = 1;
 
     /**
      * Creates limits without teams.
      *
      * @param isFirstStart true where the whole fleet starts for the first time, so that no burst was spent before; else
      *     the buckets start empty, since a restart must not refill a burst
+     * @param fleetSize how many VMs the fleet has, this one included
+     * @param onUrgentReport is told when peers should learn at once what was admitted here
      */
-    public FleetLimits(boolean isFirstStart) {
+    public FleetLimits(boolean isFirstStart, IntSupplier fleetSize, Runnable onUrgentReport) {
         this.startingPart = isFirstStart ? 1 : 0;
+        this.fleetSize = fleetSize;
+        this.onUrgentReport = onUrgentReport;
     }
 
     /**
@@ -57,6 +65,7 @@
             if (bucket == null) {
                 bucket = new FleetBucket(team.ratePerSecond(), team.burst(), startingPart, now);
                 bucket.setReachablePart(reachablePart, now);
+                bucket.setCurrentPart(currentPart, now);
                 buckets.put(team.name(), bucket);
             } else {
                 bucket.change(team.ratePerSecond(), team.burst(), now);
@@ -76,6 +85,17 @@
         buckets.values().forEach(bucket -> bucket.setReachablePart(part, now));
     }
 
+    /**
+     * Sets which part of the fleet has reported within the last moments, this VM included.
+     *
+     * @param part more than 0, at most 1
+     * @param now the present time
+     */
+    public void setCurrentPart(double part, MonotonicTime now) {
+        currentPart = part;
+        buckets.values().forEach(bucket -> bucket.setCurrentPart(part, now));
+    }
+
     /**
      * Takes tokens of a team.
      *
@@ -86,7 +106,13 @@
      */
     public Duration tryTake(Team team, long tokens, MonotonicTime now) {
         FleetBucket bucket = buckets.get(team.name());
-        if (bucket == null || bucket.tryTake(tokens, now)) {
+        if (bucket == null) {
+            return Duration.ZERO;
+        }
+        if (bucket.tryTake(tokens, now)) {
+            if (bucket.isReportUrgent(fleetSize.getAsInt(), now)) {
+                onUrgentReport.run();
+            }
             return Duration.ZERO;
         }
         LOG.event(
@@ -155,4 +181,9 @@
                 (team, bucket) -> report.add(new Spending(team, bucket.admitted(), Math.round(bucket.level(now)))));
         return report;
     }
+
+    /** Notes that all peers are sent a report now. */
+    public void markReported() {
+        buckets.values().forEach(FleetBucket::markReported);
+    }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
@@ -33,6 +33,9 @@
     /** Shortest time between two digests. */
     private static final Duration PAUSE = Duration.ofMillis(4);
 
+    /** Shortest time between two digests on spending: what is admitted within it is a small part of a second's rate. */
+    private static final Duration SPENDING_PAUSE = Duration.ofMillis(20);
+
     /** Where the state comes from and goes to. */
     interface Parts {
 
@@ -105,16 +108,26 @@
             orderingVm(now).ifPresent(vm -> peers.sendTo(parts.describe(++sequence, true, List.of(), now), vm));
         }
         peers.send(parts.describe(++sequence, false, announced, now));
+        limits.markReported();
     }
 
     /** All peers learn at once what an engine holds now. */
     void announceHoldings(Upstream engine) {
         changedEngines.add(engine);
+        sendSoon(PAUSE);
+    }
+
+    /** All peers learn at once what teams have spent here. */
+    void announceSpending() {
+        sendSoon(SPENDING_PAUSE);
+    }
+
+    private void sendSoon(Duration pause) {
         if (isScheduled) {
             return;
         }
         isScheduled = true;
-        Duration due = PAUSE.minus(clock.get().since(sentAt));
+        Duration due = pause.minus(clock.get().since(sentAt));
         loop.schedule(
                 () -> {
                     isScheduled = false;
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -57,6 +57,9 @@
     /** How often deadlines and waiting requests are looked at. */
     private static final Duration TICK = Duration.ofMillis(50);
 
+    /** Age up to which a peer's report on its admissions counts as current: one digest may be late, not lost. */
+    private static final Duration CURRENT_REPORTS = Duration.ofMillis(400);
+
     /** How often idle connections are looked at. */
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
@@ -113,7 +116,7 @@
         MonotonicTime now = bootClock.read();
         leaderMissingSince = now;
         sweptAt = now;
-        limits = new FleetLimits(settings.isFirstStart());
+        limits = new FleetLimits(settings.isFirstStart(), this::fleetSize, this::announceSpending);
         demandRates = new DemandRates(now);
         connections = new HttpConnections(loop, bootClock::read);
         HttpCalls calls = new HttpCalls(loop, connections);
@@ -156,7 +159,7 @@
                 connections,
                 binding.requestFormat(),
                 this::retryBudget,
-                () -> peers.peers().size() + 1,
+                this::fleetSize,
                 demand,
                 quarantine,
                 new RequestMetrics(registry),
@@ -237,7 +240,8 @@
             handler.expire(now);
             mirror.tick(now);
             relay.tick(now);
-            limits.setReachablePart(reachablePart(now), now);
+            limits.setReachablePart(heardPart(PeerExchange.HEARD_FOR, now), now);
+            limits.setCurrentPart(heardPart(CURRENT_REPORTS, now), now);
             queue.pump(now);
             lead(now);
             digests.tick(now);
@@ -260,11 +264,20 @@
         }
     }
 
-    private double reachablePart(MonotonicTime now) {
+    private double heardPart(Duration within, MonotonicTime now) {
         long heard = peers.heard(now).stream()
+                .filter(report -> now.since(report.heardAt()).compareTo(within) < 0)
                 .filter(report -> peers.peers().contains(report.digest().getVmName()))
                 .count();
-        return (heard + 1.0) / (peers.peers().size() + 1);
+        return (heard + 1.0) / fleetSize();
+    }
+
+    private void announceSpending() {
+        digests.announceSpending();
+    }
+
+    private int fleetSize() {
+        return peers.peers().size() + 1;
     }
 
     private void configure(Catalog catalog) {
--- a/serving/src/test/java/org/pollenhoist/serving/limit/FleetBucketTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/limit/FleetBucketTest.java
@@ -3,9 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.catalog.Team;
 
 class FleetBucketTest {
 
@@ -13,6 +18,8 @@
     private static final double RATE = 1_000;
     private static final double BURST = 5_000;
 
+    private static final Team TEAM = new Team("crews", Set.of("k"), OptionalInt.empty(), RATE, BURST, true, 200);
+
     private final FleetBucket bucket = new FleetBucket(RATE, BURST, 1, START);
 
     private static MonotonicTime after(long milliseconds) {
@@ -75,6 +82,45 @@
         }
     }
 
+    @Nested
+    class Reports {
+
+        @Test
+        void should_be_urgent_once_the_fleet_could_have_admitted_half_of_the_level_unseen() {
+            bucket.tryTake(250, START);
+            assertThat(bucket.isReportUrgent(8, START)).isFalse();
+            bucket.tryTake(100, START);
+            assertThat(bucket.isReportUrgent(8, START)).isTrue();
+        }
+
+        @Test
+        void should_not_be_urgent_after_peers_were_told() {
+            bucket.tryTake(5_000, START);
+            bucket.markReported();
+            assertThat(bucket.isReportUrgent(8, START)).isFalse();
+        }
+
+        @Test
+        void should_fill_the_bucket_only_by_the_part_of_the_fleet_that_has_reported_lately() {
+            bucket.tryTake(5_000, START);
+            bucket.setCurrentPart(0.5, START);
+            assertThat(bucket.level(after(1_000))).isEqualTo(500);
+            bucket.setCurrentPart(1, after(1_000));
+            assertThat(bucket.level(after(2_000))).isEqualTo(1_500);
+        }
+
+        @Test
+        void should_be_asked_for_when_a_team_presses_on_its_limit() {
+            AtomicInteger asked = new AtomicInteger();
+            FleetLimits limits = new FleetLimits(true, () -> 8, asked::incrementAndGet);
+            limits.configure(List.of(TEAM), START);
+            limits.tryTake(TEAM, 100, START);
+            assertThat(asked).hasValue(0);
+            limits.tryTake(TEAM, 1_000, START);
+            assertThat(asked).hasValue(1);
+        }
+    }
+
     @Nested
     class Partition {
 
@@ -107,11 +153,9 @@
 
         @Test
         void should_not_refill_the_burst() {
-            FleetLimits limits = new FleetLimits(false);
-            var team = new org.pollenhoist.serving.catalog.Team(
-                    "crews", java.util.Set.of("k"), java.util.OptionalInt.empty(), RATE, BURST, true, 200);
-            limits.configure(java.util.List.of(team), START);
-            assertThat(limits.tryTake(team, 500, START)).isEqualTo(Duration.ofMillis(500));
+            FleetLimits limits = new FleetLimits(false, () -> 8, () -> {});
+            limits.configure(List.of(TEAM), START);
+            assertThat(limits.tryTake(TEAM, 500, START)).isEqualTo(Duration.ofMillis(500));
         }
     }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/limit/FleetLimitHistoryTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/limit/FleetLimitHistoryTest.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
 
@@ -20,6 +19,7 @@
     private static final int STEP_MILLISECONDS = 10;
     private static final int DIGEST_MILLISECONDS = 250;
     private static final int HEARD_MILLISECONDS = 1_100;
+    private static final int CURRENT_MILLISECONDS = 400;
 
     /** The platform's bound over any window: a tenth and a fixed number of tokens beyond rate and burst. */
     private static final long WINDOW_MILLISECONDS = 8_000;
@@ -73,27 +73,37 @@
 
         private void exchange(long time, boolean isCut) {
             for (int sender = 0; sender < VMS; sender++) {
-                if ((time + sender * 20L) % DIGEST_MILLISECONDS != 0) {
-                    continue;
-                }
-                for (int receiver = 0; receiver < VMS; receiver++) {
-                    boolean isReached = !isCut || sender % 3 == receiver % 3;
-                    if (receiver != sender && isReached && random.nextDouble() >= lostPart) {
-                        buckets.get(receiver)
-                                .hear("vm" + sender, 1, buckets.get(sender).admitted(), at(time));
-                        heardAt[receiver][sender] = time;
-                    }
+                boolean isDue = (time + sender * 20L) % DIGEST_MILLISECONDS == 0;
+                if (isDue || buckets.get(sender).isReportUrgent(VMS, at(time))) {
+                    report(sender, time, isCut);
                 }
             }
             for (int vm = 0; vm < VMS; vm++) {
-                int heard = 1;
-                for (int peer = 0; peer < VMS; peer++) {
-                    heard += peer != vm && time - heardAt[vm][peer] < HEARD_MILLISECONDS ? 1 : 0;
+                buckets.get(vm).setReachablePart(part(vm, time, HEARD_MILLISECONDS), at(time));
+                buckets.get(vm).setCurrentPart(part(vm, time, CURRENT_MILLISECONDS), at(time));
+            }
+        }
+
+        private void report(int sender, long time, boolean isCut) {
+            buckets.get(sender).markReported();
+            for (int receiver = 0; receiver < VMS; receiver++) {
+                boolean isReached = !isCut || sender % 3 == receiver % 3;
+                if (receiver != sender && isReached && random.nextDouble() >= lostPart) {
+                    buckets.get(receiver)
+                            .hear("vm" + sender, 1, buckets.get(sender).admitted(), at(time));
+                    heardAt[receiver][sender] = time;
                 }
-                buckets.get(vm).setReachablePart((double) heard / VMS, at(time));
             }
         }
 
+        private double part(int vm, long time, int withinMilliseconds) {
+            int heard = 1;
+            for (int peer = 0; peer < VMS; peer++) {
+                heard += peer != vm && time - heardAt[vm][peer] < withinMilliseconds ? 1 : 0;
+            }
+            return (double) heard / VMS;
+        }
+
         private void ask(long tokens, long time) {
             requests++;
             boolean isInLimit = central.tryTake(tokens, at(time));
@@ -137,7 +147,6 @@
     class Excess {
 
         /** One team asks seven times its rate. */
-        @Tag("known-red")
         @Test
         void should_stay_within_the_platforms_bound_in_every_window() {
             for (long seed = 1; seed <= 10; seed++) {
@@ -147,7 +156,6 @@
         }
 
         /** The same while the fleet falls into three parts and comes together again. */
-        @Tag("known-red")
         @Test
         void should_stay_within_the_platforms_bound_through_a_partition() {
             for (long seed = 1; seed <= 10; seed++) {
