--- a/serving/src/main/java/org/pollenhoist/serving/limit/FleetBucket.java
+++ b/serving/src/main/java/org/pollenhoist/serving/limit/FleetBucket.java
@@ -55,8 +55,8 @@
     }
 
     /**
-     * Sets which part of the fleet has reported within the last moments. The bucket fills at that part of the rate only:
-     * what the others admit is not known yet.
+     * Sets which part of the fleet has reported lately. The bucket fills at that part of the rate only: what the others
+     * admit is not known yet.
      */
     void setCurrentPart(double part, MonotonicTime now) {
         if (part != currentPart) {
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
@@ -6,11 +6,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.request.CrashNotice;
 import org.pollenhoist.serving.limit.FleetLimits;
+import org.pollenhoist.serving.placement.Leadership;
 import org.pollenhoist.serving.placement.ModelWant;
 import org.pollenhoist.serving.request.DemandCounter;
 import org.pollenhoist.serving.upstream.PeerUse;
@@ -51,6 +53,7 @@
             boolean isFull,
             Collection<Upstream> announcedEngines,
             List<CrashNotice> crashNotices,
+            Optional<Leadership.Resignation> resignation,
             MonotonicTime now) {
         VmDigest.Builder digest = VmDigest.newBuilder()
                 .setVmName(vmName)
@@ -73,12 +76,33 @@
         upstreams.forEach(upstream -> addUse(digest, upstream, now));
         addWants(digest, wants);
         crashNotices.forEach(notice -> digest.addCrashVerdicts(CrashVerdictExchange.toMessage(notice)));
+        resignation.ifPresent(given -> addResignation(digest, given, now));
         if (isPlacing) {
             announcedEngines.forEach(upstream -> addHoldings(digest, upstream, now));
         }
         return digest.build();
     }
 
+    private static void addResignation(VmDigest.Builder digest, Leadership.Resignation resignation, MonotonicTime now) {
+        digest.setResignedClaim(resignation.claimRevision());
+        resignation
+                .lastOrderAt()
+                .ifPresent(at -> digest.setLastOrderAgeMilliseconds(
+                        (int) Math.min(Integer.MAX_VALUE, now.since(at).toMillis())));
+    }
+
+    /** Reads which claim to order models the sender has given up, if any. */
+    static Optional<Leadership.Resignation> resignation(VmDigest digest, MonotonicTime heardAt) {
+        if (digest.getResignedClaim() == 0) {
+            return Optional.empty();
+        }
+        Optional<MonotonicTime> lastOrderAt = digest.hasLastOrderAgeMilliseconds()
+                ? Optional.of(heardAt.plus(
+                        Duration.ofMillis(digest.getLastOrderAgeMilliseconds()).negated()))
+                : Optional.empty();
+        return Optional.of(new Leadership.Resignation(digest.getResignedClaim(), lastOrderAt));
+    }
+
     private static void addUse(VmDigest.Builder digest, Upstream upstream, MonotonicTime now) {
         PeerUse own = upstream.ownLoad(now);
         if (own.running() == 0) {
--- a/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
@@ -12,6 +12,7 @@
 import org.pollenhoist.common.PollenhoistException;
 import org.pollenhoist.serving.catalog.Catalog;
 import org.pollenhoist.serving.peer.PeerExchange;
+import org.pollenhoist.serving.placement.Leadership;
 import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreAnswer;
 import org.pollenhoist.serving.store.StoreItem;
@@ -37,6 +38,7 @@
     private final PeerExchange peers;
     private final Store store;
     private final Consumer<Catalog> onCatalog;
+    private final Leadership leadership;
     private Optional<Catalog> catalog = Optional.empty();
     private boolean isLoaded;
     private boolean isRegistered;
@@ -49,7 +51,8 @@
             UpstreamTable upstreams,
             PeerExchange peers,
             Store store,
-            Consumer<Catalog> onCatalog) {
+            Consumer<Catalog> onCatalog,
+            Leadership leadership) {
         this.settings = settings;
         this.binding = binding;
         this.clock = clock;
@@ -57,6 +60,7 @@
         this.peers = peers;
         this.store = store;
         this.onCatalog = onCatalog;
+        this.leadership = leadership;
     }
 
     Optional<Catalog> catalog() {
@@ -71,11 +75,16 @@
             installUpstream(item);
         } else if (item.key().startsWith(VM_PREFIX)) {
             installPeer(item);
+        } else if (item.key().equals(LEADER_KEY)) {
+            leadership.onRecord(Optional.of(item), clock.get());
         }
     }
 
     @Override
     public void onRemoved(String key) {
+        if (key.equals(LEADER_KEY)) {
+            leadership.onRecord(Optional.empty(), clock.get());
+        }
         if (key.startsWith(binding.upstreamPrefix())) {
             upstreams.remove(key.substring(binding.upstreamPrefix().length()), "entry removed");
         } else if (key.startsWith(VM_PREFIX)) {
@@ -88,10 +97,19 @@
     }
 
     @Override
-    public void onLoaded() {
+    public void onListed() {
+        boolean isFirstListOfFleet = !isLoaded && settings.isFirstStart();
+        if (!isFirstListOfFleet) {
+            leadership.onMissedChanges(clock.get());
+        }
         isLoaded = true;
     }
 
+    @Override
+    public boolean mayReturn(String key) {
+        return key.startsWith(binding.upstreamPrefix());
+    }
+
     private void install(StoreItem item) {
         Catalog found;
         try {
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -38,7 +38,6 @@
 import org.pollenhoist.serving.routing.ReadingPace;
 import org.pollenhoist.serving.routing.UpstreamSelector;
 import org.pollenhoist.serving.store.Store;
-import org.pollenhoist.serving.store.StoreItem;
 import org.pollenhoist.serving.store.StoreMirror;
 import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamTable;
@@ -72,9 +71,6 @@
     /** Time before the kill at which a planned stop ends in any case. */
     private static final Duration KILL_MARGIN = Duration.ofMillis(600);
 
-    /** How long after its last order a stopping VM gives the lease up. */
-    private static final Duration RELEASE_DELAY = Duration.ofMillis(600);
-
     /** How long a VM's place in line for the placement lease delays its application. */
     private static final Duration APPLICATION_STEP = Duration.ofMillis(150);
 
@@ -123,9 +119,6 @@
         quarantine = new CrashQuarantine(VmName.of(settings.vmName()), crashNotices::add);
         peers = new PeerExchange(loop, bootClock::read, settings.vmName(), this::hear);
         Store store = binding.store(calls, settings);
-        state = new FleetState(settings, binding, bootClock::read, upstreams, peers, store, this::configure);
-        mirror = new StoreMirror(loop, bootClock::read, store, state);
-        relay = new StoreRelayExchange(calls, peers, mirror, now);
         leadership = new Leadership(
                 store,
                 FleetState.LEADER_KEY,
@@ -133,6 +126,10 @@
                 settings.placementTurn(),
                 settings.isFirstStart(),
                 now);
+        state = new FleetState(
+                settings, binding, bootClock::read, upstreams, peers, store, this::configure, leadership);
+        mirror = new StoreMirror(loop, bootClock::read, store, state);
+        relay = new StoreRelayExchange(calls, peers, mirror, now);
         placement = new PlacementDriver(
                 loop,
                 bootClock::read,
@@ -287,14 +284,12 @@
     }
 
     private void lead(MonotonicTime now) {
-        Optional<StoreItem> record = mirror.find(FleetState.LEADER_KEY);
-        if (record.isPresent()) {
+        if (!leadership.isVacant()) {
             leaderMissingSince = now;
         }
         Duration vacant = now.since(leaderMissingSince);
         boolean mayApply = isReady() && vacant.compareTo(APPLICATION_STEP.multipliedBy(placeInLine(now))) >= 0;
-        leadership.tick(
-                record.map(StoreItem::value), record.map(StoreItem::revision).orElse(0L), mayApply, now);
+        leadership.tick(mayApply, now);
         place(now);
     }
 
@@ -342,6 +337,7 @@
     }
 
     private void hear(PeerReport report) {
+        DigestWriter.resignation(report.digest(), report.heardAt()).ifPresent(leadership::hear);
         digests.hear(report);
     }
 
@@ -380,7 +376,6 @@
             onStopped = whenStopped;
             callers.stop();
             leadership.stop();
-            loop.schedule(leadership::release, RELEASE_DELAY.toMillis(), TimeUnit.MILLISECONDS);
             LOG.event(
                     "stopping",
                     "running",
@@ -432,6 +427,7 @@
                     isFull,
                     engines,
                     crashNotices.current(now),
+                    leadership.resignation(),
                     now);
         }
 
--- a/serving/src/main/java/org/pollenhoist/serving/placement/EngineBook.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/EngineBook.java
@@ -26,7 +26,9 @@
     private Optional<Long> sequence = Optional.empty();
     private Optional<EngineOrder> inFlight = Optional.empty();
     private Optional<EngineOrder> modelOrder = Optional.empty();
-    private MonotonicTime modelOrderSince;
+    private MonotonicTime modelOrderDueAt;
+    private Duration inFlightTime = Duration.ZERO;
+    private boolean isRepeated;
     private Optional<String> roomFor = Optional.empty();
     private MonotonicTime roomKeptUntil;
     private MonotonicTime pausedUntil;
@@ -39,8 +41,13 @@
         this.upstream = upstream;
         this.pausedUntil = now;
         this.roomKeptUntil = now;
-        this.modelOrderSince = now;
+        this.modelOrderDueAt = now;
         this.checkedAt = now;
+        // Loads that the VM which ordered before has announced go on; the engine's report shows their end.
+        upstream.arrivals().forEach((model, expected) -> {
+            modelOrder = Optional.of(new EngineOrder.LoadModel(model));
+            modelOrderDueAt = expected;
+        });
     }
 
     Upstream upstream() {
@@ -95,11 +102,11 @@
     }
 
     /** Whether it is time to ask whether the running order on a model is done. */
-    boolean isCheckDue(Duration expected, Duration interval, MonotonicTime now) {
+    boolean isCheckDue(Duration interval, MonotonicTime now) {
         return modelOrder.isPresent()
                 && !isReporting
                 && inFlight.isEmpty()
-                && now.since(modelOrderSince).compareTo(expected) >= 0
+                && !now.isBefore(modelOrderDueAt)
                 && now.since(checkedAt).compareTo(interval) >= 0;
     }
 
@@ -111,8 +118,11 @@
         return sequence.orElseThrow();
     }
 
-    void sent(EngineOrder order) {
+    /** Notes that an order is sent, which takes the engine so long where it accepts it. */
+    void sent(EngineOrder order, Duration expectedTime) {
         inFlight = Optional.of(order);
+        inFlightTime = expectedTime;
+        isRepeated = false;
         if (order instanceof EngineOrder.UnloadModel unload) {
             Map<String, Set<String>> remaining = new HashMap<>(upstream.holdings());
             remaining.remove(unload.model());
@@ -122,6 +132,11 @@
         }
     }
 
+    /** Notes that the order on its way is sent once more, since its answer was lost. */
+    void repeated() {
+        isRepeated = true;
+    }
+
     void answered(EngineOrder order, OrderOutcome outcome, Duration conflictPause, MonotonicTime now) {
         inFlight = Optional.empty();
         switch (outcome) {
@@ -138,13 +153,16 @@
         // The engine drops whatever was sent with an earlier count.
         unanswered = Optional.empty();
         boolean isAlreadyHeld = outcome == OrderOutcome.DONE && !(order instanceof EngineOrder.UnloadAdapter);
-        if (!isAlreadyHeld) {
+        if (isRepeated && outcome == OrderOutcome.DONE) {
+            // Whether the first sending or this one was counted is not known.
+            resynchronize(now);
+        } else if (!isAlreadyHeld) {
             sequence = sequence.map(count -> count + 1);
         }
         boolean isModelOrder = order instanceof EngineOrder.LoadModel || order instanceof EngineOrder.UnloadModel;
         if (isModelOrder && outcome == OrderOutcome.ACCEPTED) {
             modelOrder = Optional.of(order);
-            modelOrderSince = now;
+            modelOrderDueAt = now.plus(inFlightTime);
             checkedAt = now;
         } else if (isModelOrder) {
             resynchronize(now);
@@ -196,9 +214,9 @@
     }
 
     /** Which model is being loaded, and when it is expected. */
-    Map<String, MonotonicTime> arrivals(Duration loadTime) {
+    Map<String, MonotonicTime> arrivals() {
         return modelOrder.isPresent() && modelOrder.get() instanceof EngineOrder.LoadModel load
-                ? Map.of(load.model(), modelOrderSince.plus(loadTime))
+                ? Map.of(load.model(), modelOrderDueAt)
                 : Map.of();
     }
 
--- a/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -9,14 +10,24 @@
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreAnswer;
+import org.pollenhoist.serving.store.StoreItem;
 
 /**
- * Which VM orders models and adapters: the one whose name stands in the store under a lease. It stops by its own clock
- * before the store lets the lease end, and a new one keeps silent until the old one's last order lies a whole turn
- * back. Confined to the event loop.
+ * Which VM orders models and adapters: the one whose claim stands in the store under a lease. It stops by its own clock
+ * before the store lets the lease end, and a new one keeps silent until the last order of any other VM lies a whole
+ * turn back. A VM that stops, or that can't renew its lease, resigns: it tells its peers the time of its last order, so
+ * that another one can replace its claim without waiting for the lease to run out. Confined to the event loop.
  */
 public final class Leadership {
 
+    /**
+     * A claim that was given up.
+     *
+     * @param claimRevision the store's revision of the claim, which is also the fencing number of its orders
+     * @param lastOrderAt when the last order under it was sent, empty where none was
+     */
+    public record Resignation(long claimRevision, Optional<MonotonicTime> lastOrderAt) {}
+
     /** How long before the store does the holder take its lease for ended: a call's way and clocks' drift. */
     private static final Duration SAFETY_MARGIN = Duration.ofMillis(500);
 
@@ -26,21 +37,30 @@
     /** Pause after a failed call to the store. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(500);
 
+    /** A holder that has not renewed its lease for this long resigns: a renewal and a repeat have failed. */
+    private static final Duration RENEWAL_PATIENCE = Duration.ofMillis(1_200);
+
     private static final DecisionLog LOG = DecisionLog.of("placement");
 
     private final Store store;
     private final String key;
-    private final byte[] claim;
+    private final String name;
     private final Duration turn;
-    private final boolean isFirstStart;
+    private Optional<StoreItem> record = Optional.empty();
+    private Optional<Resignation> heardResignation = Optional.empty();
+    private Optional<Resignation> ownResignation = Optional.empty();
+    private Optional<MonotonicTime> lastOrderAt = Optional.empty();
     private OptionalLong lease = OptionalLong.empty();
+    private byte[] claim = {};
     private long fencingToken;
+    private MonotonicTime renewedAt;
     private MonotonicTime heldUntil;
-    private MonotonicTime ordersFrom;
+    private MonotonicTime othersQuietSince;
+    private MonotonicTime othersQuietBeforeRecord;
     private MonotonicTime nextCall;
     private boolean isCalling;
     private boolean isHolder;
-    private boolean isOtherSeen;
+    private boolean isClaimSeen;
     private boolean isStopping;
 
     /**
@@ -48,20 +68,21 @@
      *
      * @param store the store
      * @param key the key of the record
-     * @param claim what this process writes there, unlike that of any other process
+     * @param name what this process calls itself there, unlike any other process
      * @param turn how long orders of two VMs have to lie apart
      * @param isFirstStart true where no VM can have ordered before the start of this one
      * @param now the present time
      */
-    public Leadership(Store store, String key, String claim, Duration turn, boolean isFirstStart, MonotonicTime now) {
+    public Leadership(Store store, String key, String name, Duration turn, boolean isFirstStart, MonotonicTime now) {
         this.store = store;
         this.key = key;
-        this.claim = claim.getBytes(StandardCharsets.UTF_8);
+        this.name = name;
         this.turn = turn;
-        this.isFirstStart = isFirstStart;
+        this.renewedAt = now;
         this.heldUntil = now;
-        this.ordersFrom = now;
         this.nextCall = now;
+        this.othersQuietSince = isFirstStart ? now.plus(turn.negated()) : now;
+        this.othersQuietBeforeRecord = othersQuietSince;
     }
 
     /**
@@ -71,7 +92,11 @@
      * @return true where it may
      */
     public boolean mayOrder(MonotonicTime now) {
-        return isHolder && !isStopping && now.isBefore(heldUntil) && !now.isBefore(ordersFrom);
+        return isHolder && isClaimSeen && !isStopping && now.isBefore(heldUntil) && !now.isBefore(ordersFrom());
+    }
+
+    private MonotonicTime ordersFrom() {
+        return othersQuietSince.plus(turn);
     }
 
     /**
@@ -92,32 +117,114 @@
         return fencingToken;
     }
 
+    /**
+     * Notes that an order is sent.
+     *
+     * @param now the present time
+     */
+    public void noteOrder(MonotonicTime now) {
+        lastOrderAt = Optional.of(now);
+    }
+
+    /**
+     * Returns the claim that this VM has given up, for its peers.
+     *
+     * @return the resignation, empty where this VM holds a claim or never did
+     */
+    public Optional<Resignation> resignation() {
+        return ownResignation;
+    }
+
+    /**
+     * Takes a peer's resignation in. It counts only for the claim that stands in the store.
+     *
+     * @param resignation what the peer says
+     */
+    public void hear(Resignation resignation) {
+        boolean isNews =
+                record.isPresent() && record.get().revision() == resignation.claimRevision() && !isVacant() && !isOwn();
+        if (isNews) {
+            heardResignation = Optional.of(resignation);
+            othersQuietSince = resignation.lastOrderAt().orElse(othersQuietBeforeRecord);
+            LOG.event("placement_resignation_heard", "claim", resignation.claimRevision());
+        }
+    }
+
+    /**
+     * Takes a change of the record over.
+     *
+     * @param changed the record, empty where it was removed
+     * @param now the present time
+     */
+    public void onRecord(Optional<StoreItem> changed, MonotonicTime now) {
+        boolean wasForeign = record.isPresent() && !isOwn();
+        boolean wasResigned = isVacant();
+        record = changed;
+        if (wasForeign && !wasResigned) {
+            othersQuietSince = now;
+        }
+        if (changed.isPresent() && isOwn()) {
+            isClaimSeen = true;
+            return;
+        }
+        if (changed.isPresent()) {
+            othersQuietBeforeRecord = othersQuietSince;
+            othersQuietSince = now;
+        }
+        if (isHolder && isClaimSeen) {
+            lose("the claim is gone");
+        }
+    }
+
+    /**
+     * Notes that changes of the record may have been missed, so that any VM may have ordered until now, unless this one
+     * held the lease all the while.
+     *
+     * @param now the present time
+     */
+    public void onMissedChanges(MonotonicTime now) {
+        if (!isHolder || !now.isBefore(heldUntil)) {
+            othersQuietSince = now;
+            othersQuietBeforeRecord = now;
+        }
+    }
+
+    /**
+     * Tells whether a VM may claim the place.
+     *
+     * @return true where no claim stands, or its holder has given it up
+     */
+    public boolean isVacant() {
+        return record.isEmpty()
+                || heardResignation
+                        .filter(heard -> heard.claimRevision() == record.get().revision())
+                        .isPresent();
+    }
+
+    private boolean isOwn() {
+        return record.isPresent() && Arrays.equals(record.get().value(), claim);
+    }
+
     /**
      * Does what is due: renews the lease, or tries to become the holder.
      *
-     * @param record the record as the store showed it last, empty where there is none
-     * @param recordRevision the revision of the record's last change, 0 where there is none
      * @param mayApply whether it is this VM's turn to apply for a vacant record
      * @param now the present time
      */
-    public void tick(Optional<byte[]> record, long recordRevision, boolean mayApply, MonotonicTime now) {
-        boolean isOwn = record.isPresent() && java.util.Arrays.equals(record.get(), claim);
-        if (record.isPresent() && !isOwn) {
-            isOtherSeen = true;
-        }
-        if (isHolder && record.isPresent() && !isOwn) {
-            resign("another VM holds the record");
+    public void tick(boolean mayApply, MonotonicTime now) {
+        if (record.isPresent() && !isVacant() && !isOwn()) {
+            othersQuietSince = now;
         }
         if (isCalling || isStopping || now.isBefore(nextCall)) {
             return;
         }
         if (isHolder) {
             renew(now);
-        } else if (isOwn && lease.isPresent()) {
+        } else if (isOwn() && lease.isPresent()) {
             // The answer to the claim was lost, and the claim had taken effect.
-            become(recordRevision, now);
+            become(record.get().revision());
             renew(now);
-        } else if (record.isEmpty() && mayApply) {
+        } else if (isVacant() && mayApply) {
             apply(now);
         }
     }
@@ -128,11 +235,17 @@
             isCalling = false;
             switch (answer) {
                 case StoreAnswer.Success<Duration> success -> {
+                    renewedAt = now;
                     heldUntil = now.plus(success.value()).plus(SAFETY_MARGIN.negated());
                     nextCall = now.plus(success.value().dividedBy(RENEWALS_PER_LEASE));
                 }
-                case StoreAnswer.Rejected<Duration> rejected -> resign(rejected.reason());
-                case StoreAnswer.Unavailable<Duration> unavailable -> nextCall = now.plus(RETRY_PAUSE);
+                case StoreAnswer.Rejected<Duration> rejected -> lose(rejected.reason());
+                case StoreAnswer.Unavailable<Duration> unavailable -> {
+                    nextCall = now.plus(RETRY_PAUSE);
+                    if (now.since(renewedAt).compareTo(RENEWAL_PATIENCE) >= 0) {
+                        resign(unavailable.reason());
+                    }
+                }
             }
         });
     }
@@ -142,7 +255,7 @@
         store.grantLease(turn, answer -> {
             if (answer instanceof StoreAnswer.Success<Long> granted && !isStopping) {
                 lease = OptionalLong.of(granted.value());
-                claim(now);
+                claim(granted.value(), now);
             } else {
                 isCalling = false;
                 nextCall = now.plus(RETRY_PAUSE);
@@ -150,9 +263,13 @@
         });
     }
 
-    private void claim(MonotonicTime appliedAt) {
+    private void claim(long grantedLease, MonotonicTime appliedAt) {
+        // The lease's number tells this claim from an earlier one whose answer was lost.
+        claim = (name + ' ' + grantedLease).getBytes(StandardCharsets.UTF_8);
+        isClaimSeen = false;
+        long replacedRevision = record.map(StoreItem::revision).orElse(0L);
         store.commit(
-                List.of(new Store.Condition(key, 0)),
+                List.of(new Store.Condition(key, replacedRevision)),
                 List.of(new Store.Write(key, claim, lease)),
                 List.of(),
                 answer -> {
@@ -160,13 +277,13 @@
                     nextCall = appliedAt;
                     switch (answer) {
                         case StoreAnswer.Success<Long> success -> {
+                            renewedAt = appliedAt;
                             heldUntil = appliedAt.plus(turn).plus(SAFETY_MARGIN.negated());
-                            become(success.value(), appliedAt);
+                            become(success.value());
                         }
                         case StoreAnswer.Rejected<Long> rejected -> {
                             lease.ifPresent(store::endLease);
                             lease = OptionalLong.empty();
-                            isOtherSeen = true;
                             nextCall = appliedAt.plus(RETRY_PAUSE);
                         }
                         case StoreAnswer.Unavailable<Long> unavailable -> nextCall = appliedAt.plus(RETRY_PAUSE);
@@ -174,35 +291,35 @@
                 });
     }
 
-    private void become(long revision, MonotonicTime now) {
+    private void become(long revision) {
         isHolder = true;
         fencingToken = revision;
-        ordersFrom = isFirstStart && !isOtherSeen ? now : now.plus(turn);
-        LOG.event(
-                "placement_lease_taken",
-                "fencing_token",
-                revision,
-                "orders_from_ms",
-                ordersFrom.since(now).toMillis());
+        lastOrderAt = Optional.empty();
+        ownResignation = Optional.empty();
+        LOG.event("placement_lease_taken", "fencing_token", revision);
+    }
+
+    /** The store says that the claim has ended. */
+    private void lose(String reason) {
+        LOG.event("placement_lease_lost", "fencing_token", fencingToken, "reason", reason);
+        isHolder = false;
+        lease = OptionalLong.empty();
     }
 
     private void resign(String reason) {
-        if (isHolder) {
-            LOG.event("placement_lease_lost", "fencing_token", fencingToken, "reason", reason);
+        if (!isHolder) {
+            return;
         }
+        LOG.event("placement_resigned", "fencing_token", fencingToken, "reason", reason);
+        ownResignation = Optional.of(new Resignation(fencingToken, lastOrderAt));
         isHolder = false;
-        isOtherSeen = true;
+        lease.ifPresent(store::endLease);
         lease = OptionalLong.empty();
     }
 
-    /** Stops ordering at once. The lease is ended by {@link #release}, a margin later. */
+    /** Stops ordering and gives the claim up. */
     public void stop() {
         isStopping = true;
-    }
-
-    /** Gives the record up, so that another VM need not wait for the lease to run out. */
-    public void release() {
-        lease.ifPresent(store::endLease);
-        resign("stopped");
+        resign("the process stops");
     }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
@@ -10,7 +10,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -34,7 +33,13 @@
     private static final DecisionLog LOG = DecisionLog.of("placement");
 
     /** An engine's reports are some hundred milliseconds old; after a conflict a newer one is waited for. */
-    private static final Duration CONFLICT_PAUSE = Duration.ofMillis(600);
+    private static final Duration CONFLICT_PAUSE = Duration.ofMillis(400);
+
+    /**
+     * How often an order is sent again whose answer was lost. All sendings bear the same expected count, so that the
+     * engine accepts one of them at the most, however late the others come.
+     */
+    private static final int MAXIMUM_REPEATS = 3;
 
     /** How long after its acceptance an adapter can be used; adapters take up to some thirty milliseconds. */
     private static final Duration ADAPTER_SETTLING = Duration.ofMillis(35);
@@ -45,7 +50,7 @@
     /** How often models are planned. */
     private static final Duration MODEL_PLAN_INTERVAL = Duration.ofMillis(400);
 
-    /** Engines register within two of their reports to the store; before that a model seems to be nowhere. */
+    /** Engines register within two of their reports to the store; just after a start a model seems to be nowhere. */
     private static final Duration FIRST_MODEL_PLAN = Duration.ofSeconds(3);
 
     /** How often an engine is asked whether an order on a model is done. */
@@ -59,6 +64,10 @@
 
     private static final double MILLISECONDS_PER_SECOND = 1_000.0;
 
+    /** An order and what all its sendings have in common. */
+    private record Sending(
+            EngineBook book, PlannedOrder planned, long expectedSequence, MonotonicTime begunAt, boolean isStoreLoad) {}
+
     private final EventLoop loop;
     private final Supplier<MonotonicTime> clock;
     private final Leadership leadership;
@@ -99,8 +108,8 @@
         this.upstreams = upstreams;
         this.pace = pace;
         this.onChange = onChange;
-        this.nextModelPlan = clock.get();
-        this.orderingSince = nextModelPlan;
+        this.orderingSince = clock.get();
+        this.nextModelPlan = orderingSince.plus(FIRST_MODEL_PLAN);
     }
 
     /**
@@ -130,14 +139,13 @@
         if (!wasOrdering) {
             wasOrdering = true;
             books.clear();
-            nextModelPlan = now.plus(FIRST_MODEL_PLAN);
             orderingSince = now;
             LOG.event("placement_begins", "fencing_token", leadership.fencingToken());
         }
         boolean isModelPlanDue = !now.isBefore(nextModelPlan);
         for (Service service : catalog.services()) {
             service.engine().ifPresent(engine -> {
-                List<EngineBook> engines = refreshBooks(service.name(), engine, now);
+                List<EngineBook> engines = refreshBooks(service.name(), now);
                 planAdapters(engine, engines, wants, now);
                 if (isModelPlanDue) {
                     planModels(engine, engines, wants, tokenRates, now);
@@ -149,7 +157,7 @@
         }
     }
 
-    private List<EngineBook> refreshBooks(String service, Engine engine, MonotonicTime now) {
+    private List<EngineBook> refreshBooks(String service, MonotonicTime now) {
         List<Upstream> usable = upstreams.usable(service).toList();
         books.keySet().removeIf(upstream -> !upstream.isUsable());
         List<EngineBook> found = new ArrayList<>();
@@ -160,26 +168,27 @@
                 boolean isLoaded = order instanceof EngineOrder.LoadModel load && upstream.holds(load.model(), "");
                 book.completeModelOrder(isLoaded);
             });
-            upstream.setArrivals(book.arrivals(expectedTime(book, engine)));
-            boolean isDone = book.isCheckDue(expectedTime(book, engine), CHECK_INTERVAL, now);
-            if (book.isReportNeeded(now) || isDone) {
+            upstream.setArrivals(book.arrivals());
+            if (book.isReportNeeded(now) || book.isCheckDue(CHECK_INTERVAL, now)) {
                 askForReport(book, now);
             }
         }
         return found;
     }
 
-    private static Duration expectedTime(EngineBook book, Engine engine) {
-        Optional<EngineOrder> order = book.modelOrder();
-        if (order.isEmpty() || !(order.get() instanceof EngineOrder.LoadModel load)) {
+    private static Duration expectedTime(EngineBook book, EngineOrder order, Engine engine) {
+        if (!(order instanceof EngineOrder.LoadModel load)) {
             return Duration.ZERO;
         }
         Model model = engine.models().get(load.model());
         if (model == null) {
             return Duration.ZERO;
         }
-        boolean hasCopy = book.upstream().description().localCopies().contains(load.model());
-        return hasCopy ? model.diskLoadTime() : model.loadTime();
+        return hasCopy(book, load.model()) ? model.diskLoadTime() : model.loadTime();
+    }
+
+    private static boolean hasCopy(EngineBook book, String model) {
+        return book.upstream().description().localCopies().contains(model);
     }
 
     private void askForReport(EngineBook book, MonotonicTime now) {
@@ -228,7 +237,7 @@
                 engine,
                 (identifier, adapter) -> byIdentifier.get(identifier).upstream().lastAdapterUse(adapter));
         List<EngineView> views = engines.stream().map(book -> view(book, now)).toList();
-        plan.plan(wants, views).forEach(order -> send(byIdentifier.get(order.engine()), order, now));
+        plan.plan(wants, views).forEach(order -> send(byIdentifier.get(order.engine()), order, engine, now));
     }
 
     private void planModels(
@@ -252,7 +261,7 @@
         engines.forEach(book -> book.roomFor(now)
                 .ifPresent(model -> roomFor.put(book.upstream().description().identifier(), model)));
         for (PlannedOrder order : new ModelPlan(engine, work, views, roomFor, modelOrders).plan(wanted, room)) {
-            send(byIdentifier.get(order.engine()), order, now);
+            send(byIdentifier.get(order.engine()), order, engine, now);
         }
     }
 
@@ -285,20 +294,30 @@
         return byIdentifier;
     }
 
-    private void send(EngineBook book, PlannedOrder planned, MonotonicTime now) {
+    private void send(EngineBook book, PlannedOrder planned, Engine engine, MonotonicTime now) {
         EngineOrder order = planned.order();
-        if (order instanceof EngineOrder.LoadModel load
-                && !book.upstream().description().localCopies().contains(load.model())) {
+        boolean isStoreLoad = order instanceof EngineOrder.LoadModel load && !hasCopy(book, load.model());
+        if (isStoreLoad) {
             loads.addLast(now);
         }
         long expected = book.expectedSequence();
-        book.sent(order);
+        book.sent(order, expectedTime(book, order, engine));
         if (order instanceof EngineOrder.LoadModel || order instanceof EngineOrder.UnloadModel) {
             book.makeRoomFor(planned.roomFor(), now.plus(ROOM_KEPT));
             modelOrders++;
         }
         onChange.accept(book.upstream());
-        control.order(book.upstream().description(), order, expected, leadership.fencingToken(), outcome -> {
+        attempt(new Sending(book, planned, expected, now, isStoreLoad), 0, now);
+    }
+
+    private void attempt(Sending sending, int repeats, MonotonicTime now) {
+        EngineBook book = sending.book();
+        PlannedOrder planned = sending.planned();
+        EngineOrder order = planned.order();
+        long expectedSequence = sending.expectedSequence();
+        leadership.noteOrder(now);
+        long fencingToken = leadership.fencingToken();
+        control.order(book.upstream().description(), order, expectedSequence, fencingToken, outcome -> {
             MonotonicTime answeredAt = clock.get();
             LOG.event(
                     "order",
@@ -309,19 +328,38 @@
                     "reason",
                     planned.reason(),
                     "expected_sequence",
-                    expected,
+                    expectedSequence,
                     "fencing_token",
-                    leadership.fencingToken(),
+                    fencingToken,
+                    "repeats",
+                    repeats,
                     "outcome",
                     outcome,
                     "after_ms",
                     answeredAt.since(now).toMillis());
+            boolean isRepeated =
+                    outcome == OrderOutcome.UNKNOWN && repeats < MAXIMUM_REPEATS && leadership.mayOrder(answeredAt);
+            if (isRepeated) {
+                book.repeated();
+                attempt(sending, repeats + 1, answeredAt);
+                return;
+            }
+            if (sending.isStoreLoad() && isSurelyNotBegun(outcome)) {
+                loads.removeLastOccurrence(sending.begunAt());
+            }
             book.answered(order, outcome, CONFLICT_PAUSE, answeredAt);
             settle(book, order, outcome);
             onChange.accept(book.upstream());
         });
     }
 
+    private static boolean isSurelyNotBegun(OrderOutcome outcome) {
+        return switch (outcome) {
+            case CONFLICT, REJECTED, NOT_SENT -> true;
+            case ACCEPTED, DONE, UNKNOWN -> false;
+        };
+    }
+
     private void settle(EngineBook book, EngineOrder order, OrderOutcome outcome) {
         if (!(order instanceof EngineOrder.LoadAdapter load)) {
             return;
--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
@@ -40,8 +40,16 @@
          */
         void onRemoved(String key);
 
-        /** All items have been read for the first time. */
-        void onLoaded();
+        /** All items have been read; changes before that may have been missed. */
+        void onListed();
+
+        /**
+         * Tells whether the owner of an item writes it again where it lapsed in an outage.
+         *
+         * @param key the item's key
+         * @return true where its removal just after an outage is to be held back
+         */
+        boolean mayReturn(String key);
     }
 
     /** How long the store holds a watch; a connection that went silent is found a little later. */
@@ -121,8 +129,8 @@
         if (!isLoaded) {
             isLoaded = true;
             LOG.event("store_loaded", "items", items.size(), "revision", revision);
-            listener.onLoaded();
         }
+        listener.onListed();
         watch();
     }
 
@@ -181,7 +189,7 @@
         }
         MonotonicTime now = clock.get();
         MonotonicTime until = returnedAt.plus(RETURN_TIME);
-        if (now.isBefore(until)) {
+        if (now.isBefore(until) && listener.mayReturn(key)) {
             heldRemovals.put(key, until);
             LOG.event("removal_held", "key", key, "for_ms", until.since(now).toMillis());
         } else {
@@ -205,10 +213,8 @@
         known.forEach(item -> missing.remove(item.key()));
         known.forEach(this::apply);
         missing.forEach(this::remove);
-        if (!isLoaded) {
-            isLoaded = true;
-            listener.onLoaded();
-        }
+        isLoaded = true;
+        listener.onListed();
     }
 
     /**
--- a/serving/src/test/java/org/pollenhoist/serving/placement/EngineBookTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/placement/EngineBookTest.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -18,6 +19,7 @@
 
     private static final MonotonicTime NOW = MonotonicTime.of(Duration.ofSeconds(100));
     private static final Duration PAUSE = Duration.ofMillis(600);
+    private static final Duration LOAD_TIME = Duration.ofSeconds(8);
     private static final EngineOrder LOAD_B = new EngineOrder.LoadModel("b");
 
     private final UpstreamTable table = new UpstreamTable();
@@ -45,7 +47,7 @@
 
     private void load() {
         book.reported(status(0, false, "a"), PAUSE, NOW);
-        book.sent(LOAD_B);
+        book.sent(LOAD_B, LOAD_TIME);
         book.answered(LOAD_B, OrderOutcome.ACCEPTED, PAUSE, NOW);
     }
 
@@ -76,7 +78,7 @@
         @Test
         void should_be_ignored_while_an_order_is_on_its_way() {
             book.reported(status(0, false, "a"), PAUSE, NOW);
-            book.sent(LOAD_B);
+            book.sent(LOAD_B, LOAD_TIME);
 
             book.reported(status(0, false), PAUSE, NOW);
 
@@ -98,7 +100,7 @@
         @Test
         void should_count_what_an_unanswered_order_may_yet_bring() {
             book.reported(status(0, false, "a"), PAUSE, NOW);
-            book.sent(LOAD_B);
+            book.sent(LOAD_B, LOAD_TIME);
             book.answered(LOAD_B, OrderOutcome.UNKNOWN, PAUSE, NOW);
             book.reported(status(0, false, "a"), PAUSE, NOW);
 
@@ -108,21 +110,45 @@
         @Test
         void should_forget_an_unanswered_order_once_a_later_one_was_accepted() {
             book.reported(status(0, false, "a"), PAUSE, NOW);
-            book.sent(LOAD_B);
+            book.sent(LOAD_B, LOAD_TIME);
             book.answered(LOAD_B, OrderOutcome.UNKNOWN, PAUSE, NOW);
             book.reported(status(0, false, "a"), PAUSE, NOW);
             EngineOrder adapter = new EngineOrder.LoadAdapter("a", "a1");
-            book.sent(adapter);
+            book.sent(adapter, LOAD_TIME);
             book.answered(adapter, OrderOutcome.ACCEPTED, PAUSE, NOW);
 
             assertThat(book.possibleHoldings(NOW)).containsOnlyKeys("a");
         }
 
+        @Test
+        void should_ask_for_the_count_when_a_repeated_order_was_already_carried_out() {
+            book.reported(status(0, false, "a"), PAUSE, NOW);
+            EngineOrder adapter = new EngineOrder.LoadAdapter("a", "a1");
+            book.sent(adapter, LOAD_TIME);
+            book.repeated();
+            book.answered(adapter, OrderOutcome.DONE, PAUSE, NOW);
+
+            assertThat(book.isFree(NOW)).isFalse();
+            assertThat(book.isReportNeeded(NOW)).isTrue();
+        }
+
+        @Test
+        void should_expect_the_loads_that_were_announced_by_the_vm_before() {
+            MonotonicTime expected = NOW.plus(Duration.ofSeconds(2));
+            upstream.setArrivals(Map.of("c", expected));
+
+            EngineBook takenOver = new EngineBook(upstream, NOW);
+
+            assertThat(takenOver.arrivals()).containsEntry("c", expected);
+            assertThat(takenOver.models()).containsOnly("a", "c");
+            assertThat(takenOver.possibleHoldings(NOW)).containsOnlyKeys("a", "c");
+        }
+
         @Test
         void should_hide_a_model_from_requests_as_soon_as_it_is_to_be_dropped() {
             book.reported(status(0, false, "a"), PAUSE, NOW);
 
-            book.sent(new EngineOrder.UnloadModel("a"));
+            book.sent(new EngineOrder.UnloadModel("a"), LOAD_TIME);
 
             assertThat(upstream.holds("a", "")).isFalse();
             assertThat(book.possibleHoldings(NOW)).containsOnlyKeys("a");
--- a/serving/src/test/java/org/pollenhoist/serving/placement/LeadershipTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/placement/LeadershipTest.java
@@ -13,53 +13,114 @@
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreAnswer;
+import org.pollenhoist.serving.store.StoreItem;
 import org.pollenhoist.serving.store.StorePage;
 
 class LeadershipTest {
 
     private static final Duration TURN = Duration.ofSeconds(3);
     private static final MonotonicTime START = MonotonicTime.of(Duration.ofSeconds(100));
-    private static final byte[] OTHER = "other".getBytes(StandardCharsets.UTF_8);
-    private static final byte[] OWN = "own 1".getBytes(StandardCharsets.UTF_8);
 
     private final FakeStore store = new FakeStore();
 
     private Leadership candidate(boolean isFirstStart) {
-        return new Leadership(store, "leader", "own 1", TURN, isFirstStart, START);
+        return new Leadership(store, "leader", "own", TURN, isFirstStart, START);
     }
 
     private static MonotonicTime after(long milliseconds) {
         return START.plus(Duration.ofMillis(milliseconds));
     }
 
+    private static Optional<StoreItem> foreign(long revision) {
+        return Optional.of(new StoreItem("leader", "other 5".getBytes(StandardCharsets.UTF_8), revision, false));
+    }
+
+    private Optional<StoreItem> own(long revision) {
+        return Optional.of(new StoreItem("leader", store.written, revision, false));
+    }
+
+    /** A holder that may order from the start on. */
+    private Leadership holder() {
+        Leadership leadership = candidate(true);
+        leadership.tick(true, START);
+        leadership.onRecord(own(7), START);
+        return leadership;
+    }
+
     @Nested
     class Taking {
 
         @Test
         void should_order_at_once_when_no_vm_can_have_ordered_before() {
-            Leadership leadership = candidate(true);
-
-            leadership.tick(Optional.empty(), 0, true, START);
+            Leadership leadership = holder();
 
             assertThat(leadership.mayOrder(START)).isTrue();
             assertThat(leadership.fencingToken()).isEqualTo(7);
         }
 
+        @Test
+        void should_not_order_before_its_claim_is_seen_in_the_stores_history() {
+            Leadership leadership = candidate(true);
+            leadership.tick(true, START);
+
+            assertThat(leadership.isHolder()).isTrue();
+            assertThat(leadership.mayOrder(START)).isFalse();
+        }
+
         @Test
         void should_keep_silent_for_a_turn_after_another_vm() {
             Leadership leadership = candidate(true);
-            leadership.tick(Optional.of(OTHER), 3, true, START);
+            leadership.onRecord(foreign(3), START.plus(Duration.ofSeconds(-5)));
+            leadership.onRecord(Optional.empty(), START);
+
+            leadership.tick(true, after(1_000));
+            leadership.onRecord(own(7), after(1_000));
+
+            assertThat(leadership.mayOrder(after(2_999))).isFalse();
+            assertThat(leadership.mayOrder(after(3_000))).isTrue();
+        }
+
+        @Test
+        void should_keep_silent_for_a_turn_after_another_vm_that_held_the_record_for_a_moment() {
+            Leadership leadership = candidate(true);
+            leadership.tick(true, START);
+            leadership.onRecord(foreign(5), after(100));
+            leadership.onRecord(Optional.empty(), after(110));
+            leadership.onRecord(own(7), after(120));
+
+            assertThat(leadership.mayOrder(after(2_400))).isFalse();
+        }
 
-            leadership.tick(Optional.empty(), 0, true, START);
-            leadership.tick(Optional.of(OWN), 7, true, after(2_900));
+        @Test
+        void should_keep_silent_for_a_turn_after_a_restart() {
+            Leadership leadership = candidate(false);
+            leadership.tick(true, START);
+            leadership.onRecord(own(7), START);
+            store.renewal = new StoreAnswer.Success<>(Duration.ofSeconds(10));
+            leadership.tick(true, after(750));
 
-            assertThat(leadership.mayOrder(after(2_900))).isFalse();
+            assertThat(leadership.mayOrder(after(2_999))).isFalse();
             assertThat(leadership.mayOrder(after(3_000))).isTrue();
         }
 
+        @Test
+        void should_keep_silent_for_a_turn_after_missed_changes() {
+            Leadership leadership = candidate(true);
+            leadership.onMissedChanges(after(1_000));
+            leadership.tick(true, after(1_500));
+            leadership.onRecord(own(7), after(1_500));
+
+            assertThat(leadership.mayOrder(after(3_900))).isFalse();
+            assertThat(leadership.mayOrder(after(4_000))).isFalse();
+            leadership.tick(true, after(3_000));
+            assertThat(leadership.mayOrder(after(4_000))).isTrue();
+        }
+
         @Test
         void should_not_apply_while_another_vm_holds_the_record() {
-            candidate(false).tick(Optional.of(OTHER), 3, true, START);
+            Leadership leadership = candidate(false);
+            leadership.onRecord(foreign(3), START);
+            leadership.tick(true, START);
 
             assertThat(store.calls).isEmpty();
         }
@@ -69,25 +130,40 @@
             store.claim = new StoreAnswer.Rejected<>("412");
             Leadership leadership = candidate(true);
 
-            leadership.tick(Optional.empty(), 0, true, START);
+            leadership.tick(true, START);
 
             assertThat(leadership.isHolder()).isFalse();
-            assertThat(store.calls).containsExactly("grant", "commit", "end");
+            assertThat(store.calls).containsExactly("grant", "commit 0", "end");
         }
 
         @Test
         void should_lead_when_the_answer_to_a_claim_that_took_effect_was_lost() {
             store.claim = new StoreAnswer.Unavailable<>("no answer");
             Leadership leadership = candidate(false);
-            leadership.tick(Optional.empty(), 0, true, START);
+            leadership.tick(true, START);
             assertThat(leadership.isHolder()).isFalse();
 
-            leadership.tick(Optional.of(OWN), 9, true, after(1_000));
+            leadership.onRecord(own(9), after(400));
+            leadership.tick(true, after(1_000));
 
             assertThat(leadership.isHolder()).isTrue();
             assertThat(leadership.fencingToken()).isEqualTo(9);
             assertThat(leadership.mayOrder(after(1_000))).isFalse();
         }
+
+        @Test
+        void should_not_take_an_earlier_claim_of_its_own_for_the_one_whose_lease_it_renews() {
+            store.claim = new StoreAnswer.Unavailable<>("no answer");
+            Leadership leadership = candidate(false);
+            leadership.tick(true, START);
+            Optional<StoreItem> late = own(9);
+            leadership.tick(true, after(600));
+
+            leadership.onRecord(late, after(700));
+            leadership.tick(true, after(1_200));
+
+            assertThat(leadership.isHolder()).isFalse();
+        }
     }
 
     @Nested
@@ -95,10 +171,7 @@
 
         @Test
         void should_stop_ordering_before_the_store_lets_the_lease_end() {
-            Leadership leadership = candidate(true);
-            leadership.tick(Optional.empty(), 0, true, START);
-            store.renewal = new StoreAnswer.Unavailable<>("no answer");
-            leadership.tick(Optional.of(OWN), 7, true, after(1_000));
+            Leadership leadership = holder();
 
             assertThat(leadership.mayOrder(after(2_499))).isTrue();
             assertThat(leadership.mayOrder(after(2_500))).isFalse();
@@ -106,28 +179,43 @@
 
         @Test
         void should_not_order_when_woken_from_a_suspension_longer_than_the_lease() {
-            Leadership leadership = candidate(true);
-            leadership.tick(Optional.empty(), 0, true, START);
-
-            assertThat(leadership.mayOrder(after(60_000))).isFalse();
+            assertThat(holder().mayOrder(after(60_000))).isFalse();
         }
 
         @Test
-        void should_resign_when_the_store_says_that_the_lease_has_ended() {
-            Leadership leadership = candidate(true);
-            leadership.tick(Optional.empty(), 0, true, START);
+        void should_end_when_the_store_says_that_the_lease_has_ended() {
+            Leadership leadership = holder();
             store.renewal = new StoreAnswer.Rejected<>("404");
 
-            leadership.tick(Optional.of(OWN), 7, true, after(1_000));
+            leadership.tick(true, after(1_000));
 
             assertThat(leadership.isHolder()).isFalse();
             assertThat(leadership.mayOrder(after(1_000))).isFalse();
         }
 
+        @Test
+        void should_end_when_its_claim_has_gone_from_the_store() {
+            Leadership leadership = holder();
+
+            leadership.onRecord(Optional.empty(), after(500));
+
+            assertThat(leadership.isHolder()).isFalse();
+        }
+
+        @Test
+        void should_order_again_at_once_when_no_other_vm_held_the_record_meanwhile() {
+            Leadership leadership = holder();
+            leadership.onRecord(Optional.empty(), after(500));
+
+            leadership.tick(true, after(600));
+            leadership.onRecord(own(11), after(600));
+
+            assertThat(leadership.mayOrder(after(600))).isTrue();
+        }
+
         @Test
         void should_stop_ordering_at_once_when_the_process_stops() {
-            Leadership leadership = candidate(true);
-            leadership.tick(Optional.empty(), 0, true, START);
+            Leadership leadership = holder();
 
             leadership.stop();
 
@@ -135,10 +223,82 @@
         }
     }
 
+    @Nested
+    class Resigning {
+
+        @Test
+        void should_name_the_claim_and_the_time_of_the_last_order() {
+            Leadership leadership = holder();
+            leadership.noteOrder(after(300));
+
+            leadership.stop();
+
+            assertThat(leadership.resignation()).contains(new Leadership.Resignation(7, Optional.of(after(300))));
+        }
+
+        @Test
+        void should_happen_when_the_lease_could_not_be_renewed_twice() {
+            Leadership leadership = holder();
+            store.renewal = new StoreAnswer.Unavailable<>("503");
+            leadership.tick(true, after(750));
+            assertThat(leadership.isHolder()).isTrue();
+
+            leadership.tick(true, after(1_250));
+
+            assertThat(leadership.isHolder()).isFalse();
+            assertThat(leadership.resignation()).isPresent();
+        }
+
+        @Test
+        void should_let_another_vm_replace_the_claim_and_order_a_turn_after_the_last_order() {
+            Leadership successor = candidate(true);
+            successor.onRecord(foreign(3), START);
+            successor.hear(new Leadership.Resignation(3, Optional.of(after(200))));
+
+            successor.tick(true, after(1_000));
+            successor.onRecord(own(9), after(1_010));
+
+            assertThat(store.calls).containsExactly("grant", "commit 3");
+            store.renewal = new StoreAnswer.Success<>(TURN);
+            successor.tick(true, after(1_750));
+            assertThat(successor.mayOrder(after(3_199))).isFalse();
+            assertThat(successor.mayOrder(after(3_200))).isTrue();
+        }
+
+        @Test
+        void should_not_count_for_a_later_claim() {
+            Leadership successor = candidate(true);
+            successor.onRecord(foreign(3), START);
+            successor.hear(new Leadership.Resignation(2, Optional.empty()));
+
+            successor.tick(true, after(1_000));
+
+            assertThat(successor.isVacant()).isFalse();
+            assertThat(store.calls).isEmpty();
+        }
+
+        @Test
+        void should_not_shorten_the_silence_after_a_claim_that_took_the_place_since() {
+            Leadership successor = candidate(true);
+            successor.onRecord(foreign(3), START);
+            successor.hear(new Leadership.Resignation(3, Optional.empty()));
+            successor.onRecord(foreign(5), after(500));
+            successor.onRecord(Optional.empty(), after(4_000));
+
+            successor.tick(true, after(4_000));
+            successor.onRecord(own(9), after(4_000));
+            successor.tick(true, after(4_750));
+
+            assertThat(successor.mayOrder(after(6_000))).isFalse();
+        }
+    }
+
     /** Answers each call at once. */
     private static final class FakeStore implements Store {
 
         private final List<String> calls = new ArrayList<>();
+        private byte[] written = {};
+        private long lastLease;
         private StoreAnswer<Long> claim = new StoreAnswer.Success<>(7L);
         private StoreAnswer<Duration> renewal = new StoreAnswer.Success<>(TURN);
 
@@ -158,14 +318,15 @@
                 List<Write> writes,
                 List<String> removals,
                 Consumer<StoreAnswer<Long>> answer) {
-            calls.add("commit");
+            calls.add("commit " + conditions.get(0).revision());
+            written = writes.get(0).value();
             answer.accept(claim);
         }
 
         @Override
         public void grantLease(Duration duration, Consumer<StoreAnswer<Long>> answer) {
             calls.add("grant");
-            answer.accept(new StoreAnswer.Success<>(1L));
+            answer.accept(new StoreAnswer.Success<>(++lastLease));
         }
 
         @Override
--- a/serving/src/test/java/org/pollenhoist/serving/placement/PlacementDriverTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/placement/PlacementDriverTest.java
@@ -26,6 +26,7 @@
 import org.pollenhoist.serving.routing.ReadingPace;
 import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreAnswer;
+import org.pollenhoist.serving.store.StoreItem;
 import org.pollenhoist.serving.store.StorePage;
 import org.pollenhoist.serving.upstream.HeldModel;
 import org.pollenhoist.serving.upstream.UpstreamDescription;
@@ -79,7 +80,8 @@
         for (long passed = 0; passed < milliseconds; passed += 50) {
             now = now.plus(Duration.ofMillis(50));
             engines.advance();
-            leadership.tick(store.record, 7, true, now);
+            store.tell();
+            leadership.tick(true, now);
             driver.tick(catalog, wants, rates, now);
         }
     }
@@ -119,13 +121,28 @@
         }
     }
 
+    @Nested
+    class LostAnswers {
+
+        @Test
+        void should_send_an_order_again_at_once_and_begin_one_load() {
+            engines.add("e0");
+            engines.ignored = 2;
+            run(5_000, List.of(new ModelWant("llm", "m1", "")), Map.of());
+
+            assertThat(engines.orders.subList(0, 3)).containsOnly(new EngineOrder.LoadModel("m1"));
+            assertThat(engines.loadsBegunAt).hasSize(1);
+            assertThat(engines.loadsBegunAt.get(0)).isLessThan(104_000);
+        }
+    }
+
     @Nested
     class Authority {
 
         @Test
         void should_order_nothing_without_the_lease() {
             engines.add("e0");
-            store.record = Optional.of(new byte[] {1});
+            store.write(new byte[] {1});
             run(10_000, List.of(new ModelWant("llm", "m1", "")), Map.of());
 
             assertThat(engines.orders).isEmpty();
@@ -157,6 +174,7 @@
         private final List<Long> loadsBegunAt = new ArrayList<>();
         private final List<String> overcommitted = new ArrayList<>();
         private int lostEvery = Integer.MAX_VALUE;
+        private int ignored;
 
         private void add(String name) {
             held.put(name, new HashSet<>());
@@ -206,6 +224,11 @@
                 Consumer<OrderOutcome> outcome) {
             String name = engine.identifier();
             orders.add(order);
+            if (ignored > 0) {
+                ignored--;
+                outcome.accept(OrderOutcome.UNKNOWN);
+                return;
+            }
             if (sequences.get(name) != expectedSequence || loading.containsKey(name)) {
                 outcome.accept(OrderOutcome.CONFLICT);
                 return;
@@ -245,11 +268,23 @@
     }
 
     /** Grants and renews one lease. */
-    private static final class LeaseStore implements Store {
+    private final class LeaseStore implements Store {
 
-        private Optional<byte[]> record = Optional.empty();
+        private Optional<StoreItem> record = Optional.empty();
+        private Optional<StoreItem> told = Optional.empty();
         private boolean isReachable = true;
 
+        private void write(byte[] value) {
+            record = Optional.of(new StoreItem("leader", value, 7, false));
+        }
+
+        private void tell() {
+            if (!record.equals(told)) {
+                told = record;
+                leadership.onRecord(record, now);
+            }
+        }
+
         @Override
         public void list(String prefix, String afterKey, Consumer<StoreAnswer<StorePage>> answer) {
             throw new UnsupportedOperationException();
@@ -266,26 +301,31 @@
                 List<Write> writes,
                 List<String> removals,
                 Consumer<StoreAnswer<Long>> answer) {
-            record = Optional.of(writes.get(0).value());
-            answer.accept(new StoreAnswer.Success<>(7L));
+            if (isReachable) {
+                write(writes.get(0).value());
+            }
+            answer.accept(reachable(7L));
         }
 
         @Override
         public void grantLease(Duration duration, Consumer<StoreAnswer<Long>> answer) {
-            answer.accept(new StoreAnswer.Success<>(1L));
+            answer.accept(reachable(1L));
         }
 
         @Override
         public void renewLease(long lease, Consumer<StoreAnswer<Duration>> answer) {
-            answer.accept(
-                    isReachable
-                            ? new StoreAnswer.Success<>(Duration.ofSeconds(3))
-                            : new StoreAnswer.Unavailable<>("no answer"));
+            answer.accept(reachable(Duration.ofSeconds(3)));
+        }
+
+        private <T> StoreAnswer<T> reachable(T value) {
+            return isReachable ? new StoreAnswer.Success<>(value) : new StoreAnswer.Unavailable<>("no answer");
         }
 
         @Override
         public void endLease(long lease) {
-            record = Optional.empty();
+            if (isReachable) {
+                record = Optional.empty();
+            }
         }
     }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
@@ -58,7 +58,7 @@
             mirror.start();
             store.answer(page(5, item("a", 3), item("b", 4)));
 
-            assertThat(heard).containsExactly("a=3", "b=4", "loaded");
+            assertThat(heard).containsExactly("a=3", "b=4", "listed");
             assertThat(store.calls.peekLast()).isEqualTo("watch 5");
         }
 
@@ -76,7 +76,7 @@
             store.answer(new StoreAnswer.Rejected<>("410"));
             store.answer(page(9, item("b", 4)));
 
-            assertThat(heard).containsExactly("-a");
+            assertThat(heard).containsExactly("-a", "listed");
         }
     }
 
@@ -123,6 +123,14 @@
             assertThat(heard).containsExactly("-a");
         }
 
+        @Test
+        void should_tell_a_removal_at_once_where_nobody_writes_the_entry_again() {
+            outage();
+            store.answer(page(8, removal("b", 8)));
+
+            assertThat(heard).containsExactly("-b");
+        }
+
         @Test
         void should_forget_a_held_removal_when_the_entry_is_back() {
             outage();
@@ -142,7 +150,7 @@
             load();
             mirror.adopt(List.of(item("b", 8), item("c", 9)), 9);
 
-            assertThat(heard).containsExactly("b=8", "c=9", "-a");
+            assertThat(heard).containsExactly("b=8", "c=9", "-a", "listed");
             assertThat(mirror.revision()).isEqualTo(9);
         }
 
@@ -168,8 +176,13 @@
         }
 
         @Override
-        public void onLoaded() {
-            heard.add("loaded");
+        public void onListed() {
+            heard.add("listed");
+        }
+
+        @Override
+        public boolean mayReturn(String key) {
+            return !key.equals("b");
         }
     }
 
