Answer every caller before a planned stop ends, and check the layout of the serving module

The deadline of a request knew nothing of the end of its process. Ruled out: the balancer's lag (the request came within it), a full queue. Change: a planned stop sets a time by which every request has its answer, 200 ms before the process ends; what waits for something that comes later is rejected at once as not run.

The test knows them and the adapter's now, and demands more than before: no decision of the serving module reads a clock or does input or output, and nothing outside the adapter depends on it.

Also: the log line of a request's end says that a stream's request ran, and MonotonicTime.earlierOf and RequestEnvironment.tryWithdrawRetry hold what RequestRun had of its own.

--- a/acceptance-tests/src/test/java/org/pollenhoist/acceptance/LayoutTest.java
+++ b/acceptance-tests/src/test/java/org/pollenhoist/acceptance/LayoutTest.java
@@ -30,6 +30,8 @@
         "org.pollenhoist.platform..",
         "org.pollenhoist.operator..",
         "org.pollenhoist.vm..",
+        "org.pollenhoist.serving..",
+        "org.pollenhoist.platformadapter..",
         "org.pollenhoist.daemons..",
         "org.pollenhoist.commandline.."
     };
@@ -43,7 +45,10 @@
         "org.pollenhoist.routing..",
         "org.pollenhoist.placement..",
         "org.pollenhoist.configuration..",
-        "org.pollenhoist.request.."
+        "org.pollenhoist.request..",
+        "org.pollenhoist.serving.limit..",
+        "org.pollenhoist.serving.routing..",
+        "org.pollenhoist.serving.placement.."
     };
 
     private static final JavaClasses CLASSES = new ClassFileImporter()
@@ -64,6 +69,19 @@
                     .check(CLASSES);
         }
 
+        @Test
+        void should_not_depend_on_the_adapter_when_they_are_the_rest_of_the_product() {
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(PRODUCT)
+                    .and()
+                    .resideOutsideOfPackage("org.pollenhoist.platformadapter..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAPackage("org.pollenhoist.platformadapter..")
+                    .check(CLASSES);
+        }
+
         @Test
         void should_not_depend_on_the_product_when_they_are_stand_ins() {
             noClasses()
--- a/library/src/main/java/org/pollenhoist/common/MonotonicTime.java
+++ b/library/src/main/java/org/pollenhoist/common/MonotonicTime.java
@@ -73,6 +73,16 @@
         return nanoseconds - other.nanoseconds < 0;
     }
 
+    /**
+     * Returns the earlier of two times.
+     *
+     * @param other another time of the same clock
+     * @return this time or the other one
+     */
+    public MonotonicTime earlierOf(MonotonicTime other) {
+        return isBefore(other) ? this : other;
+    }
+
     @Override
     public int compareTo(MonotonicTime other) {
         return Long.signum(nanoseconds - other.nanoseconds);
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -74,6 +74,9 @@
     /** Time before the kill at which a planned stop ends in any case. */
     private static final Duration KILL_MARGIN = Duration.ofMillis(600);
 
+    /** Time before the end of a planned stop at which the last answers are sent, so that they reach their callers. */
+    private static final Duration LAST_ANSWERS = Duration.ofMillis(200);
+
     /** How long a VM's place in line for the placement lease delays its application. */
     private static final Duration APPLICATION_STEP = Duration.ofMillis(150);
 
@@ -86,6 +89,7 @@
     private final RequestQueue queue = new RequestQueue();
     private final DemandCounter demand = new DemandCounter();
     private final Map<String, FleetRetryBudget> retryBudgets = new HashMap<>();
+    private final List<Runnable> onStopped = new ArrayList<>();
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final CrashNotices crashNotices = new CrashNotices(bootClock::read);
     private final FleetLimits limits;
@@ -106,7 +110,6 @@
     private MonotonicTime leaderMissingSince;
     private MonotonicTime sweptAt;
     private Optional<MonotonicTime> stoppingSince = Optional.empty();
-    private Runnable onStopped = () -> {};
 
     private ServingNode(ServingSettings settings, PlatformBinding binding, EventLoop loop) {
         this.settings = settings;
@@ -368,19 +371,22 @@
     }
 
     /**
-     * Gives up readiness at once, goes on serving while the balancer notices, and ends once nothing runs any more.
+     * Gives up readiness at once, serves on while the balancer notices, and ends once nothing runs any more. Every
+     * request has its answer before the end.
      *
      * @param whenStopped runs on the event loop at the end
      */
     public void stop(Runnable whenStopped) {
         loop.execute(() -> {
+            onStopped.add(whenStopped);
             if (stoppingSince.isPresent()) {
                 return;
             }
             MonotonicTime now = bootClock.read();
             stoppingSince = Optional.of(now);
-            onStopped = whenStopped;
             callers.stop();
+            handler.endAllBy(now.plus(settings.stopGrace().minus(KILL_MARGIN).minus(LAST_ANSWERS)));
+            queue.pump(now);
             leadership.stop();
             LOG.event(
                     "stopping",
@@ -410,7 +416,8 @@
                     handler.runningRequests(),
                     "connections",
                     callers.openConnections());
-            onStopped.run();
+            onStopped.forEach(Runnable::run);
+            onStopped.clear();
         }
     }
 
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
@@ -47,4 +47,16 @@
         DemandCounter demand,
         CrashQuarantine quarantine,
         RequestMetrics metrics,
-        Runnable onWant) {}
+        Runnable onWant) {
+
+    /**
+     * Takes one retry from a service's budget, if it has any left.
+     *
+     * @param service the service's name
+     * @param now the present time
+     * @return whether the retry may be sent
+     */
+    boolean tryWithdrawRetry(String service, MonotonicTime now) {
+        return retryBudgets.apply(service).tryWithdraw(fleetSize.getAsInt(), now);
+    }
+}
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestHandler.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestHandler.java
@@ -1,6 +1,7 @@
 package org.pollenhoist.serving.request;
 
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.http.CallerAnswer;
@@ -14,6 +15,7 @@
     private final Set<RequestRun> running = new LinkedHashSet<>();
     private long lastNumber;
     private boolean isRefusingNew;
+    private Optional<MonotonicTime> latestEnd = Optional.empty();
 
     /**
      * Creates a handler.
@@ -28,6 +30,7 @@
     public Runnable onRequest(IncomingRequest request, CallerAnswer answer) {
         RequestRun run = new RequestRun(environment, request, answer, ++lastNumber, running::remove);
         running.add(run);
+        latestEnd.ifPresent(run::endBy);
         if (isRefusingNew) {
             run.refuseStopping(environment.clock().get());
         } else {
@@ -41,6 +44,16 @@
         isRefusingNew = true;
     }
 
+    /**
+     * Sets a time by which every request has its answer, whatever its deadline, since the process ends soon after.
+     *
+     * @param latest the time
+     */
+    public void endAllBy(MonotonicTime latest) {
+        latestEnd = Optional.of(latest);
+        running.forEach(run -> run.endBy(latest));
+    }
+
     /**
      * Ends requests whose deadline has passed.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -62,6 +62,7 @@
     private Optional<Team> team = Optional.empty();
     private long reservedTokens;
     private MonotonicTime deadline;
+    private Optional<MonotonicTime> latestEnd = Optional.empty();
     private int tries;
     private int runs;
     private boolean mayHaveRun;
@@ -114,6 +115,12 @@
         }
     }
 
+    /** The process ends: whatever the caller's deadline, the request has its answer by the given time. */
+    void endBy(MonotonicTime latest) {
+        latestEnd = Optional.of(latest);
+        deadline = deadline.earlierOf(latest);
+    }
+
     private void begin(RequestAdmission.Result.Admitted admitted, MonotonicTime now) {
         asked = admitted.asked();
         identifier = asked.identifier();
@@ -121,7 +128,7 @@
         service = admitted.service();
         team = admitted.team();
         reservedTokens = admitted.tokens();
-        deadline = admitted.deadline();
+        deadline = admitted.deadline().earlierOf(latestEnd.orElse(admitted.deadline()));
         environment.retryBudgets().apply(service.name()).recordRequest(now);
         suspicion = new CrashSuspicion(environment.quarantine(), incoming, now);
         if (!asked.model().isEmpty()) {
@@ -192,8 +199,7 @@
     }
 
     private MonotonicTime leavesAt() {
-        MonotonicTime impatient = arrivedAt.plus(route.firstEventPatience());
-        return impatient.isBefore(deadline) ? impatient : deadline;
+        return arrivedAt.plus(route.firstEventPatience()).earlierOf(deadline);
     }
 
     private void enqueue(Selection.Wait wait) {
@@ -233,7 +239,7 @@
     private void send(Selection.Send send, MonotonicTime now) {
         boolean isRetry = tries > 0;
         boolean isBudgetNeeded = isRetry && attempt != null && attempt.isCounted;
-        if (isBudgetNeeded && !hasRetryBudget(now)) {
+        if (isBudgetNeeded && !environment.tryWithdrawRetry(service.name(), now)) {
             giveUp("retry_budget_exhausted", DEFAULT_RETRY_AFTER, now);
             return;
         }
@@ -255,13 +261,6 @@
         attempt.begin(now);
     }
 
-    private boolean hasRetryBudget(MonotonicTime now) {
-        return environment
-                .retryBudgets()
-                .apply(service.name())
-                .tryWithdraw(environment.fleetSize().getAsInt(), now);
-    }
-
     /** The attempt is over and nothing of an answer has reached the caller, or its stream may go on elsewhere. */
     private void tryElsewhere(String reason, MonotonicTime now) {
         boolean mayRunAgain = !mayHaveRun || route.isRepeatable();
@@ -413,6 +412,7 @@
         private void beginAnswer(HttpResponse head) {
             if (!isAnswerBegun) {
                 isAnswerBegun = true;
+                mayHaveRun = true;
                 answer.begin(head.status().code(), Messages.toCaller(head));
             }
         }
@@ -437,7 +437,7 @@
                     && runs < route.maximumAttempts()
                     && now.isBefore(deadline)
                     && !isAnswerBegun;
-            if (mayRetry && hasRetryBudget(now)) {
+            if (mayRetry && environment.tryWithdrawRetry(service.name(), now)) {
                 body.release();
                 isCounted = false;
                 tried.markFailed(upstream.description().identifier());
