Order only in the first half of a lease, so that an expired claim means a VM long silent

A new VM kept silent for a whole turn after it saw the old claim expire, though the dead VM's last possible order lay before that. Ruled out: the way of the change to the successors (30 ms), the application. A VM that resigned may claim again itself.

--- a/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.store.Store;
@@ -13,10 +14,12 @@
 import org.pollenhoist.serving.store.StoreItem;
 
 /**
- * Which VM orders models and adapters: the one whose claim stands in the store under a lease. It stops by its own clock
- * before the store lets the lease end, and a new one keeps silent until the last order of any other VM lies a whole
- * turn back. A VM that stops, or that can't renew its lease, resigns: it tells its peers the time of its last order, so
- * that another one can replace its claim without waiting for the lease to run out. Confined to the event loop.
+ * Which VM orders models and adapters: the one whose claim stands in the store under a lease. It orders only in the
+ * first half of the time for which it has renewed its lease, and a new one keeps silent until the last possible order
+ * of any other VM lies a whole turn back. A VM that stops, or that can't renew its lease, resigns: it tells its peers
+ * the time of its last order, so that another one can replace its claim at once. It does not end its lease: a claim
+ * that is gone without a resignation has expired, so that the last order under it lies half a lease back. Confined to
+ * the event loop.
  */
 public final class Leadership {
 
@@ -28,15 +31,21 @@
      */
     public record Resignation(long claimRevision, Optional<MonotonicTime> lastOrderAt) {}
 
-    /** How long before the store does the holder take its lease for ended: a call's way and clocks' drift. */
-    private static final Duration SAFETY_MARGIN = Duration.ofMillis(500);
+    /** The holder orders in the first of so many parts of its lease; a dead holder's silence counts from its end. */
+    private static final int ORDERING_PARTS = 2;
 
-    /** Renewals in one lease, so that two may be lost. */
-    private static final int RENEWALS_PER_LEASE = 4;
+    /** What is taken off the silence of an expired claim for clocks' drift. */
+    private static final Duration CLOCK_TOLERANCE = Duration.ofMillis(200);
+
+    /** Renewals in one lease, so that a lost one does not interrupt orders. */
+    private static final int RENEWALS_PER_LEASE = 6;
 
     /** Pause after a failed call to the store. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(500);
 
+    /** Pause after a failed renewal, which is urgent. */
+    private static final Duration RENEWAL_RETRY_PAUSE = Duration.ofMillis(250);
+
     /** A holder that has not renewed its lease for this long resigns: a renewal and a repeat have failed. */
     private static final Duration RENEWAL_PATIENCE = Duration.ofMillis(1_200);
 
@@ -57,6 +66,7 @@
     private MonotonicTime heldUntil;
     private MonotonicTime othersQuietSince;
     private MonotonicTime othersQuietBeforeRecord;
+    private Optional<MonotonicTime> recordSince = Optional.empty();
     private MonotonicTime nextCall;
     private boolean isCalling;
     private boolean isHolder;
@@ -157,17 +167,18 @@
      * @param now the present time
      */
     public void onRecord(Optional<StoreItem> changed, MonotonicTime now) {
-        boolean wasForeign = record.isPresent() && !isOwn();
+        boolean wasForeign = isForeign();
         boolean wasResigned = isVacant();
-        record = changed;
         if (wasForeign && !wasResigned) {
-            othersQuietSince = now;
+            othersQuietSince = hasExpired(now) ? now.plus(silenceOfExpired().negated()) : now;
         }
+        record = changed;
+        recordSince = changed.map(item -> now);
         if (changed.isPresent() && isOwn()) {
             isClaimSeen = true;
             return;
         }
-        if (changed.isPresent()) {
+        if (isForeign()) {
             othersQuietBeforeRecord = othersQuietSince;
             othersQuietSince = now;
         }
@@ -176,17 +187,30 @@
         }
     }
 
+    /** Whether the record, which is gone now, can have stood for a whole lease. */
+    private boolean hasExpired(MonotonicTime now) {
+        return recordSince.map(since -> now.since(since).compareTo(turn) >= 0).orElse(true);
+    }
+
+    /** How long at the least a VM has been silent when its claim expires. */
+    private Duration silenceOfExpired() {
+        return turn.minus(turn.dividedBy(ORDERING_PARTS)).minus(CLOCK_TOLERANCE);
+    }
+
     /**
-     * Notes that changes of the record may have been missed, so that any VM may have ordered until now, unless this one
-     * held the lease all the while.
+     * Notes that changes of the record may have been missed. Any VM may have ordered until its claim expired, unless
+     * this one held the lease all the while.
      *
      * @param now the present time
      */
     public void onMissedChanges(MonotonicTime now) {
-        if (!isHolder || !now.isBefore(heldUntil)) {
-            othersQuietSince = now;
-            othersQuietBeforeRecord = now;
+        if (isHolder && now.isBefore(heldUntil)) {
+            return;
         }
+        othersQuietSince =
+                record.isPresent() ? now : now.plus(silenceOfExpired().negated());
+        othersQuietBeforeRecord = othersQuietSince;
+        recordSince = Optional.empty();
     }
 
     /**
@@ -196,9 +220,15 @@
      */
     public boolean isVacant() {
         return record.isEmpty()
-                || heardResignation
-                        .filter(heard -> heard.claimRevision() == record.get().revision())
-                        .isPresent();
+                || Stream.of(heardResignation, ownResignation)
+                        .flatMap(Optional::stream)
+                        .anyMatch(resigned ->
+                                resigned.claimRevision() == record.get().revision());
+    }
+
+    /** Whether another process has made the claim; an earlier one of this process does not count. */
+    private boolean isForeign() {
+        return record.isPresent() && !new String(record.get().value(), StandardCharsets.UTF_8).startsWith(name + ' ');
     }
 
     private boolean isOwn() {
@@ -212,7 +242,7 @@
      * @param now the present time
      */
     public void tick(boolean mayApply, MonotonicTime now) {
-        if (record.isPresent() && !isVacant() && !isOwn()) {
+        if (isForeign() && !isVacant()) {
             othersQuietSince = now;
         }
         if (isCalling || isStopping || now.isBefore(nextCall)) {
@@ -236,12 +266,12 @@
             switch (answer) {
                 case StoreAnswer.Success<Duration> success -> {
                     renewedAt = now;
-                    heldUntil = now.plus(success.value()).plus(SAFETY_MARGIN.negated());
+                    heldUntil = now.plus(success.value().dividedBy(ORDERING_PARTS));
                     nextCall = now.plus(success.value().dividedBy(RENEWALS_PER_LEASE));
                 }
                 case StoreAnswer.Rejected<Duration> rejected -> lose(rejected.reason());
                 case StoreAnswer.Unavailable<Duration> unavailable -> {
-                    nextCall = now.plus(RETRY_PAUSE);
+                    nextCall = now.plus(RENEWAL_RETRY_PAUSE);
                     if (now.since(renewedAt).compareTo(RENEWAL_PATIENCE) >= 0) {
                         resign(unavailable.reason());
                     }
@@ -278,7 +308,7 @@
                     switch (answer) {
                         case StoreAnswer.Success<Long> success -> {
                             renewedAt = appliedAt;
-                            heldUntil = appliedAt.plus(turn).plus(SAFETY_MARGIN.negated());
+                            heldUntil = appliedAt.plus(turn.dividedBy(ORDERING_PARTS));
                             become(success.value());
                         }
                         case StoreAnswer.Rejected<Long> rejected -> {
@@ -313,7 +343,6 @@
         LOG.event("placement_resigned", "fencing_token", fencingToken, "reason", reason);
         ownResignation = Optional.of(new Resignation(fencingToken, lastOrderAt));
         isHolder = false;
-        lease.ifPresent(store::endLease);
         lease = OptionalLong.empty();
     }
 
