Let VMs remember their own demand, so that a VM that begins to order knows it at once

A VM that ordered a second time took all that was asked meanwhile for coming at once. Change: every VM keeps its own fading rates and reports these instead of totals; the sum of the first reports is the fleet's demand.

--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/FleetSimulation.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/FleetSimulation.java
@@ -213,8 +213,7 @@
         time.after(DIGEST_INTERVAL, () -> exchange(vm, round + 1));
         vms.stream().filter(peer -> peer != vm).forEach(peer -> peer.hear(vm, now()));
         if (round % (DEMAND_INTERVAL / DIGEST_INTERVAL) == 0) {
-            vm.demand.totals().forEach((model, total) -> demandRates.hear(vm.name, 1, model, total, now()));
-            demandRates.heardAll(vm.name, now());
+            demandRates.hear(vm.name, vm.demand.demand(now()), now());
         }
     }
 
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
@@ -74,7 +74,7 @@
     }
 
     void start() {
-        vm.demand.recordAsked(asked.model(), work());
+        vm.demand.recordAsked(asked.model(), work(), fleet.now());
         tryStart(fleet.now());
     }
 
@@ -166,7 +166,7 @@
         leaveQueue();
         want = Optional.empty();
         if (upstream == null) {
-            vm.demand.recordSent(asked.model(), work());
+            vm.demand.recordSent(asked.model(), work(), now);
         }
         upstream = chosen;
         unreadAhead = chosen.load(now).unreadTokens();
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedVm.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedVm.java
@@ -2,7 +2,7 @@
 
 import java.util.Map;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.serving.request.DemandCounter;
+import org.pollenhoist.serving.placement.DemandMemory;
 import org.pollenhoist.serving.request.RequestQueue;
 import org.pollenhoist.serving.routing.ReadingPace;
 import org.pollenhoist.serving.routing.UpstreamSelector;
@@ -16,7 +16,7 @@
     final UpstreamTable upstreams = new UpstreamTable();
     final ReadingPace pace = new ReadingPace();
     final RequestQueue queue = new RequestQueue();
-    final DemandCounter demand = new DemandCounter();
+    final DemandMemory demand = new DemandMemory();
     final UpstreamSelector selector;
 
     SimulatedVm(String name, String domain) {
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
@@ -187,7 +187,7 @@
         hearUses(report);
         digest.getCrashVerdictsList()
                 .forEach(verdict -> quarantine.receive(CrashVerdictExchange.fromMessage(verdict), now));
-        hearDemands(digest, now);
+        DigestWriter.demand(digest).ifPresent(demand -> demandRates.hear(digest.getVmName(), demand, now));
         boolean isOrdering = parts.isOrdering(now);
         if (digest.getHoldingsCount() > 0 && !isOrdering) {
             DigestWriter.applyHoldings(digest, upstreams, now);
@@ -198,19 +198,6 @@
         }
     }
 
-    private void hearDemands(VmDigest digest, MonotonicTime now) {
-        digest.getDemandsList()
-                .forEach(demand -> demandRates.hear(
-                        digest.getVmName(),
-                        digest.getIncarnation(),
-                        demand.getModel(),
-                        demand.getEngineMicroseconds(),
-                        now));
-        if (digest.getDemandsCount() > 0) {
-            demandRates.heardAll(digest.getVmName(), now);
-        }
-    }
-
     private void hearUses(PeerReport report) {
         String vm = report.digest().getVmName();
         upstreams.all().forEach(upstream -> upstream.hear(vm, new PeerUse(0, 0, 0, report.heardAt())));
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
@@ -14,6 +14,8 @@
 import org.pollenhoist.serving.limit.FleetLimits;
 import org.pollenhoist.serving.placement.Leadership;
 import org.pollenhoist.serving.placement.ModelWant;
+import org.pollenhoist.serving.placement.RecentWork;
+import org.pollenhoist.serving.placement.VmDemand;
 import org.pollenhoist.serving.upstream.PeerUse;
 import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamTable;
@@ -45,11 +47,10 @@
             long storeRevision,
             List<FleetLimits.Spending> spending,
             Collection<Upstream> upstreams,
-            Map<String, Long> demand,
+            Optional<VmDemand> demand,
             List<ModelWant> wants,
             boolean isPlacing,
             boolean isStopping,
-            boolean hasDemand,
             Collection<Upstream> announcedEngines,
             List<CrashNotice> crashNotices,
             Optional<Leadership.Resignation> resignation,
@@ -66,10 +67,7 @@
                 .setTeam(one.team())
                 .setAdmittedTokens(one.admitted())
                 .setLevelTokens(one.level())));
-        if (hasDemand) {
-            demand.forEach((model, microseconds) ->
-                    digest.addDemands(ModelDemand.newBuilder().setModel(model).setEngineMicroseconds(microseconds)));
-        }
+        demand.ifPresent(told -> addDemand(digest, told));
         upstreams.forEach(upstream -> addUse(digest, upstream, now));
         addWants(digest, wants);
         crashNotices.forEach(notice -> digest.addCrashVerdicts(CrashVerdictExchange.toMessage(notice)));
@@ -80,6 +78,28 @@
         return digest.build();
     }
 
+    private static void addDemand(VmDigest.Builder digest, VmDemand demand) {
+        digest.setDemandMemoryMilliseconds(
+                (int) Math.min(Integer.MAX_VALUE, demand.memory().toMillis()));
+        demand.workByModel()
+                .forEach((model, work) -> digest.addDemands(ModelDemand.newBuilder()
+                        .setModel(model)
+                        .setQuickSeconds((float) work.quickSeconds())
+                        .setSlowSeconds((float) work.slowSeconds())));
+    }
+
+    /** Reads what the sender tells of its callers' demand, if it does. */
+    static Optional<VmDemand> demand(VmDigest digest) {
+        if (!digest.hasDemandMemoryMilliseconds()) {
+            return Optional.empty();
+        }
+        Map<String, RecentWork> work = new HashMap<>();
+        digest.getDemandsList()
+                .forEach(told ->
+                        work.put(told.getModel(), new RecentWork(told.getQuickSeconds(), told.getSlowSeconds())));
+        return Optional.of(new VmDemand(work, Duration.ofMillis(digest.getDemandMemoryMilliseconds())));
+    }
+
     private static void addResignation(VmDigest.Builder digest, Leadership.Resignation resignation, MonotonicTime now) {
         digest.setResignedClaim(resignation.claimRevision());
         resignation
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -25,11 +25,11 @@
 import org.pollenhoist.serving.limit.FleetLimits;
 import org.pollenhoist.serving.peer.PeerExchange;
 import org.pollenhoist.serving.peer.PeerReport;
+import org.pollenhoist.serving.placement.DemandMemory;
 import org.pollenhoist.serving.placement.DemandRates;
 import org.pollenhoist.serving.placement.Leadership;
 import org.pollenhoist.serving.placement.ModelWant;
 import org.pollenhoist.serving.placement.PlacementDriver;
-import org.pollenhoist.serving.request.DemandCounter;
 import org.pollenhoist.serving.request.FleetRetryBudget;
 import org.pollenhoist.serving.request.RequestEnvironment;
 import org.pollenhoist.serving.request.RequestHandler;
@@ -87,7 +87,7 @@
     private final UpstreamTable upstreams = new UpstreamTable();
     private final ReadingPace pace = new ReadingPace();
     private final RequestQueue queue = new RequestQueue();
-    private final DemandCounter demand = new DemandCounter();
+    private final DemandMemory demand = new DemandMemory();
     private final Map<String, FleetRetryBudget> retryBudgets = new HashMap<>();
     private final List<Runnable> onStopped = new ArrayList<>();
     private final PrometheusRegistry registry = new PrometheusRegistry();
@@ -308,10 +308,7 @@
 
     private void place(MonotonicTime now) {
         if (state.catalog().isPresent() && leadership.isHolder()) {
-            demand.totals()
-                    .forEach((model, microseconds) ->
-                            demandRates.hear(settings.vmName(), incarnation, model, microseconds, now));
-            demandRates.heardAll(settings.vmName(), now);
+            demandRates.hear(settings.vmName(), demand.demand(now), now);
             placement.tick(state.catalog().get(), allWants(now), demandRates, now);
         }
     }
@@ -433,11 +430,10 @@
                     mirror.revision(),
                     limits.report(now),
                     upstreams.all(),
-                    demand.totals(),
+                    hasDemand ? Optional.of(demand.demand(now)) : Optional.empty(),
                     queue.wants(),
                     placement.isOrdering(now),
                     stoppingSince.isPresent(),
-                    hasDemand,
                     engines,
                     crashNotices.current(now),
                     leadership.resignation(),
--- a/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
@@ -283,13 +283,17 @@
     private void apply(MonotonicTime now) {
         isCalling = true;
         store.grantLease(turn, answer -> {
-            if (answer instanceof StoreAnswer.Success<Long> granted && !isStopping) {
+            boolean isStillWanted = isVacant() && !isStopping;
+            if (answer instanceof StoreAnswer.Success<Long> granted && isStillWanted) {
                 lease = OptionalLong.of(granted.value());
                 claim(granted.value(), now);
-            } else {
-                isCalling = false;
-                nextCall = now.plus(RETRY_PAUSE);
+                return;
             }
+            if (answer instanceof StoreAnswer.Success<Long> granted) {
+                store.endLease(granted.value());
+            }
+            isCalling = false;
+            nextCall = now.plus(RETRY_PAUSE);
         });
     }
 
--- a/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
@@ -46,6 +46,9 @@
     /** How long room is kept for the model for which it was made; a drop waits for its runs to end. */
     private static final Duration ROOM_KEPT = Duration.ofSeconds(10);
 
+    /** Time in which all VMs have reported their demand to one that begins to order. */
+    private static final Duration FIRST_REPORTS = Duration.ofMillis(700);
+
     /** How often models are planned. */
     private static final Duration MODEL_PLAN_INTERVAL = Duration.ofMillis(400);
 
@@ -141,6 +144,8 @@
             wasOrdering = true;
             books.clear();
             orderingSince = now;
+            MonotonicTime reportedAt = now.plus(FIRST_REPORTS);
+            nextModelPlan = nextModelPlan.isBefore(reportedAt) ? reportedAt : nextModelPlan;
             LOG.event("placement_begins", "fencing_token", leadership.fencingToken());
         }
         boolean isModelPlanDue = !now.isBefore(nextModelPlan);
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
@@ -9,6 +9,7 @@
 import org.pollenhoist.serving.catalog.Catalog;
 import org.pollenhoist.serving.http.HttpConnections;
 import org.pollenhoist.serving.limit.FleetLimits;
+import org.pollenhoist.serving.placement.DemandMemory;
 import org.pollenhoist.serving.routing.ReadingPace;
 import org.pollenhoist.serving.routing.UpstreamSelector;
 import org.pollenhoist.serving.upstream.UpstreamTable;
@@ -44,7 +45,7 @@
         RequestFormat format,
         Function<String, FleetRetryBudget> retryBudgets,
         IntSupplier fleetSize,
-        DemandCounter demand,
+        DemandMemory demand,
         CrashQuarantine quarantine,
         RequestMetrics metrics,
         Runnable onWant) {
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -132,7 +132,7 @@
         environment.retryBudgets().apply(service.name()).recordRequest(now);
         suspicion = new CrashSuspicion(environment.quarantine(), incoming, now);
         if (!asked.model().isEmpty()) {
-            environment.demand().recordAsked(asked.model(), work());
+            environment.demand().recordAsked(asked.model(), work(), now);
         }
         dispatch(now);
     }
@@ -246,7 +246,7 @@
         if (!isRetry) {
             environment.metrics().observeQueueing(now.since(arrivedAt));
             if (!asked.model().isEmpty()) {
-                environment.demand().recordSent(asked.model(), work());
+                environment.demand().recordSent(asked.model(), work(), now);
             }
         }
         leaveQueue();
--- a/serving/src/test/java/org/pollenhoist/serving/placement/LeadershipTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/placement/LeadershipTest.java
@@ -138,6 +138,17 @@
             assertThat(store.calls).containsExactly("grant", "commit 0", "end");
         }
 
+        @Test
+        void should_not_replace_a_claim_that_was_made_while_its_lease_was_granted() {
+            Leadership leadership = candidate(true);
+            store.whileGranting = () -> leadership.onRecord(foreign(5), after(900));
+
+            leadership.tick(true, START);
+
+            assertThat(leadership.isHolder()).isFalse();
+            assertThat(store.calls).containsExactly("grant", "end");
+        }
+
         @Test
         void should_lead_when_the_answer_to_a_claim_that_took_effect_was_lost() {
             store.claim = new StoreAnswer.Unavailable<>("no answer");
@@ -390,6 +401,7 @@
         private final List<String> calls = new ArrayList<>();
         private byte[] written = {};
         private long lastLease;
+        private Runnable whileGranting = () -> {};
         private StoreAnswer<Long> claim = new StoreAnswer.Success<>(7L);
         private StoreAnswer<Duration> renewal = new StoreAnswer.Success<>(TURN);
 
@@ -417,6 +429,7 @@
         @Override
         public void grantLease(Duration duration, Consumer<StoreAnswer<Long>> answer) {
             calls.add("grant");
+            whileGranting.run();
             answer.accept(new StoreAnswer.Success<>(++lastLease));
         }
 
--- a/serving/src/test/java/org/pollenhoist/serving/placement/PlacementDriverTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/placement/PlacementDriverTest.java
@@ -45,7 +45,7 @@
     private MonotonicTime now = MonotonicTime.of(Duration.ofSeconds(100));
     private final Leadership leadership = new Leadership(store, "leader", "own", Duration.ofSeconds(3), true, now);
     private final DemandRates demand = new DemandRates();
-    private final Map<String, Long> asked = new HashMap<>();
+    private final DemandMemory asked = new DemandMemory();
     private final PlacementDriver driver = new PlacementDriver(
             (delay, action) -> {}, () -> now, leadership, engines, upstreams, new ReadingPace(), engine -> {});
 
@@ -82,11 +82,12 @@
 
     /** Asks for so much work of models, in engines. */
     private void ask(Map<String, Double> work) {
-        demand.heardAll("vm", now);
         work.forEach((model, engines) -> {
-            asked.merge(model, Math.round(engines * 50_000), Long::sum);
-            demand.hear("vm", 1, model, asked.get(model), now);
+            long microseconds = Math.round(engines * 50_000);
+            asked.recordAsked(model, microseconds, now);
+            asked.recordSent(model, microseconds, now);
         });
+        demand.hear("vm", asked.demand(now), now);
     }
 
     @Nested
