Fill engines with less urgent requests only to two thirds of a more urgent goal

Engines' own ranking acts only where a batch is full. Ruled out: team limits (other kinds are refused by them as often). Change: a request waits in the VM while the wait at engines is beyond 0.65 of the shortest goal of better ranks or 0.9 of its own rank's, for at most half its goal.

--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/FleetSimulation.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/FleetSimulation.java
@@ -9,9 +9,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.experiments.simulation.EventQueue;
@@ -60,6 +62,7 @@
     private final DemandRates demandRates;
     private final PlacementDriver placement;
     private final Callers callers;
+    private final NavigableMap<Integer, Duration> shortestGoals = new TreeMap<>();
     private long nextEngine;
     private double lostOrders;
     private boolean isOrderingPossible = true;
@@ -69,6 +72,11 @@
         this.random = new Random(seed);
         this.orderLuck = new Random(seed + 1);
         this.catalog = day.catalog();
+        day.classes()
+                .forEach(kind -> shortestGoals.merge(
+                        kind.priority(),
+                        Duration.ofMillis(kind.goalMilliseconds()),
+                        (one, other) -> one.compareTo(other) < 0 ? one : other));
         this.service = catalog.service(HeavyDay.SERVICE).orElseThrow();
         for (int index = 0; index < day.vms(); index++) {
             vms.add(new SimulatedVm("vm-" + index, domain(index)));
@@ -93,6 +101,10 @@
         return "domain-" + index % day.domains();
     }
 
+    NavigableMap<Integer, Duration> shortestGoals() {
+        return shortestGoals;
+    }
+
     MonotonicTime now() {
         return at(milliseconds());
     }
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
@@ -119,6 +119,7 @@
                 arrivedAt,
                 deadline,
                 Duration.ofMillis(asked.kind().goalMilliseconds()),
+                fleet.shortestGoals(),
                 leavesAt(),
                 excluded,
                 Set.of());
--- a/serving/src/main/java/org/pollenhoist/serving/catalog/Catalog.java
+++ b/serving/src/main/java/org/pollenhoist/serving/catalog/Catalog.java
@@ -1,11 +1,15 @@
 package org.pollenhoist.serving.catalog;
 
+import java.time.Duration;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.TreeMap;
 
 /** One version of the configuration, with the look-ups that each request needs. */
 public final class Catalog {
@@ -13,6 +17,7 @@
     private final long version;
     private final Map<String, Map<String, Route>> routesByHostAndPrefix = new HashMap<>();
     private final Map<String, Service> services = new HashMap<>();
+    private final Map<String, NavigableMap<Integer, Duration>> shortestGoals = new HashMap<>();
     private final Map<String, Team> teamsByKey = new HashMap<>();
     private final List<Team> teams;
     private final CallerLimits limits;
@@ -30,6 +35,10 @@
             routesByHostAndPrefix
                     .computeIfAbsent(route.host(), host -> new HashMap<>())
                     .put(route.pathPrefix(), route);
+            route.services()
+                    .forEach(service -> shortestGoals
+                            .computeIfAbsent(service.service(), name -> new TreeMap<>())
+                            .merge(route.priority(), route.answerGoal(), Catalog::shorter));
         }
         services.forEach(service -> this.services.put(service.name(), service));
         teams.forEach(team -> team.keys().forEach(key -> teamsByKey.put(key, team)));
@@ -77,12 +86,26 @@
         return Optional.empty();
     }
 
+    private static Duration shorter(Duration one, Duration other) {
+        return one.compareTo(other) < 0 ? one : other;
+    }
+
     private static String hostName(String host) {
         int port = host.lastIndexOf(':');
         String name = port < 0 ? host : host.substring(0, port);
         return name.toLowerCase(Locale.ROOT);
     }
 
+    /**
+     * Returns the shortest time in which answers of a service are worth most, for each rank of its routes.
+     *
+     * @param service the service's name
+     * @return the goals by rank, the most urgent rank first
+     */
+    public NavigableMap<Integer, Duration> shortestGoals(String service) {
+        return shortestGoals.getOrDefault(service, Collections.emptyNavigableMap());
+    }
+
     /**
      * Finds the team of a key.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
@@ -1,5 +1,8 @@
 package org.pollenhoist.serving.request;
 
+import java.time.Duration;
+import java.util.Collections;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
@@ -50,6 +53,10 @@
         RequestMetrics metrics,
         Runnable onWant) {
 
+    NavigableMap<Integer, Duration> shortestGoals(String service) {
+        return catalog.get().map(known -> known.shortestGoals(service)).orElse(Collections.emptyNavigableMap());
+    }
+
     /**
      * Takes one retry from a service's budget, if it has any left.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -193,6 +193,7 @@
                 arrivedAt,
                 deadline,
                 route.answerGoal(),
+                environment.shortestGoals(service.name()),
                 leavesAt(),
                 tried.excluded(now),
                 tried.avoided());
--- a/serving/src/main/java/org/pollenhoist/serving/routing/SelectionRequest.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/SelectionRequest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.NavigableMap;
 import java.util.Set;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.request.PromptPart;
@@ -19,6 +20,7 @@
  * @param arrivedAt when it was read
  * @param deadline when it must be answered
  * @param goal the time within which its first token is worth most
+ * @param shortestGoals the shortest such time of all requests to the service, by rank
  * @param leavesAt when the caller leaves where no first event has come
  * @param excluded identifiers of upstreams that it must not go to now
  * @param avoided identifiers of upstreams that failed it, to which it goes again only where there is no other
@@ -34,6 +36,7 @@
         MonotonicTime arrivedAt,
         MonotonicTime deadline,
         Duration goal,
+        NavigableMap<Integer, Duration> shortestGoals,
         MonotonicTime leavesAt,
         Set<String> excluded,
         Set<String> avoided) {
--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.catalog.Engine;
@@ -16,7 +17,9 @@
  * request that can't be answered in time by any is refused at once, one that can waits for room.
  *
  * <p>Answers loads in which a few models get most requests: without prompt lengths in the estimate, long prompts pile
- * up at one engine while another one is idle.
+ * up at one engine while another one is idle. And loads beyond what engines can read: an engine reads prompts in the
+ * order in which they come, so that requests with much time would fill it up to where the most urgent ones are too
+ * late. They wait here instead, and the rest of the wait is left to those with a better rank.
  */
 public final class UpstreamSelector {
 
@@ -53,6 +56,15 @@
      */
     private static final double WORTHWHILE_GOALS = 0.9;
 
+    /**
+     * Part of the shortest goal of more urgent requests up to which an engine is filled with a request. The rest of
+     * that goal is left to them.
+     */
+    private static final double LEFT_BY_URGENT = 0.65;
+
+    /** Part of its goal after which a request with much time no longer waits here for those with less. */
+    private static final double PATIENT_GOALS = 0.5;
+
     /** When a caller is told to come back whose request waited in vain for room. */
     private static final Duration FULL_RETRY = Duration.ofMillis(700);
 
@@ -159,16 +171,39 @@
         if (isTooLate(request, bestWait, now)) {
             return new Selection.Refuse("too_late_for_all_engines", bestWait);
         }
+        if (bestWait.compareTo(backlogLimit(request, now)) > 0) {
+            return new Selection.Wait("engines_backlogged", false);
+        }
         return new Selection.Send(best, bestWait, "least_cost");
     }
 
+    /** The wait at an engine from which a request waits here for others to be read first. */
+    private static Duration backlogLimit(SelectionRequest request, MonotonicTime now) {
+        Duration patience = part(request.goal(), PATIENT_GOALS);
+        if (now.since(request.arrivedAt()).compareTo(patience) >= 0) {
+            return part(request.goal(), WORTHWHILE_GOALS);
+        }
+        Duration limit = part(request.goal(), WORTHWHILE_GOALS);
+        for (Map.Entry<Integer, Duration> ranked :
+                request.shortestGoals().headMap(request.priority(), true).entrySet()) {
+            boolean isMoreUrgent = ranked.getKey() < request.priority();
+            Duration theirs = part(ranked.getValue(), isMoreUrgent ? LEFT_BY_URGENT : WORTHWHILE_GOALS);
+            limit = theirs.compareTo(limit) < 0 ? theirs : limit;
+        }
+        return limit;
+    }
+
+    private static Duration part(Duration whole, double part) {
+        return Duration.ofMillis(Math.round(whole.toMillis() * part));
+    }
+
     /**
      * Whether an answer would come after the caller has left, or so late that it is worth little while it delays the
      * answers of others.
      */
     private static boolean isTooLate(SelectionRequest request, Duration wait, MonotonicTime now) {
         MonotonicTime answer = now.plus(wait);
-        Duration worthwhile = Duration.ofMillis(Math.round(request.goal().toMillis() * WORTHWHILE_GOALS));
+        Duration worthwhile = part(request.goal(), WORTHWHILE_GOALS);
         return request.leavesAt().isBefore(answer)
                 || request.arrivedAt().plus(worthwhile).isBefore(answer);
     }
--- a/serving/src/test/java/org/pollenhoist/serving/routing/UpstreamSelectorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/routing/UpstreamSelectorTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
@@ -74,6 +75,7 @@
                 NOW,
                 NOW.plus(patience),
                 GOAL,
+                new TreeMap<>(Map.of(1, GOAL)),
                 NOW.plus(patience),
                 Set.of(),
                 avoided);
@@ -113,6 +115,84 @@
         }
     }
 
+    @Nested
+    class Ranks {
+
+        private static final Duration LONG_GOAL = Duration.ofSeconds(6);
+        private static final TreeMap<Integer, Duration> GOALS = new TreeMap<>(Map.of(0, GOAL, 1, GOAL));
+
+        private Selection selectAfter(Duration waited, int priority, Duration goal) {
+            SelectionRequest request = new SelectionRequest(
+                    "llm",
+                    "m",
+                    "",
+                    1_000,
+                    1_200,
+                    List.of(),
+                    priority,
+                    NOW,
+                    NOW.plus(Duration.ofSeconds(15)),
+                    goal,
+                    GOALS,
+                    NOW.plus(Duration.ofSeconds(15)),
+                    Set.of(),
+                    Set.of());
+            return selector.select(request, ENGINES, table, NOW.plus(waited));
+        }
+
+        /** An engine is busy for so long with prompts that came before; one of a thousand tokens takes 50 ms. */
+        private void busyFor(long milliseconds) {
+            engine("e").begin(milliseconds * 20, 1);
+        }
+
+        @Test
+        void should_leave_the_rest_of_the_wait_to_more_urgent_requests() {
+            busyFor(500);
+
+            assertThat(selectAfter(Duration.ZERO, 1, GOAL)).isEqualTo(new Selection.Wait("engines_backlogged", false));
+            assertThat(upstreamOf(selectAfter(Duration.ZERO, 0, GOAL))).isEqualTo("e");
+        }
+
+        @Test
+        void should_fill_engines_with_any_request_as_long_as_urgent_ones_have_time() {
+            busyFor(450);
+
+            assertThat(upstreamOf(selectAfter(Duration.ZERO, 1, GOAL))).isEqualTo("e");
+        }
+
+        @Test
+        void should_keep_requests_with_much_time_back_for_those_with_less() {
+            busyFor(600);
+
+            assertThat(selectAfter(Duration.ZERO, 1, LONG_GOAL))
+                    .isEqualTo(new Selection.Wait("engines_backlogged", false));
+            assertThat(selectAfter(Duration.ZERO, 0, LONG_GOAL)).isInstanceOf(Selection.Send.class);
+        }
+
+        @Test
+        void should_keep_the_most_urgent_with_much_time_back_for_those_of_the_same_rank_with_less() {
+            busyFor(700);
+
+            assertThat(selectAfter(Duration.ZERO, 0, LONG_GOAL))
+                    .isEqualTo(new Selection.Wait("engines_backlogged", false));
+        }
+
+        @Test
+        void should_send_a_request_that_has_waited_for_long_while_it_can_be_in_time() {
+            busyFor(2_000);
+
+            assertThat(selectAfter(Duration.ofSeconds(3), 1, LONG_GOAL)).isInstanceOf(Selection.Send.class);
+            assertThat(selectAfter(Duration.ofSeconds(4), 1, LONG_GOAL)).isInstanceOf(Selection.Refuse.class);
+        }
+
+        @Test
+        void should_refuse_at_once_what_no_wait_can_bring_in_time() {
+            busyFor(720);
+
+            assertThat(selectAfter(Duration.ZERO, 1, GOAL)).isInstanceOf(Selection.Refuse.class);
+        }
+    }
+
     @Nested
     class Engines {
 
