Fill engines only so far that all requests of the same and better ranks are in time

Change: no part is left free for better ranks; a request waits in the VM while the wait at engines is beyond 0.9 of the shortest goal of its own or a better rank, for at most half its own goal.

--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.catalog.Engine;
@@ -18,8 +17,8 @@
  *
  * <p>Answers loads in which a few models get most requests: without prompt lengths in the estimate, long prompts pile
  * up at one engine while another one is idle. And loads beyond what engines can read: an engine reads prompts in the
- * order in which they come, so that requests with much time would fill it up to where the most urgent ones are too
- * late. They wait here instead, and the rest of the wait is left to those with a better rank.
+ * order in which they come, so that requests with much time would fill it up to where more urgent ones are too late.
+ * They wait here instead.
  */
 public final class UpstreamSelector {
 
@@ -56,12 +55,6 @@
      */
     private static final double WORTHWHILE_GOALS = 0.9;
 
-    /**
-     * Part of the shortest goal of more urgent requests up to which an engine is filled with a request. The rest of
-     * that goal is left to them.
-     */
-    private static final double LEFT_BY_URGENT = 0.65;
-
     /** Part of its goal after which a request with much time no longer waits here for those with less. */
     private static final double PATIENT_GOALS = 0.5;
 
@@ -177,20 +170,18 @@
         return new Selection.Send(best, bestWait, "least_cost");
     }
 
-    /** The wait at an engine from which a request waits here for others to be read first. */
+    /**
+     * The wait at an engine from which a request waits here: that which still suits all requests of its rank and of
+     * better ones, or its own goal once it has waited for long.
+     */
     private static Duration backlogLimit(SelectionRequest request, MonotonicTime now) {
-        Duration patience = part(request.goal(), PATIENT_GOALS);
-        if (now.since(request.arrivedAt()).compareTo(patience) >= 0) {
-            return part(request.goal(), WORTHWHILE_GOALS);
-        }
-        Duration limit = part(request.goal(), WORTHWHILE_GOALS);
-        for (Map.Entry<Integer, Duration> ranked :
-                request.shortestGoals().headMap(request.priority(), true).entrySet()) {
-            boolean isMoreUrgent = ranked.getKey() < request.priority();
-            Duration theirs = part(ranked.getValue(), isMoreUrgent ? LEFT_BY_URGENT : WORTHWHILE_GOALS);
-            limit = theirs.compareTo(limit) < 0 ? theirs : limit;
-        }
-        return limit;
+        boolean hasWaited = now.since(request.arrivedAt()).compareTo(part(request.goal(), PATIENT_GOALS)) >= 0;
+        Duration shortest = hasWaited
+                ? request.goal()
+                : request.shortestGoals().headMap(request.priority(), true).values().stream()
+                        .min(Duration::compareTo)
+                        .orElse(request.goal());
+        return part(shortest, WORTHWHILE_GOALS);
     }
 
     private static Duration part(Duration whole, double part) {
