Let requests with much time fill engines only to half the shortest goal

Cause: PatientLoadTest, which plays the load that the limit is for, was red when it was written: callers with a goal of 6 s filled the engine up to exactly the wait beyond which those with 0.8 s are refused, so that these found no room. Change: a request whose goal is at least twice the shortest one waits in the VM from half the shortest goal on, for at most half its own goal.

--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -55,6 +55,12 @@
      */
     private static final double WORTHWHILE_GOALS = 0.9;
 
+    /** A request with a goal so many times the shortest one has much time. */
+    private static final double MUCH_TIME = 2;
+
+    /** Part of the shortest goal up to which requests with much time fill an engine, so that others find room. */
+    private static final double PATIENT_BACKLOG = 0.5;
+
     /** Part of its goal after which a request with much time no longer waits here for those with less. */
     private static final double PATIENT_GOALS = 0.5;
 
@@ -175,13 +181,15 @@
      * better ones, or its own goal once it has waited for long.
      */
     private static Duration backlogLimit(SelectionRequest request, MonotonicTime now) {
+        Duration shortest = request.shortestGoals().headMap(request.priority(), true).values().stream()
+                .min(Duration::compareTo)
+                .orElse(request.goal());
+        boolean hasMuchTime = request.goal().compareTo(part(shortest, MUCH_TIME)) >= 0;
         boolean hasWaited = now.since(request.arrivedAt()).compareTo(part(request.goal(), PATIENT_GOALS)) >= 0;
-        Duration shortest = hasWaited
-                ? request.goal()
-                : request.shortestGoals().headMap(request.priority(), true).values().stream()
-                        .min(Duration::compareTo)
-                        .orElse(request.goal());
-        return part(shortest, WORTHWHILE_GOALS);
+        if (hasWaited) {
+            return part(request.goal(), WORTHWHILE_GOALS);
+        }
+        return part(shortest, hasMuchTime ? PATIENT_BACKLOG : WORTHWHILE_GOALS);
     }
 
     private static Duration part(Duration whole, double part) {
