--- /dev/null
+++ b/serving/src/test/java/org/pollenhoist/serving/node/DigestWriterTest.java
@@ -0,0 +1,113 @@
+package org.pollenhoist.serving.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.placement.Leadership;
+import org.pollenhoist.serving.placement.RecentWork;
+import org.pollenhoist.serving.placement.VmDemand;
+import org.pollenhoist.vm.generated.VmDigest;
+
+class DigestWriterTest {
+
+    private static final MonotonicTime NOW = MonotonicTime.of(Duration.ofSeconds(100));
+
+    /** Room for a name of twenty characters and two numbers. */
+    private static final int BYTES_A_MODEL = 36;
+
+    private static VmDigest write(Optional<VmDemand> demand, Optional<Leadership.Resignation> resignation)
+            throws InvalidProtocolBufferException {
+        VmDigest written = new DigestWriter("vm-1", "north", 5)
+                .write(
+                        1,
+                        2,
+                        List.of(),
+                        List.of(),
+                        demand,
+                        List.of(),
+                        false,
+                        false,
+                        List.of(),
+                        List.of(),
+                        resignation,
+                        NOW);
+        return VmDigest.parseFrom(written.toByteArray());
+    }
+
+    private static VmDemand demandFor(int models) {
+        Map<String, RecentWork> work = new HashMap<>();
+        for (int model = 0; model < models; model++) {
+            work.put("a-model-of-length-" + model, new RecentWork(0.75, 1.5));
+        }
+        return new VmDemand(work, Duration.ofMillis(2_500));
+    }
+
+    @Nested
+    class Demand {
+
+        @Test
+        void should_be_read_as_it_was_written() throws InvalidProtocolBufferException {
+            VmDemand demand = new VmDemand(Map.of("m", new RecentWork(0.1, 0.3)), Duration.ofMillis(2_500));
+
+            VmDemand read = DigestWriter.demand(write(Optional.of(demand), Optional.empty()))
+                    .orElseThrow();
+
+            assertThat(read.memory()).isEqualTo(Duration.ofMillis(2_500));
+            assertThat(read.workByModel()).containsOnlyKeys("m");
+            assertThat(read.workByModel().get("m").quickSeconds()).isCloseTo(0.1, within(1e-6));
+            assertThat(read.workByModel().get("m").slowSeconds()).isCloseTo(0.3, within(1e-6));
+        }
+
+        @Test
+        void should_be_known_to_be_none_where_nothing_was_asked_for() throws InvalidProtocolBufferException {
+            VmDigest digest = write(Optional.of(new VmDemand(Map.of(), Duration.ZERO)), Optional.empty());
+
+            assertThat(DigestWriter.demand(digest)).contains(new VmDemand(Map.of(), Duration.ZERO));
+        }
+
+        @Test
+        void should_be_absent_where_it_was_not_told() throws InvalidProtocolBufferException {
+            assertThat(DigestWriter.demand(write(Optional.empty(), Optional.empty())))
+                    .isEmpty();
+        }
+
+        @Test
+        void should_take_few_bytes_for_each_model() throws InvalidProtocolBufferException {
+            int few = write(Optional.of(demandFor(10)), Optional.empty()).getSerializedSize();
+            int many = write(Optional.of(demandFor(60)), Optional.empty()).getSerializedSize();
+
+            assertThat((many - few) / 50).isLessThanOrEqualTo(BYTES_A_MODEL);
+        }
+    }
+
+    @Nested
+    class Resignation {
+
+        @Test
+        void should_name_the_claim_and_the_age_of_the_last_order() throws InvalidProtocolBufferException {
+            MonotonicTime lastOrder = NOW.plus(Duration.ofMillis(-700));
+            VmDigest digest =
+                    write(Optional.empty(), Optional.of(new Leadership.Resignation(9, Optional.of(lastOrder))));
+
+            MonotonicTime heardAt = NOW.plus(Duration.ofSeconds(50));
+
+            assertThat(DigestWriter.resignation(digest, heardAt))
+                    .contains(new Leadership.Resignation(9, Optional.of(heardAt.plus(Duration.ofMillis(-700)))));
+        }
+
+        @Test
+        void should_be_absent_where_none_was_given() throws InvalidProtocolBufferException {
+            assertThat(DigestWriter.resignation(write(Optional.empty(), Optional.empty()), NOW))
+                    .isEmpty();
+        }
+    }
+}
