Let the tests of lending between two gates wait longer than a busy machine does

Cause: the everyday patience of 60 ms ran out in real time before the other gate's thread had answered. Shown by a trial: with 70 ms of delay on the wire the same error comes on an idle machine, in all three tests that need the peer; with a patience of 5 s they pass, delay or not. Change: these tests set a patience of 5 s; what they check is the same.

--- a/library/src/test/java/org/pollenhoist/entry/ShareGateTest.java
+++ b/library/src/test/java/org/pollenhoist/entry/ShareGateTest.java
@@ -32,6 +32,14 @@
     private static final Peer SECOND = new Peer(VmName.of("lavrio-2"), FailureDomain.of("lavrio"), 2);
     private static final long GIVE_UP_SECONDS = 20;
 
+    /** The everyday settings, with a patience that a busy machine does not use up: these tests are not about time. */
+    private static final ShareSettings SETTINGS = new ShareSettings(
+            ShareSettings.defaults().loanDuration(),
+            ShareSettings.defaults().loanMargin(),
+            Duration.ofSeconds(5),
+            ShareSettings.defaults().demandWindow(),
+            ShareSettings.defaults().statusInterval());
+
     private ShareGate first;
     private ShareGate second;
 
@@ -59,7 +67,7 @@
     }
 
     private static ShareTable tableWithHalf(Peer self) {
-        ShareTable table = ShareTable.empty(ShareSettings.defaults(), self.incarnation());
+        ShareTable table = ShareTable.empty(SETTINGS, self.incarnation());
         MonotonicTime filledSince = MonotonicTime.read().plus(Duration.ofHours(-1));
         MonotonicTime end = MonotonicTime.read().plus(Duration.ofHours(1));
         table.setLimits(Map.of(CREWS, new TeamLimit(1, 1000)), filledSince);
@@ -69,8 +77,8 @@
 
     @BeforeEach
     void connectTwoGates() {
-        first = ShareGate.start(new Wire(FIRST, SECOND), tableWithHalf(FIRST), ShareSettings.defaults());
-        second = ShareGate.start(new Wire(SECOND, FIRST), tableWithHalf(SECOND), ShareSettings.defaults());
+        first = ShareGate.start(new Wire(FIRST, SECOND), tableWithHalf(FIRST), SETTINGS);
+        second = ShareGate.start(new Wire(SECOND, FIRST), tableWithHalf(SECOND), SETTINGS);
         first.onConnected(SECOND, MonotonicTime.read());
         second.onConnected(FIRST, MonotonicTime.read());
     }
