Keep only requests with much time back for others

The limit made reports with a goal of 0.8 s wait for the sake of chats with 0.6 s, and be refused, while engines, whose load VMs know half a second late, fell idle. Change: only a request whose goal is at least twice the shortest one waits in the VM before engines are as full as its own goal allows.

--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -177,8 +177,8 @@
     }
 
     /**
-     * The wait at an engine from which a request waits here: that which still suits all requests of its rank and of
-     * better ones, or its own goal once it has waited for long.
+     * The wait at an engine from which a request waits here: its own goal, but where it has much time, first what
+     * leaves room for requests of its rank and of better ones that have less.
      */
     private static Duration backlogLimit(SelectionRequest request, MonotonicTime now) {
         Duration shortest = request.shortestGoals().headMap(request.priority(), true).values().stream()
@@ -186,10 +186,7 @@
                 .orElse(request.goal());
         boolean hasMuchTime = request.goal().compareTo(part(shortest, MUCH_TIME)) >= 0;
         boolean hasWaited = now.since(request.arrivedAt()).compareTo(part(request.goal(), PATIENT_GOALS)) >= 0;
-        if (hasWaited) {
-            return part(request.goal(), WORTHWHILE_GOALS);
-        }
-        return part(shortest, hasMuchTime ? PATIENT_BACKLOG : WORTHWHILE_GOALS);
+        return hasMuchTime && !hasWaited ? part(shortest, PATIENT_BACKLOG) : part(request.goal(), WORTHWHILE_GOALS);
     }
 
     private static Duration part(Duration whole, double part) {
