--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/Callers.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/Callers.java
@@ -137,16 +137,7 @@
             return;
         }
         long pause = Math.min(retryAfter.toMillis(), left / RETURN_PARTS);
-        SimulatedRequest.Asked again = new SimulatedRequest.Asked(
-                asked.kind(),
-                asked.model(),
-                asked.adapter(),
-                asked.parts(),
-                asked.promptTokens(),
-                asked.outputTokens(),
-                asked.firstAskedAt(),
-                false);
-        fleet.after(Math.max(1, pause), () -> send(again));
+        fleet.after(Math.max(1, pause), () -> send(asked.again()));
     }
 
     @Override
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/EngineRun.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/EngineRun.java
@@ -18,6 +18,9 @@
         /** The engine does not hold the model or adapter, or is full, and did not run the request. */
         void onRejected();
 
+        /** Nothing listens at the engine's address. */
+        void onUnreachable();
+
         /** The engine has gone, whatever it was doing. */
         void onBroken();
     }
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/FleetSimulation.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/FleetSimulation.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BinaryOperator;
 import java.util.function.Consumer;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.experiments.simulation.EventQueue;
@@ -76,7 +77,7 @@
                 .forEach(kind -> shortestGoals.merge(
                         kind.priority(),
                         Duration.ofMillis(kind.goalMilliseconds()),
-                        (one, other) -> one.compareTo(other) < 0 ? one : other));
+                        BinaryOperator.minBy(Comparator.naturalOrder())));
         this.service = catalog.service(HeavyDay.SERVICE).orElseThrow();
         for (int index = 0; index < day.vms(); index++) {
             vms.add(new SimulatedVm("vm-" + index, domain(index)));
@@ -243,7 +244,7 @@
     void deliver(String engine, EngineRun run) {
         SimulatedEngine target = engines.get(engine);
         if (target == null || target.isGone()) {
-            ((SimulatedRequest) run.listener).onUnreachable();
+            run.listener.onUnreachable();
         } else {
             target.send(run);
         }
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/HeavyDay.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/HeavyDay.java
@@ -102,7 +102,7 @@
         int[] adapters = {63, 0, 23, 0, 23};
         for (int index = 0; index < 29; index++) {
             boolean isSmall = index == 0 || (index > 5 && index % 2 == 0);
-            model(models, paces, index, isSmall, index < 5 ? adapters[index] : 0, 7_800, 1_600, 760);
+            model(models, index, isSmall, index < 5 ? adapters[index] : 0, 7_800, 1_600, 760);
             paces.put(modelName(index), isSmall ? 0.35 : 1.0);
         }
         return new HeavyDay(
@@ -135,7 +135,7 @@
         int[] adapters = {47, 0, 13, 0, 13, 0, 11, 0, 11, 0};
         for (int index = 0; index < 34; index++) {
             boolean isSmall = index == 0 || index == 3 || index == 6 || index == 9 || (index > 10 && index % 2 == 0);
-            model(models, paces, index, isSmall, index < 10 ? adapters[index] : 0, 2_200, 1_400, 1_100);
+            model(models, index, isSmall, index < 10 ? adapters[index] : 0, 2_200, 1_400, 1_100);
             paces.put(modelName(index), isSmall ? 0.13 : 1.0);
         }
         return new HeavyDay(
@@ -219,7 +219,6 @@
 
     private static void model(
             Map<String, Model> models,
-            Map<String, Double> paces,
             int index,
             boolean isSmall,
             int adapters,
@@ -227,7 +226,6 @@
             long diskMilliseconds,
             long memoryMilliseconds) {
         String name = modelName(index);
-        paces.put(name, 1.0);
         models.put(
                 name,
                 new Model(
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/HeavyDayExperiment.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/HeavyDayExperiment.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.ToDoubleFunction;
 import org.pollenhoist.experiments.Experiment;
 import org.pollenhoist.experiments.ExperimentResult;
 import org.pollenhoist.experiments.ExperimentResult.Direction;
@@ -49,27 +50,43 @@
         List<DayResult> unlimited = play(day.withAllModelsEverywhere(), seed, length);
         List<DayResult> fixed = play(day.withFixedPlacement(length), seed, length);
         return List.of(
-                Measure.of(
+                compare(
                         name + ", attainment",
-                        "part of the worth",
                         Direction.HIGHER_IS_BETTER,
-                        new Reading("pollenhoist", mean(own, DayResult::attainment)),
-                        new Reading("every model on every engine", mean(unlimited, DayResult::attainment)),
-                        new Reading("placement fixed", mean(fixed, DayResult::attainment))),
-                Measure.of(
+                        DayResult::attainment,
+                        own,
+                        unlimited,
+                        fixed),
+                compare(
                         name + ", worst windows",
-                        "part of the worth",
                         Direction.HIGHER_IS_BETTER,
-                        new Reading("pollenhoist", mean(own, DayResult::worstWindows)),
-                        new Reading("every model on every engine", mean(unlimited, DayResult::worstWindows)),
-                        new Reading("placement fixed", mean(fixed, DayResult::worstWindows))),
-                Measure.of(
+                        DayResult::worstWindows,
+                        own,
+                        unlimited,
+                        fixed),
+                compare(
                         name + ", refused and returned in vain",
-                        "part of the worth",
                         Direction.LOWER_IS_BETTER,
-                        new Reading("pollenhoist", mean(own, DayResult::returnedInVain)),
-                        new Reading("every model on every engine", mean(unlimited, DayResult::returnedInVain)),
-                        new Reading("placement fixed", mean(fixed, DayResult::returnedInVain))));
+                        DayResult::returnedInVain,
+                        own,
+                        unlimited,
+                        fixed));
+    }
+
+    private static Measure compare(
+            String name,
+            Direction direction,
+            ToDoubleFunction<DayResult> measure,
+            List<DayResult> own,
+            List<DayResult> unlimited,
+            List<DayResult> fixed) {
+        return Measure.of(
+                name,
+                "part of the worth",
+                direction,
+                new Reading("pollenhoist", mean(own, measure)),
+                new Reading("every model on every engine", mean(unlimited, measure)),
+                new Reading("placement fixed", mean(fixed, measure)));
     }
 
     private static List<DayResult> play(HeavyDay day, long seed, Duration length) {
@@ -80,7 +97,7 @@
         return results;
     }
 
-    private static double mean(List<DayResult> results, java.util.function.ToDoubleFunction<DayResult> measure) {
+    private static double mean(List<DayResult> results, ToDoubleFunction<DayResult> measure) {
         return results.stream().mapToDouble(measure).average().orElse(0);
     }
 }
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedEngine.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedEngine.java
@@ -234,10 +234,7 @@
         if (!hasCopy) {
             storeLoads.add(time.now());
         }
-        var definition = day.models().get(model);
-        long duration = hasCopy
-                ? definition.diskLoadTime().toMillis()
-                : definition.loadTime().toMillis();
+        long duration = day.models().get(model).loadTime(hasCopy).toMillis();
         time.after(duration, () -> {
             isOccupied = false;
             if (!isGone) {
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
@@ -33,6 +33,11 @@
         long totalTokens() {
             return promptTokens + outputTokens;
         }
+
+        /** The same, asked once more after a refusal. */
+        Asked again() {
+            return new Asked(kind, model, adapter, parts, promptTokens, outputTokens, firstAskedAt, false);
+        }
     }
 
     /** How a try can end. */
@@ -99,8 +104,7 @@
 
     private MonotonicTime leavesAt() {
         long patience = Math.max(LEAST_PATIENCE_MILLISECONDS, 4 * asked.kind().goalMilliseconds());
-        MonotonicTime impatient = arrivedAt.plus(Duration.ofMillis(patience));
-        return impatient.isBefore(deadline) ? impatient : deadline;
+        return arrivedAt.plus(Duration.ofMillis(patience)).earlierOf(deadline);
     }
 
     @Override
@@ -250,8 +254,8 @@
         }
     }
 
-    /** Nothing listens at the engine's address. */
-    void onUnreachable() {
+    @Override
+    public void onUnreachable() {
         if (!isEnded) {
             upstream.end(asked.promptTokens(), asked.totalTokens());
             upstream.suspect(fleet.now());
--- a/library/src/main/java/org/pollenhoist/request/StallTimer.java
+++ b/library/src/main/java/org/pollenhoist/request/StallTimer.java
@@ -72,7 +72,7 @@
      * @return the earlier one of the stall and the deadline
      */
     public MonotonicTime nextCheck() {
-        return stallsAt().isBefore(deadline) ? stallsAt() : deadline;
+        return stallsAt().earlierOf(deadline);
     }
 
     private MonotonicTime stallsAt() {
--- a/serving/src/main/java/org/pollenhoist/serving/catalog/Catalog.java
+++ b/serving/src/main/java/org/pollenhoist/serving/catalog/Catalog.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -10,6 +11,7 @@
 import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.BinaryOperator;
 
 /** One version of the configuration, with the look-ups that each request needs. */
 public final class Catalog {
@@ -38,7 +40,10 @@
             route.services()
                     .forEach(service -> shortestGoals
                             .computeIfAbsent(service.service(), name -> new TreeMap<>())
-                            .merge(route.priority(), route.answerGoal(), Catalog::shorter));
+                            .merge(
+                                    route.priority(),
+                                    route.answerGoal(),
+                                    BinaryOperator.minBy(Comparator.naturalOrder())));
         }
         services.forEach(service -> this.services.put(service.name(), service));
         teams.forEach(team -> team.keys().forEach(key -> teamsByKey.put(key, team)));
@@ -86,10 +91,6 @@
         return Optional.empty();
     }
 
-    private static Duration shorter(Duration one, Duration other) {
-        return one.compareTo(other) < 0 ? one : other;
-    }
-
     private static String hostName(String host) {
         int port = host.lastIndexOf(':');
         String name = port < 0 ? host : host.substring(0, port);
--- a/serving/src/main/java/org/pollenhoist/serving/catalog/Model.java
+++ b/serving/src/main/java/org/pollenhoist/serving/catalog/Model.java
@@ -20,4 +20,15 @@
         Duration diskLoadTime,
         Duration memoryLoadTime,
         int adapters,
-        double adapterMegabytes) {}
+        double adapterMegabytes) {
+
+    /**
+     * Returns how long an engine loads the model.
+     *
+     * @param hasLocalCopy whether the engine has its weights on its own disk
+     * @return the time
+     */
+    public Duration loadTime(boolean hasLocalCopy) {
+        return hasLocalCopy ? diskLoadTime : loadTime;
+    }
+}
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -382,7 +382,7 @@
             MonotonicTime now = bootClock.read();
             stoppingSince = Optional.of(now);
             callers.stop();
-            handler.endAllBy(now.plus(settings.stopGrace().minus(KILL_MARGIN).minus(LAST_ANSWERS)));
+            handler.endAllBy(now.plus(longestStop().minus(LAST_ANSWERS)));
             queue.pump(now);
             leadership.stop();
             LOG.event(
@@ -395,6 +395,10 @@
         });
     }
 
+    private Duration longestStop() {
+        return settings.stopGrace().minus(KILL_MARGIN);
+    }
+
     private void stopWhenDone(MonotonicTime since, MonotonicTime now) {
         Duration elapsed = now.since(since);
         boolean hasBalancerNoticed = elapsed.compareTo(BALANCER_LAG) >= 0;
@@ -403,7 +407,7 @@
             callers.closeIdle();
         }
         boolean isDrained = hasBalancerNoticed && handler.runningRequests() == 0 && callers.runningRequests() == 0;
-        boolean isOverdue = elapsed.compareTo(settings.stopGrace().minus(KILL_MARGIN)) >= 0;
+        boolean isOverdue = elapsed.compareTo(longestStop()) >= 0;
         if (isDrained || isOverdue) {
             LOG.event(
                     "stopped",
--- a/serving/src/main/java/org/pollenhoist/serving/placement/EngineView.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/EngineView.java
@@ -33,6 +33,10 @@
         localCopies = Set.copyOf(localCopies);
     }
 
+    boolean hasLocalCopy(String model) {
+        return localCopies.contains(model);
+    }
+
     /**
      * Counts the adapters.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
@@ -192,9 +192,13 @@
         return recordSince.map(since -> now.since(since).compareTo(turn) >= 0).orElse(true);
     }
 
+    private static Duration orderingPart(Duration leaseTime) {
+        return leaseTime.dividedBy(ORDERING_PARTS);
+    }
+
     /** How long at the least a VM has been silent when its claim expires. */
     private Duration silenceOfExpired() {
-        return turn.minus(turn.dividedBy(ORDERING_PARTS)).minus(CLOCK_TOLERANCE);
+        return turn.minus(orderingPart(turn)).minus(CLOCK_TOLERANCE);
     }
 
     /**
@@ -266,7 +270,7 @@
             switch (answer) {
                 case StoreAnswer.Success<Duration> success -> {
                     renewedAt = now;
-                    heldUntil = now.plus(success.value().dividedBy(ORDERING_PARTS));
+                    heldUntil = now.plus(orderingPart(success.value()));
                     nextCall = now.plus(success.value().dividedBy(RENEWALS_PER_LEASE));
                 }
                 case StoreAnswer.Rejected<Duration> rejected -> lose(rejected.reason());
@@ -312,7 +316,7 @@
                     switch (answer) {
                         case StoreAnswer.Success<Long> success -> {
                             renewedAt = appliedAt;
-                            heldUntil = appliedAt.plus(turn.dividedBy(ORDERING_PARTS));
+                            heldUntil = appliedAt.plus(orderingPart(turn));
                             become(success.value());
                         }
                         case StoreAnswer.Rejected<Long> rejected -> {
--- a/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
@@ -108,13 +108,7 @@
     }
 
     private boolean isLoadAllowed(EngineView view, String model, int maximumStoreLoads) {
-        return view.localCopies().contains(model) || storeLoads < maximumStoreLoads;
-    }
-
-    private void countLoad(EngineView view, String model) {
-        if (!view.localCopies().contains(model)) {
-            storeLoads++;
-        }
+        return view.hasLocalCopy(model) || storeLoads < maximumStoreLoads;
     }
 
     /**
@@ -184,8 +178,7 @@
     }
 
     private double usefulPart(EngineView view, String model) {
-        Model definition = engine.models().get(model);
-        Duration load = view.localCopies().contains(model) ? definition.diskLoadTime() : definition.loadTime();
+        Duration load = engine.models().get(model).loadTime(view.hasLocalCopy(model));
         return SECONDS_OF_USE / (SECONDS_OF_USE + load.toMillis() / MILLISECONDS_PER_SECOND);
     }
 
@@ -214,7 +207,7 @@
         String identifier = move.view().identifier();
         ordered.add(identifier);
         occupied++;
-        countLoad(move.view(), move.model());
+        storeLoads += move.view().hasLocalCopy(move.model()) ? 0 : 1;
         copies.merge(move.model(), 1, Integer::sum);
         if (move.victim().isEmpty()) {
             orders.add(new PlannedOrder(identifier, new EngineOrder.LoadModel(move.model()), reason));
--- a/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
@@ -191,7 +191,7 @@
         if (model == null) {
             return Duration.ZERO;
         }
-        return hasCopy(book, load.model()) ? model.diskLoadTime() : model.loadTime();
+        return model.loadTime(hasCopy(book, load.model()));
     }
 
     private static boolean hasCopy(EngineBook book, String model) {
--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -234,10 +234,8 @@
     }
 
     private static Duration loadTime(Model model, List<Upstream> usable) {
-        Optional<Upstream> withCopy = usable.stream()
-                .filter(upstream -> upstream.description().localCopies().contains(model.name()))
-                .findAny();
-        return withCopy.isPresent() ? model.diskLoadTime() : model.loadTime();
+        return model.loadTime(usable.stream()
+                .anyMatch(upstream -> upstream.description().localCopies().contains(model.name())));
     }
 
     private double penalty(Upstream candidate, SelectionRequest request, MonotonicTime now) {
