--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/FleetSimulation.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/FleetSimulation.java
@@ -46,7 +46,7 @@
     private static final long REPLACEMENT_LAG = 4_000;
 
     /** Size of the largest models, of which an engine surely holds as many as this allows. */
-    private static final double LARGEST_MEGABYTES = 72_700;
+    private static final double LARGEST_MEGABYTES = 73_000;
 
     /** Simulated times begin here, since monotonic times are counted from an origin in the past. */
     private static final Duration ORIGIN = Duration.ofSeconds(1_000);
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/HeavyDay.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/HeavyDay.java
@@ -89,21 +89,21 @@
         return Catalog.of(
                 1,
                 List.of(),
-                List.of(new Service(SERVICE, 370, Optional.of(described))),
+                List.of(new Service(SERVICE, 400, Optional.of(described))),
                 List.of(),
                 CallerLimits.DEFAULTS);
     }
 
     /** Few large engines behind a slow weight store; two of five models are busy at a time, 24 are rare. */
     static HeavyDay slowStore(double load, List<Fault> faults) {
-        EngineModel engine = new EngineModel(64, 133_635, 8.87, 0.0388, 19.1, 2_048, 220_000, 8, 6);
+        EngineModel engine = new EngineModel(64, 130_000, 9, 0.04, 20, 2_048, 220_000, 8, 6);
         Map<String, Model> models = new HashMap<>();
         Map<String, Double> paces = new HashMap<>();
-        int[] adapters = {63, 0, 23, 0, 23};
+        int[] adapters = {60, 0, 20, 0, 20};
         for (int index = 0; index < 29; index++) {
             boolean isSmall = index == 0 || (index > 5 && index % 2 == 0);
-            model(models, index, isSmall, index < 5 ? adapters[index] : 0, 7_800, 1_600, 760);
-            paces.put(modelName(index), isSmall ? 0.35 : 1.0);
+            model(models, index, isSmall, index < 5 ? adapters[index] : 0, 8_000, 1_500, 800);
+            paces.put(modelName(index), isSmall ? 0.3 : 1.0);
         }
         return new HeavyDay(
                 "slow-store",
@@ -111,32 +111,32 @@
                 8,
                 13,
                 engine,
-                2.1,
+                2,
                 5,
                 models,
                 paces,
-                List.of(0.73, 0.27),
+                List.of(0.75, 0.25),
                 List.of(1_000L, 14_000L, 24_000L),
                 1,
                 5_500,
                 List.of(
-                        new RequestClass("report", 41 * load, 1_800, 568, 22, true, 0.1, 800, 5_000, 1.8, 0.53, 1),
-                        new RequestClass("brief", 5.7 * load, 1_800, 568, 22, false, 0, 6_000, 15_000, 1.8, 0.53, 1),
-                        new RequestClass("chat", 12.1 * load, 1_110, 350, 172, true, 0.5, 800, 15_000, 2.3, 0.7, 0)),
+                        new RequestClass("report", 40 * load, 1_800, 600, 20, true, 0.1, 800, 5_000, 2, 0.5, 1),
+                        new RequestClass("plan", 6 * load, 1_800, 600, 20, false, 0, 6_000, 15_000, 2, 0.5, 1),
+                        new RequestClass("chat", 12 * load, 1_100, 350, 170, true, 0.5, 800, 15_000, 2.5, 0.75, 0)),
                 faults,
                 14_000);
     }
 
     /** The same engines behind a fast weight store; four of ten models are busy at a time, 24 are rare. */
     static HeavyDay fastStore(double load, List<Fault> faults) {
-        EngineModel engine = new EngineModel(64, 131_777, 10.1, 0.0328, 20.4, 2_048, 230_000, 5, 6);
+        EngineModel engine = new EngineModel(64, 130_000, 10, 0.03, 20, 2_048, 230_000, 5, 6);
         Map<String, Model> models = new HashMap<>();
         Map<String, Double> paces = new HashMap<>();
-        int[] adapters = {47, 0, 13, 0, 13, 0, 11, 0, 11, 0};
+        int[] adapters = {50, 0, 12, 0, 12, 0, 10, 0, 10, 0};
         for (int index = 0; index < 34; index++) {
             boolean isSmall = index == 0 || index == 3 || index == 6 || index == 9 || (index > 10 && index % 2 == 0);
-            model(models, index, isSmall, index < 10 ? adapters[index] : 0, 2_200, 1_400, 1_100);
-            paces.put(modelName(index), isSmall ? 0.13 : 1.0);
+            model(models, index, isSmall, index < 10 ? adapters[index] : 0, 2_000, 1_500, 1_000);
+            paces.put(modelName(index), isSmall ? 0.15 : 1.0);
         }
         return new HeavyDay(
                 "fast-store",
@@ -144,18 +144,18 @@
                 9,
                 13,
                 engine,
-                2.1,
+                2,
                 10,
                 models,
                 paces,
-                List.of(0.533, 0.197, 0.148, 0.122),
+                List.of(0.5, 0.2, 0.15, 0.15),
                 List.of(1_000L, 14_000L, 24_000L),
                 2,
                 5_500,
                 List.of(
-                        new RequestClass("notes", 41 * load, 1_800, 568, 22, true, 0.1, 800, 5_000, 1.8, 0.53, 1),
-                        new RequestClass("wedding", 5.7 * load, 1_800, 568, 22, false, 0, 2_500, 8_000, 1.8, 0.53, 1),
-                        new RequestClass("chat", 11.7 * load, 1_110, 350, 172, true, 0.5, 600, 15_000, 2.4, 0.71, 0)),
+                        new RequestClass("report", 40 * load, 1_800, 600, 20, true, 0.1, 800, 5_000, 2, 0.5, 1),
+                        new RequestClass("plan", 6 * load, 1_800, 600, 20, false, 0, 2_500, 8_000, 2, 0.5, 1),
+                        new RequestClass("chat", 12 * load, 1_100, 350, 170, true, 0.5, 600, 15_000, 2.5, 0.75, 0)),
                 faults,
                 14_000);
     }
@@ -230,11 +230,11 @@
                 name,
                 new Model(
                         name,
-                        isSmall ? 65_100 : 72_700,
+                        isSmall ? 65_000 : 73_000,
                         Duration.ofMillis(loadMilliseconds),
                         Duration.ofMillis(diskMilliseconds),
                         Duration.ofMillis(memoryMilliseconds),
                         adapters,
-                        isSmall ? 12 : 66));
+                        isSmall ? 12 : 65));
     }
 }
