Keep from upstreams that say in an answer that they leave, or want nothing for a while

An upstream that leaves says so in all its answers, and one that turns a request away with 503 may say for how long it wants nothing from that VM. Neither was read: leaving was known from the store's entries alone, and a request that was turned away came back 150 ms later.

Change: the head of each answer, whatever it answers, is read for both before the one who asked sees it. A leaving upstream stays out of use for the rest of its lifetime whatever its entry says, peers are told at once and with each digest, and keep to it for the lifetime that is named. A pause holds back requests, orders and questions until it ends; requests go elsewhere, wait here where it ends in time, or are refused until the first pause ends.

Ruled out: reading the headers where an attempt ends. A stream that breaks off, or a request that was cancelled, would have told nothing.

--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -135,6 +135,7 @@
         if (!HttpUtil.isKeepAlive(head)) {
             isReusable = false;
         }
+        connections.answered(target, head);
         boolean isAccepted = exchange.listener().onHead(head);
         state = isAccepted ? AnswerState.ACCEPTED : AnswerState.SKIPPED;
         if (!isAccepted) {
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnections.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnections.java
@@ -9,12 +9,14 @@
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
 
@@ -38,6 +40,7 @@
 
     private final EventLoop loop;
     private final Supplier<MonotonicTime> clock;
+    private final BiConsumer<Target, HttpResponse> onAnswer;
     private final Map<Target, Deque<HttpConnection>> idle = new HashMap<>();
     private long openedConnections;
 
@@ -46,10 +49,12 @@
      *
      * @param loop the event loop on which everything runs
      * @param clock reads the present time
+     * @param onAnswer is told the head of each answer, before the one who asked
      */
-    public HttpConnections(EventLoop loop, Supplier<MonotonicTime> clock) {
+    public HttpConnections(EventLoop loop, Supplier<MonotonicTime> clock, BiConsumer<Target, HttpResponse> onAnswer) {
         this.loop = loop;
         this.clock = clock;
+        this.onAnswer = onAnswer;
     }
 
     /**
@@ -133,6 +138,10 @@
         });
     }
 
+    void answered(Target target, HttpResponse head) {
+        onAnswer.accept(target, head);
+    }
+
     void release(HttpConnection connection) {
         connection.markIdle(clock.get());
         idle.computeIfAbsent(connection.target(), target -> new ArrayDeque<>()).addLast(connection);
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
@@ -17,6 +17,7 @@
 import org.pollenhoist.serving.placement.DemandRates;
 import org.pollenhoist.serving.upstream.PeerUse;
 import org.pollenhoist.serving.upstream.Upstream;
+import org.pollenhoist.serving.upstream.UpstreamNotices;
 import org.pollenhoist.serving.upstream.UpstreamTable;
 import org.pollenhoist.vm.CrashVerdictExchange;
 import org.pollenhoist.vm.generated.VmDigest;
@@ -68,6 +69,7 @@
     private final Supplier<MonotonicTime> clock;
     private final PeerExchange peers;
     private final UpstreamTable upstreams;
+    private final UpstreamNotices notices;
     private final FleetLimits limits;
     private final DemandRates demandRates;
     private final CrashQuarantine quarantine;
@@ -85,6 +87,7 @@
             Supplier<MonotonicTime> clock,
             PeerExchange peers,
             UpstreamTable upstreams,
+            UpstreamNotices notices,
             FleetLimits limits,
             DemandRates demandRates,
             CrashQuarantine quarantine,
@@ -93,6 +96,7 @@
         this.clock = clock;
         this.peers = peers;
         this.upstreams = upstreams;
+        this.notices = notices;
         this.limits = limits;
         this.demandRates = demandRates;
         this.quarantine = quarantine;
@@ -140,6 +144,11 @@
         sendSoon(PAUSE);
     }
 
+    /** All peers learn at once that an upstream leaves. */
+    void announceLeaving() {
+        sendSoon(PAUSE);
+    }
+
     /** All peers learn at once what teams have spent here. */
     void announceSpending() {
         sendSoon(SPENDING_PAUSE);
@@ -185,6 +194,9 @@
                         .toList(),
                 now);
         hearUses(report);
+        digest.getLeavingUpstreamsList()
+                .forEach(leaving -> notices.hearFromPeer(
+                        leaving.getUpstream(), leaving.getStartedMilliseconds(), digest.getVmName()));
         digest.getCrashVerdictsList()
                 .forEach(verdict -> quarantine.receive(CrashVerdictExchange.fromMessage(verdict), now));
         DigestWriter.demand(digest).ifPresent(demand -> demandRates.hear(digest.getVmName(), demand, now));
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
@@ -23,6 +23,7 @@
 import org.pollenhoist.vm.generated.ModelDemand;
 import org.pollenhoist.vm.generated.TeamSpending;
 import org.pollenhoist.vm.generated.UpstreamHolding;
+import org.pollenhoist.vm.generated.UpstreamLifetime;
 import org.pollenhoist.vm.generated.UpstreamUse;
 import org.pollenhoist.vm.generated.VmDigest;
 
@@ -69,6 +70,7 @@
                 .setLevelTokens(one.level())));
         demand.ifPresent(told -> addDemand(digest, told));
         upstreams.forEach(upstream -> addUse(digest, upstream, now));
+        upstreams.stream().filter(Upstream::isLeavingSaid).forEach(upstream -> addLeaving(digest, upstream));
         addWants(digest, wants);
         crashNotices.forEach(notice -> digest.addCrashVerdicts(CrashVerdictExchange.toMessage(notice)));
         resignation.ifPresent(given -> addResignation(digest, given, now));
@@ -142,6 +144,12 @@
                 .setWaiting(count.intValue())));
     }
 
+    private static void addLeaving(VmDigest.Builder digest, Upstream upstream) {
+        digest.addLeavingUpstreams(UpstreamLifetime.newBuilder()
+                .setUpstream(upstream.description().identifier())
+                .setStartedMilliseconds(upstream.description().startedMilliseconds()));
+    }
+
     private static void addHoldings(VmDigest.Builder digest, Upstream upstream, MonotonicTime now) {
         upstream.arrivals()
                 .forEach((model, expected) -> digest.addHoldings(UpstreamHolding.newBuilder()
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.epoll.EpollEventLoopGroup;
+import io.netty.handler.codec.http.HttpResponse;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -22,6 +23,7 @@
 import org.pollenhoist.serving.http.CallerServer;
 import org.pollenhoist.serving.http.HttpCalls;
 import org.pollenhoist.serving.http.HttpConnections;
+import org.pollenhoist.serving.http.Target;
 import org.pollenhoist.serving.limit.FleetLimits;
 import org.pollenhoist.serving.peer.PeerExchange;
 import org.pollenhoist.serving.peer.PeerReport;
@@ -40,6 +42,7 @@
 import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreMirror;
 import org.pollenhoist.serving.upstream.Upstream;
+import org.pollenhoist.serving.upstream.UpstreamNotices;
 import org.pollenhoist.serving.upstream.UpstreamTable;
 import org.pollenhoist.vm.generated.VmDigest;
 
@@ -85,6 +88,7 @@
     private final BootClock bootClock = new BootClock();
     private final long incarnation = ThreadLocalRandom.current().nextLong();
     private final UpstreamTable upstreams = new UpstreamTable();
+    private final UpstreamNotices notices = new UpstreamNotices(upstreams, this::upstreamLeaving);
     private final ReadingPace pace = new ReadingPace();
     private final RequestQueue queue = new RequestQueue();
     private final DemandMemory demand = new DemandMemory();
@@ -120,7 +124,7 @@
         sweptAt = now;
         limits = new FleetLimits(settings.isFirstStart(), this::fleetSize, this::announceSpending);
         demandRates = new DemandRates();
-        connections = new HttpConnections(loop, bootClock::read);
+        connections = new HttpConnections(loop, bootClock::read, this::upstreamAnswered);
         HttpCalls calls = new HttpCalls(loop, connections);
         quarantine = new CrashQuarantine(VmName.of(settings.vmName()), crashNotices::add);
         peers = new PeerExchange(loop, bootClock::read, settings.vmName(), this::hear);
@@ -145,7 +149,7 @@
                 pace,
                 this::holdingsChanged);
         digests = new DigestExchange(
-                loop, bootClock::read, peers, upstreams, limits, demandRates, quarantine, new DigestParts());
+                loop, bootClock::read, peers, upstreams, notices, limits, demandRates, quarantine, new DigestParts());
         handler = new RequestHandler(environment());
         callers = new CallerServer(loop, bootClock::read, this::callerLimits, handler);
     }
@@ -169,6 +173,14 @@
                 this::wantBegan);
     }
 
+    private void upstreamAnswered(Target target, HttpResponse head) {
+        notices.hear(target.lifetime(), binding.requestFormat().readAnswer(head), bootClock.read());
+    }
+
+    private void upstreamLeaving(Upstream upstream) {
+        digests.announceLeaving();
+    }
+
     private FleetRetryBudget retryBudget(String service) {
         return retryBudgets.computeIfAbsent(
                 service,
--- a/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
@@ -176,7 +176,8 @@
                 book.completeModelOrder(isLoaded);
             });
             upstream.setArrivals(book.arrivals());
-            if (book.isReportNeeded(now) || book.isCheckDue(CHECK_INTERVAL, now)) {
+            boolean isReportDue = book.isReportNeeded(now) || book.isCheckDue(CHECK_INTERVAL, now);
+            if (isReportDue && !upstream.isPaused(now)) {
                 askForReport(book, now);
             }
         }
@@ -224,7 +225,7 @@
     private EngineView view(EngineBook book, MonotonicTime now) {
         Upstream upstream = book.upstream();
         // While a model is loaded or dropped, engines reject orders on adapters too.
-        boolean isFree = book.isFree(now) && !book.isModelOrderRunning();
+        boolean isFree = book.isFree(now) && !book.isModelOrderRunning() && !upstream.isPaused(now);
         return new EngineView(
                 upstream.description().identifier(),
                 upstream.description().failureDomain(),
@@ -370,8 +371,10 @@
                     outcome,
                     "after_ms",
                     answeredAt.since(now).toMillis());
-            boolean isRepeated =
-                    outcome == OrderOutcome.UNKNOWN && repeats < MAXIMUM_REPEATS && leadership.mayOrder(answeredAt);
+            boolean isRepeated = outcome == OrderOutcome.UNKNOWN
+                    && repeats < MAXIMUM_REPEATS
+                    && leadership.mayOrder(answeredAt)
+                    && !book.upstream().isPaused(answeredAt);
             if (isRepeated) {
                 book.repeated();
                 attempt(sending, repeats + 1, answeredAt);
--- a/serving/src/main/java/org/pollenhoist/serving/request/AnswerHead.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/AnswerHead.java
@@ -1,5 +1,6 @@
 package org.pollenhoist.serving.request;
 
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -10,13 +11,17 @@
  * @param isGenuine whether it bears an upstream's mark
  * @param isNotRun whether it states that the request was not run
  * @param upstreamIdentifier the upstream that gave it, where it says so
+ * @param isLeaving whether the upstream says that it is leaving
+ * @param retryAfter for how long the upstream asks this VM to send it nothing, where it turned the request away
  */
 public record AnswerHead(
         int status,
         Optional<String> requestIdentifier,
         boolean isGenuine,
         boolean isNotRun,
-        Optional<String> upstreamIdentifier) {
+        Optional<String> upstreamIdentifier,
+        boolean isLeaving,
+        Optional<Duration> retryAfter) {
 
     /**
      * Tells whether the request succeeded.
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -460,7 +460,9 @@
         protected void onRejected(AnswerHead read) {
             MonotonicTime now = environment.clock().get();
             String identifier = upstream.description().identifier();
-            tried.passOver(identifier, now.plus(REJECTED_PAUSE));
+            if (read.retryAfter().isEmpty()) {
+                tried.passOver(identifier, now.plus(REJECTED_PAUSE));
+            }
             if (read.status() == MISDIRECTED) {
                 boolean isOther = read.upstreamIdentifier().isPresent()
                         && !read.upstreamIdentifier().get().equals(identifier);
--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -97,20 +97,39 @@
      * @return what is to be done with it
      */
     public Selection select(SelectionRequest request, Service service, UpstreamTable table, MonotonicTime now) {
-        List<Upstream> usable = table.usable(service.name())
+        List<Upstream> present = table.usable(service.name())
                 .filter(upstream ->
                         !request.excluded().contains(upstream.description().identifier()))
                 .toList();
-        if (usable.isEmpty()) {
+        if (present.isEmpty()) {
             return new Selection.Refuse("no_upstream", NO_UPSTREAM_RETRY);
         }
         if (service.engine().isPresent() && !request.model().isEmpty()) {
-            return selectEngine(request, service.engine().get(), usable, now);
+            return selectEngine(request, service.engine().get(), present, now);
         }
-        return selectPlain(request, usable, now);
+        return selectPlain(request, present, now);
+    }
+
+    private static List<Upstream> withoutPaused(List<Upstream> upstreams, MonotonicTime now) {
+        return upstreams.stream().filter(upstream -> !upstream.isPaused(now)).toList();
     }
 
-    private Selection selectPlain(SelectionRequest request, List<Upstream> usable, MonotonicTime now) {
+    /** All upstreams that could serve the request have asked to be left alone for a while. */
+    private static Selection awaitPaused(SelectionRequest request, List<Upstream> paused, MonotonicTime now) {
+        Duration wait = paused.stream()
+                .map(upstream -> upstream.pausedUntil().since(now))
+                .min(Duration::compareTo)
+                .orElse(NO_UPSTREAM_RETRY);
+        return isTooLate(request, wait, now)
+                ? new Selection.Refuse("upstreams_paused", wait)
+                : new Selection.Wait("upstreams_paused", false);
+    }
+
+    private Selection selectPlain(SelectionRequest request, List<Upstream> present, MonotonicTime now) {
+        List<Upstream> usable = withoutPaused(present, now);
+        if (usable.isEmpty()) {
+            return awaitPaused(request, present, now);
+        }
         Upstream best = null;
         double bestCost = Double.MAX_VALUE;
         for (Upstream candidate : usable) {
@@ -135,12 +154,16 @@
         return new Selection.Send(best, Duration.ofMillis((long) bestCost), "least_cost");
     }
 
-    private Selection selectEngine(SelectionRequest request, Engine engine, List<Upstream> usable, MonotonicTime now) {
-        List<Upstream> holders = usable.stream()
+    private Selection selectEngine(SelectionRequest request, Engine engine, List<Upstream> present, MonotonicTime now) {
+        List<Upstream> allHolders = present.stream()
                 .filter(upstream -> upstream.holds(request.model(), request.adapter()))
                 .toList();
+        if (allHolders.isEmpty()) {
+            return awaitPlacement(request, engine, present, now);
+        }
+        List<Upstream> holders = withoutPaused(allHolders, now);
         if (holders.isEmpty()) {
-            return awaitPlacement(request, engine, usable, now);
+            return awaitPaused(request, allHolders, now);
         }
         Upstream best = null;
         double bestCost = Double.MAX_VALUE;
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
@@ -43,6 +43,7 @@
     private final Map<String, MonotonicTime> arrivals = new HashMap<>();
     private UpstreamDescription description;
     private boolean isGone;
+    private boolean isLeavingSaid;
     private int running;
     private long unreadTokens;
     private long reservedTokens;
@@ -50,10 +51,12 @@
     private double recentAnswers;
     private MonotonicTime fadedAt;
     private MonotonicTime suspectedUntil;
+    private MonotonicTime pausedUntil;
 
     Upstream(UpstreamDescription description, MonotonicTime now) {
         this.fadedAt = now;
         this.suspectedUntil = now;
+        this.pausedUntil = now;
         describe(description);
     }
 
@@ -105,7 +108,58 @@
      * @return false where it is leaving or gone
      */
     public boolean isUsable() {
-        return !isGone && !description.isLeaving();
+        return !isGone && !isLeavingSaid && !description.isLeaving();
+    }
+
+    /**
+     * Notes that the upstream said in an answer that it leaves. That holds for the rest of its lifetime, whatever its
+     * entry says.
+     *
+     * @return whether that was not known yet
+     */
+    public boolean markLeaving() {
+        boolean isNews = !isLeavingSaid;
+        isLeavingSaid = true;
+        return isNews;
+    }
+
+    /**
+     * Tells whether the upstream said in an answer, to this VM or a peer, that it leaves.
+     *
+     * @return true once it was said
+     */
+    public boolean isLeavingSaid() {
+        return isLeavingSaid;
+    }
+
+    /**
+     * Notes that the upstream wants nothing from this VM for a while. Of several such times the last one counts.
+     *
+     * @param until the end of that time
+     */
+    public void pauseUntil(MonotonicTime until) {
+        if (pausedUntil.isBefore(until)) {
+            pausedUntil = until;
+        }
+    }
+
+    /**
+     * Tells whether the upstream wants nothing from this VM for now.
+     *
+     * @param now the present time
+     * @return true while nothing may be sent there
+     */
+    public boolean isPaused(MonotonicTime now) {
+        return now.isBefore(pausedUntil);
+    }
+
+    /**
+     * Returns when the upstream may be sent something again.
+     *
+     * @return the end of the last pause; in the past where there is none
+     */
+    public MonotonicTime pausedUntil() {
+        return pausedUntil;
     }
 
     /**
--- a/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionsTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionsTest.java
@@ -39,7 +39,7 @@
 
     private final EpollEventLoopGroup group = new EpollEventLoopGroup(1);
     private final EventLoop loop = group.next();
-    private final HttpConnections connections = new HttpConnections(loop, MonotonicTime::read);
+    private final HttpConnections connections = new HttpConnections(loop, MonotonicTime::read, (target, head) -> {});
     private final List<String> answers = new CopyOnWriteArrayList<>();
     private final AtomicInteger accepted = new AtomicInteger();
     private ServerSocket server;
--- a/serving/src/test/java/org/pollenhoist/serving/node/DigestWriterTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/DigestWriterTest.java
@@ -4,17 +4,22 @@
 import static org.assertj.core.api.Assertions.within;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.placement.Leadership;
 import org.pollenhoist.serving.placement.RecentWork;
 import org.pollenhoist.serving.placement.VmDemand;
+import org.pollenhoist.serving.upstream.UpstreamDescription;
+import org.pollenhoist.serving.upstream.UpstreamTable;
+import org.pollenhoist.vm.generated.UpstreamLifetime;
 import org.pollenhoist.vm.generated.VmDigest;
 
 class DigestWriterTest {
@@ -89,6 +94,49 @@
         }
     }
 
+    @Nested
+    class Leaving {
+
+        private final UpstreamTable upstreams = new UpstreamTable();
+
+        private VmDigest write() throws InvalidProtocolBufferException {
+            VmDigest written = new DigestWriter("vm-1", "north", 5)
+                    .write(
+                            1,
+                            2,
+                            List.of(),
+                            upstreams.all(),
+                            Optional.empty(),
+                            List.of(),
+                            false,
+                            false,
+                            List.of(),
+                            List.of(),
+                            Optional.empty(),
+                            NOW);
+            return VmDigest.parseFrom(written.toByteArray());
+        }
+
+        @Test
+        void should_name_the_lifetimes_that_said_so_themselves() throws InvalidProtocolBufferException {
+            upstreams.put(upstream("staying", false), NOW);
+            upstreams.put(upstream("leaving-by-its-entry", true), NOW);
+            upstreams.put(upstream("leaving", false), NOW);
+            upstreams.find("leaving").orElseThrow().markLeaving();
+
+            assertThat(write().getLeavingUpstreamsList())
+                    .containsExactly(UpstreamLifetime.newBuilder()
+                            .setUpstream("leaving")
+                            .setStartedMilliseconds(7)
+                            .build());
+        }
+
+        private static UpstreamDescription upstream(String name, boolean isLeaving) {
+            return new UpstreamDescription(
+                    name, 7, "app", new InetSocketAddress(1), "north", 4, isLeaving, 0, List.of(), Set.of());
+        }
+    }
+
     @Nested
     class Resignation {
 
--- a/serving/src/test/java/org/pollenhoist/serving/routing/UpstreamSelectorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/routing/UpstreamSelectorTest.java
@@ -115,6 +115,49 @@
         }
     }
 
+    @Nested
+    class Paused {
+
+        @Test
+        void should_go_to_another_upstream_than_one_that_wants_nothing() {
+            engine("paused").pauseUntil(NOW.plus(Duration.ofSeconds(1)));
+            engine("other").begin(5_000, 5_100);
+
+            assertThat(upstreamOf(select("m", "", Duration.ofSeconds(5)))).isEqualTo("other");
+        }
+
+        @Test
+        void should_wait_where_the_pause_of_the_only_one_ends_in_time() {
+            engine("paused").pauseUntil(NOW.plus(Duration.ofMillis(300)));
+
+            assertThat(select("m", "", Duration.ofSeconds(5))).isEqualTo(new Selection.Wait("upstreams_paused", false));
+        }
+
+        @Test
+        void should_refuse_until_the_first_pause_ends_where_that_is_too_late() {
+            engine("longer").pauseUntil(NOW.plus(Duration.ofSeconds(9)));
+            engine("shorter").pauseUntil(NOW.plus(Duration.ofSeconds(4)));
+
+            assertThat(select("m", "", Duration.ofSeconds(5)))
+                    .isEqualTo(new Selection.Refuse("upstreams_paused", Duration.ofSeconds(4)));
+        }
+
+        @Test
+        void should_go_there_again_once_the_pause_is_over() {
+            engine("paused").pauseUntil(NOW);
+
+            assertThat(upstreamOf(select("m", "", Duration.ofSeconds(5)))).isEqualTo("paused");
+        }
+
+        @Test
+        void should_leave_a_plain_service_alone_too() {
+            add("paused", "north", Set.of()).pauseUntil(NOW.plus(Duration.ofSeconds(3)));
+
+            assertThat(selector.select(request("app", "", "", Duration.ofSeconds(2)), PLAIN, table, NOW))
+                    .isEqualTo(new Selection.Refuse("upstreams_paused", Duration.ofSeconds(3)));
+        }
+    }
+
     @Nested
     class Ranks {
 
