Admit requests by the usual length of their kind, and keep none from an idle engine

Requests with much time wait until half of their goal has passed unless an engine's wait is under half of the shortest goal, and that wait counted their own prompt: 9,200 tokens, taken at the pace of a model that was not observed yet, are longer than that on an idle engine. Long prompts of other kinds were refused for their own length.

Ruled out: loads (they took part, but requests for models that were held were refused as well); the engines' room.

Change: what counts is the time for prompts that came before. All prompts of a kind are admitted by its mean length, so that short ones don't fill engines up to where long ones are late. Where an engine has little to read, a request goes there even if it will be late. A request with much time waits only while its prompt leaves time. A model that was not observed is taken to be as fast as the others.

Worth in the simulation now grows with a request's size, as it does for callers.

--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/Callers.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/Callers.java
@@ -21,9 +21,23 @@
     private static final double SIZE_SPREAD = 0.9;
     private static final int LARGEST_IN_MEANS = 4;
 
+    /** What is counted for prompts of a length. */
+    private static final int ASKED = 0;
+
+    private static final int SERVED = 1;
+
+    /** Prompt tokens that make as much work as a token of the output. */
+    private static final double OUTPUT_WEIGHT = 10;
+
+    /** Part of a request's worth that does not depend on its size. */
+    private static final double FIXED_WEIGHT = 0.3;
+
     /** Requests from which a model that is never served counts as starved. */
     private static final int ASKED_OFTEN = 4;
 
+    /** Part of a class with the longest prompts that is looked at by itself. */
+    private static final double LARGEST_PART = 0.2;
+
     /** A caller waits no longer for its return than this part of the time it has left. */
     private static final int RETURN_PARTS = 3;
 
@@ -33,6 +47,7 @@
     private final Map<String, Double> factors = new HashMap<>();
     private final TreeMap<Long, double[]> windows = new TreeMap<>();
     private final Map<String, double[]> classes = new TreeMap<>();
+    private final Map<String, TreeMap<Long, int[]>> servedByLength = new TreeMap<>();
     private final Map<String, Integer> endings = new TreeMap<>();
     private final Map<String, Integer> askedByModel = new HashMap<>();
     private final Set<String> servedModels = new HashSet<>();
@@ -82,12 +97,27 @@
                 fleet.milliseconds(),
                 true);
         askedByModel.merge(model, 1, Integer::sum);
-        double owed = kind.worth();
+        double owed = kind.worth() * weight(asked);
         windows.computeIfAbsent(fleet.milliseconds() / WINDOW, ignored -> new double[2])[1] += owed;
         classes.computeIfAbsent(kind.name(), ignored -> new double[2])[1] += owed;
+        countOf(asked)[ASKED]++;
         send(asked);
     }
 
+    /** What a request is worth against one of the mean size of its kind. */
+    private static double weight(SimulatedRequest.Asked asked) {
+        RequestClass kind = asked.kind();
+        double size = asked.promptTokens() + OUTPUT_WEIGHT * asked.outputTokens();
+        double meanSize = kind.promptTokens() + kind.sharedTokens() + OUTPUT_WEIGHT * kind.outputTokens();
+        return Math.min(LARGEST_IN_MEANS, FIXED_WEIGHT + (1 - FIXED_WEIGHT) * size / meanSize);
+    }
+
+    private int[] countOf(SimulatedRequest.Asked asked) {
+        return servedByLength
+                .computeIfAbsent(asked.kind().name(), ignored -> new TreeMap<>())
+                .computeIfAbsent(asked.promptTokens(), ignored -> new int[2]);
+    }
+
     private void send(SimulatedRequest.Asked asked) {
         new SimulatedRequest(fleet, fleet.anyVm(), asked, ++nextNumber, this).start();
     }
@@ -121,10 +151,11 @@
 
     @Override
     public void served(SimulatedRequest.Asked asked, boolean isOnTime, long at) {
-        double worth = isOnTime ? asked.kind().worth() : asked.kind().lateWorth();
+        double worth = (isOnTime ? asked.kind().worth() : asked.kind().lateWorth()) * weight(asked);
         windows.get(asked.firstAskedAt() / WINDOW)[0] += worth;
         classes.get(asked.kind().name())[0] += worth;
         servedModels.add(asked.model());
+        countOf(asked)[SERVED]++;
         count(isOnTime ? "on_time" : "late");
     }
 
@@ -133,7 +164,7 @@
         count("refused " + reason);
         long left = asked.firstAskedAt() + asked.kind().deadlineMilliseconds() - fleet.milliseconds();
         if (!asked.isFirstTry()) {
-            returnedInVain += asked.kind().worth();
+            returnedInVain += asked.kind().worth() * weight(asked);
             return;
         }
         long pause = Math.min(retryAfter.toMillis(), left / RETURN_PARTS);
@@ -149,6 +180,23 @@
         endings.merge(ending, 1, Integer::sum);
     }
 
+    /** The part that was served of the longest prompts of each class, which make up the given part of it. */
+    private Map<String, Double> servedOfLongest(double part) {
+        Map<String, Double> served = new TreeMap<>();
+        servedByLength.forEach((kind, byLength) -> {
+            int all = byLength.values().stream().mapToInt(count -> count[ASKED]).sum();
+            int[] longest = new int[2];
+            for (int[] count : byLength.descendingMap().values()) {
+                if (longest[ASKED] < all * part) {
+                    longest[ASKED] += count[ASKED];
+                    longest[SERVED] += count[SERVED];
+                }
+            }
+            served.put(kind, longest[SERVED] / (double) longest[ASKED]);
+        });
+        return served;
+    }
+
     private Set<String> neverServed() {
         Set<String> never = new TreeSet<>();
         askedByModel.forEach((model, count) -> {
@@ -174,6 +222,8 @@
                 earned / owed,
                 (sorted.get(0) + sorted.get(1)) / 2,
                 byClass,
+                servedOfLongest(1),
+                servedOfLongest(LARGEST_PART),
                 returnedInVain / owed,
                 neverServed(),
                 storeLoads,
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/DayResult.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/DayResult.java
@@ -10,6 +10,8 @@
  * @param attainment worth of the answers against the worth of all requests on time
  * @param worstWindows the same over the two worst windows
  * @param attainmentByClass the same for each class
+ * @param servedByClass part of the requests of each class that were answered, on time or late
+ * @param servedOfLargest the same for the fifth of each class with the longest prompts
  * @param returnedInVain part of the worth that was refused, came back, and was not served then either
  * @param neverServed models that were asked for four times or more and never served
  * @param storeLoads when loads from the weight store began, in milliseconds from the start of traffic
@@ -20,6 +22,8 @@
         double attainment,
         double worstWindows,
         Map<String, Double> attainmentByClass,
+        Map<String, Double> servedByClass,
+        Map<String, Double> servedOfLargest,
         double returnedInVain,
         Set<String> neverServed,
         List<Long> storeLoads,
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/HeavyDay.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/HeavyDay.java
@@ -160,6 +160,42 @@
                 14_000);
     }
 
+    /**
+     * Quick engines behind a store whose loads take little more than a second; prompts are long, for the most part
+     * shared, and few kinds of request differ much in urgency. Three of six models are busy at a time, 24 are rare.
+     */
+    static HeavyDay longPrompts(double load, List<Fault> faults) {
+        EngineModel engine = new EngineModel(64, 250_000, 4.5, 0.02, 40, 2_048, 220_000, 8, 6);
+        Map<String, Model> models = new HashMap<>();
+        Map<String, Double> paces = new HashMap<>();
+        int[] adapters = {40, 0, 10, 0, 10, 0};
+        for (int index = 0; index < 30; index++) {
+            boolean isSmall = index % 3 == 0;
+            model(models, index, isSmall, index < 6 ? adapters[index] : 0, 1_200, 500, 400);
+            paces.put(modelName(index), isSmall ? 0.3 : 1.0);
+        }
+        return new HeavyDay(
+                "long-prompts",
+                3,
+                9,
+                13,
+                engine,
+                2,
+                6,
+                models,
+                paces,
+                List.of(0.5, 0.3, 0.2),
+                List.of(1_000L, 14_000L, 24_000L),
+                1,
+                5_500,
+                List.of(
+                        new RequestClass("digest", 20 * load, 3_000, 6_000, 50, true, 0.1, 800, 5_000, 2.3, 0.23, 1),
+                        new RequestClass("compare", 3 * load, 3_000, 6_000, 50, false, 0, 1_500, 6_000, 2.3, 0.23, 1),
+                        new RequestClass("helper", 25 * load, 600, 200, 300, true, 0.5, 500, 15_000, 0.85, 0.09, 0)),
+                faults,
+                14_000);
+    }
+
     /** The same day where every engine holds every model: what placement could gain at the most. */
     HeavyDay withAllModelsEverywhere() {
         EngineModel roomy = new EngineModel(
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/HeavyDayCommand.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/HeavyDayCommand.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.stream.Collectors;
 import org.slf4j.LoggerFactory;
@@ -49,7 +50,10 @@
     public Integer call() {
         ((Logger) LoggerFactory.getLogger("pollenhoist")).setLevel(hasLog ? Level.INFO : Level.WARN);
         List<HeavyDay.Fault> faults = isCalm ? List.of() : HeavyDay.commonFaults();
-        for (HeavyDay day : List.of(HeavyDay.slowStore(load, faults), HeavyDay.fastStore(load, faults))) {
+        for (HeavyDay day : List.of(
+                HeavyDay.slowStore(load, faults),
+                HeavyDay.fastStore(load, faults),
+                HeavyDay.longPrompts(load, faults))) {
             HeavyDay played = isUnlimited ? day.withAllModelsEverywhere() : day;
             for (long seed : seeds) {
                 print(played, seed, new FleetSimulation(played, seed).play(Duration.ofSeconds(41)));
@@ -58,17 +62,24 @@
         return 0;
     }
 
+    private static String parts(Map<String, Double> byClass) {
+        return byClass.entrySet().stream()
+                .map(entry -> "%s:%.2f".formatted(entry.getKey(), entry.getValue()))
+                .collect(Collectors.joining(","));
+    }
+
     private void print(HeavyDay day, long seed, DayResult result) {
         System.out.printf(
                 Locale.ROOT,
-                "%s seed=%d attainment=%.3f worst_windows=%.3f classes=%s in_vain=%.3f loads=%d %s%n",
+                "%s seed=%d attainment=%.3f worst_windows=%.3f classes=%s served=%s of_largest=%s"
+                        + " in_vain=%.3f loads=%d %s%n",
                 day.name(),
                 seed,
                 result.attainment(),
                 result.worstWindows(),
-                result.attainmentByClass().entrySet().stream()
-                        .map(entry -> "%s:%.2f".formatted(entry.getKey(), entry.getValue()))
-                        .collect(Collectors.joining(",")),
+                parts(result.attainmentByClass()),
+                parts(result.servedByClass()),
+                parts(result.servedOfLargest()),
                 result.returnedInVain(),
                 result.storeLoads().size(),
                 result.endings());
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/HeavyDayExperiment.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/HeavyDayExperiment.java
@@ -19,6 +19,9 @@
     /** Further seeds that are played for each seed that is asked for: single days differ by several hundredths. */
     private static final int DAYS = 8;
 
+    /** Load at which more comes than engines read. */
+    private static final double OVERLOAD = 2.5;
+
     @Override
     public String name() {
         return "heavy-day";
@@ -37,7 +40,9 @@
                 HeavyDay.slowStore(1, List.of()),
                 HeavyDay.slowStore(1, HeavyDay.commonFaults()),
                 HeavyDay.fastStore(1, List.of()),
-                HeavyDay.fastStore(1, HeavyDay.commonFaults()))) {
+                HeavyDay.fastStore(1, HeavyDay.commonFaults()),
+                HeavyDay.longPrompts(1, List.of()),
+                HeavyDay.longPrompts(OVERLOAD, HeavyDay.commonFaults()))) {
             String name = day.name() + (day.faults().isEmpty() ? ", calm" : ", with faults");
             progress.report(name);
             measures.addAll(measure(name, day, seed, length));
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
@@ -79,6 +79,7 @@
     }
 
     void start() {
+        vm.promptSizes.observe(asked.kind().name(), asked.promptTokens());
         vm.demand.recordAsked(asked.model(), work(), fleet.now());
         tryStart(fleet.now());
     }
@@ -117,6 +118,7 @@
                 asked.model(),
                 asked.adapter(),
                 asked.promptTokens(),
+                vm.promptSizes.mean(asked.kind().name()),
                 asked.totalTokens(),
                 asked.parts(),
                 priority(),
--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedVm.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedVm.java
@@ -4,6 +4,7 @@
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.placement.DemandMemory;
 import org.pollenhoist.serving.request.RequestQueue;
+import org.pollenhoist.serving.routing.PromptSizes;
 import org.pollenhoist.serving.routing.ReadingPace;
 import org.pollenhoist.serving.routing.UpstreamSelector;
 import org.pollenhoist.serving.upstream.UpstreamTable;
@@ -15,6 +16,7 @@
     final String domain;
     final UpstreamTable upstreams = new UpstreamTable();
     final ReadingPace pace = new ReadingPace();
+    final PromptSizes promptSizes = new PromptSizes();
     final RequestQueue queue = new RequestQueue();
     final DemandMemory demand = new DemandMemory();
     final UpstreamSelector selector;
--- a/experiments/src/test/java/org/pollenhoist/experiments/serving/FleetSimulationTest.java
+++ b/experiments/src/test/java/org/pollenhoist/experiments/serving/FleetSimulationTest.java
@@ -6,6 +6,8 @@
 import ch.qos.logback.classic.Logger;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeAll;
@@ -13,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.slf4j.LoggerFactory;
 
 /**
@@ -33,6 +36,12 @@
     /** The users' bound below which a kind of request counts as starved, against all requests. */
     private static final double STARVED_PART = 0.25;
 
+    /** What the users allow one kind of request to fall behind another. */
+    private static final double FAIR_DISTANCE = 0.15;
+
+    /** Load at which more comes than engines read. */
+    private static final double OVERLOAD = 2.5;
+
     @BeforeAll
     static void quieten() {
         ((Logger) LoggerFactory.getLogger("pollenhoist")).setLevel(Level.WARN);
@@ -43,7 +52,9 @@
                 HeavyDay.slowStore(1, List.of()),
                 HeavyDay.slowStore(1, HeavyDay.commonFaults()),
                 HeavyDay.fastStore(1, List.of()),
-                HeavyDay.fastStore(1, HeavyDay.commonFaults()));
+                HeavyDay.fastStore(1, HeavyDay.commonFaults()),
+                HeavyDay.longPrompts(1, List.of()),
+                HeavyDay.longPrompts(OVERLOAD, HeavyDay.commonFaults()));
     }
 
     private static List<DayResult> play(HeavyDay day) {
@@ -80,6 +91,37 @@
         }
     }
 
+    @Nested
+    class LongPrompts {
+
+        private final List<DayResult> results = play(HeavyDay.longPrompts(OVERLOAD, HeavyDay.commonFaults()));
+
+        private double mean(Function<DayResult, Map<String, Double>> parts, String kind) {
+            return results.stream()
+                    .mapToDouble(result -> parts.apply(result).get(kind))
+                    .average()
+                    .orElseThrow();
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"digest", "compare", "helper"})
+        void should_be_served_as_often_as_the_rest_of_their_kind(String kind) {
+            assertThat(mean(DayResult::servedOfLargest, kind))
+                    .isGreaterThan(mean(DayResult::servedByClass, kind) - FAIR_DISTANCE);
+        }
+
+        @Test
+        void should_leave_no_kind_far_behind_the_others() {
+            List<Double> served = Stream.of("digest", "compare", "helper")
+                    .map(kind -> mean(DayResult::servedByClass, kind))
+                    .toList();
+            double mean =
+                    served.stream().mapToDouble(Double::doubleValue).average().orElseThrow();
+
+            assertThat(served).allSatisfy(part -> assertThat(part).isGreaterThan(mean - FAIR_DISTANCE));
+        }
+    }
+
     @Nested
     class Placement {
 
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -37,6 +37,7 @@
 import org.pollenhoist.serving.request.RequestHandler;
 import org.pollenhoist.serving.request.RequestMetrics;
 import org.pollenhoist.serving.request.RequestQueue;
+import org.pollenhoist.serving.routing.PromptSizes;
 import org.pollenhoist.serving.routing.ReadingPace;
 import org.pollenhoist.serving.routing.UpstreamSelector;
 import org.pollenhoist.serving.store.Store;
@@ -162,6 +163,7 @@
                 limits,
                 new UpstreamSelector(settings.failureDomain(), pace),
                 pace,
+                new PromptSizes(),
                 queue,
                 connections,
                 binding.requestFormat(),
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
@@ -10,9 +10,11 @@
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.request.CrashQuarantine;
 import org.pollenhoist.serving.catalog.Catalog;
+import org.pollenhoist.serving.catalog.Route;
 import org.pollenhoist.serving.http.HttpConnections;
 import org.pollenhoist.serving.limit.FleetLimits;
 import org.pollenhoist.serving.placement.DemandMemory;
+import org.pollenhoist.serving.routing.PromptSizes;
 import org.pollenhoist.serving.routing.ReadingPace;
 import org.pollenhoist.serving.routing.UpstreamSelector;
 import org.pollenhoist.serving.upstream.UpstreamTable;
@@ -26,6 +28,7 @@
  * @param limits the teams' limits
  * @param selector chooses upstreams
  * @param pace learns how fast engines read
+ * @param promptSizes learns how long prompts are
  * @param queue requests that wait
  * @param connections connections to upstreams
  * @param format how callers and upstreams write
@@ -43,6 +46,7 @@
         FleetLimits limits,
         UpstreamSelector selector,
         ReadingPace pace,
+        PromptSizes promptSizes,
         RequestQueue queue,
         HttpConnections connections,
         RequestFormat format,
@@ -57,6 +61,25 @@
         return catalog.get().map(known -> known.shortestGoals(service)).orElse(Collections.emptyNavigableMap());
     }
 
+    /** Counts a request that comes. */
+    void recordAsked(Route route, CallerRequest asked, MonotonicTime now) {
+        if (!asked.model().isEmpty()) {
+            promptSizes.observe(route.name(), asked.promptTokens());
+            demand.recordAsked(asked.model(), workMicroseconds(asked), now);
+        }
+    }
+
+    /** Counts a request that is sent to an upstream for the first time. */
+    void recordSent(CallerRequest asked, MonotonicTime now) {
+        if (!asked.model().isEmpty()) {
+            demand.recordSent(asked.model(), workMicroseconds(asked), now);
+        }
+    }
+
+    private long workMicroseconds(CallerRequest asked) {
+        return pace.workMicroseconds(asked.model(), asked.promptTokens());
+    }
+
     /**
      * Takes one retry from a service's budget, if it has any left.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -131,16 +131,10 @@
         deadline = admitted.deadline().earlierOf(latestEnd.orElse(admitted.deadline()));
         environment.retryBudgets().apply(service.name()).recordRequest(now);
         suspicion = new CrashSuspicion(environment.quarantine(), incoming, now);
-        if (!asked.model().isEmpty()) {
-            environment.demand().recordAsked(asked.model(), work(), now);
-        }
+        environment.recordAsked(route, asked, now);
         dispatch(now);
     }
 
-    private long work() {
-        return environment.pace().workMicroseconds(asked.model(), asked.promptTokens());
-    }
-
     void refuseStopping(MonotonicTime now) {
         refuse(Refusal.notRunRetryAfter(ErrorCode.NOT_READY, "the process is stopping", STOPPING_RETRY_AFTER), now);
     }
@@ -187,6 +181,7 @@
                 asked.model(),
                 asked.adapter(),
                 asked.promptTokens(),
+                environment.promptSizes().mean(route.name()),
                 asked.totalTokens(),
                 asked.promptParts(),
                 priority(),
@@ -246,9 +241,7 @@
         }
         if (!isRetry) {
             environment.metrics().observeQueueing(now.since(arrivedAt));
-            if (!asked.model().isEmpty()) {
-                environment.demand().recordSent(asked.model(), work(), now);
-            }
+            environment.recordSent(asked, now);
         }
         leaveQueue();
         tries++;
--- a/serving/src/main/java/org/pollenhoist/serving/routing/ReadingPace.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/ReadingPace.java
@@ -10,7 +10,7 @@
  */
 public final class ReadingPace {
 
-    /** Pace of a model that was not observed yet, in milliseconds a token; that of a large model on current engines. */
+    /** Pace before any model was observed, in milliseconds a token; that of a large model on current engines. */
     static final double INITIAL_MILLISECONDS_PER_TOKEN = 0.05;
 
     /** Weight of a new observation; the last thirty or so decide. */
@@ -28,6 +28,7 @@
 
     private final Map<String, Double> paceByModel = new HashMap<>();
     private final Map<String, Double> unhinderedByModel = new HashMap<>();
+    private double paceOfAll = INITIAL_MILLISECONDS_PER_TOKEN;
 
     /**
      * Notes a first token.
@@ -41,6 +42,7 @@
             return;
         }
         double observed = (double) waited.toMillis() / tokensAhead;
+        paceOfAll += NEW_WEIGHT * (observed - paceOfAll);
         paceByModel.merge(model, observed, (old, fresh) -> old + NEW_WEIGHT * (fresh - old));
         // A first observation from a crowded engine must not make a model look many times slower than it is.
         double old = unhinderedByModel.getOrDefault(model, INITIAL_MILLISECONDS_PER_TOKEN);
@@ -61,14 +63,14 @@
     }
 
     /**
-     * Estimates how long an engine reads.
+     * Estimates how long an engine reads. A model that was not observed yet is taken to be as fast as the others.
      *
      * @param model the model
      * @param tokens the tokens to read
      * @return the time
      */
     public Duration estimate(String model, long tokens) {
-        double pace = paceByModel.getOrDefault(model, INITIAL_MILLISECONDS_PER_TOKEN);
+        double pace = paceByModel.getOrDefault(model, paceOfAll);
         return Duration.ofMillis(Math.round(pace * Math.max(0, tokens)));
     }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/routing/SelectionRequest.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/SelectionRequest.java
@@ -14,6 +14,7 @@
  * @param model the model it needs, empty for plain services
  * @param adapter the adapter of the model, empty for none
  * @param promptTokens length of its prompt
+ * @param usualPromptTokens mean length of the prompts of its kind
  * @param totalTokens prompt and output
  * @param promptParts the parts of its prompt in order
  * @param priority its rank, 0 first
@@ -30,6 +31,7 @@
         String model,
         String adapter,
         long promptTokens,
+        long usualPromptTokens,
         long totalTokens,
         List<PromptPart> promptParts,
         int priority,
--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -18,7 +18,8 @@
  * <p>Answers loads in which a few models get most requests: without prompt lengths in the estimate, long prompts pile
  * up at one engine while another one is idle. And loads beyond what engines can read: an engine reads prompts in the
  * order in which they come, so that requests with much time would fill it up to where more urgent ones are too late.
- * They wait here instead.
+ * They wait here instead. All prompts of a kind are admitted by their mean length, so that short ones, which are in
+ * time behind a longer queue, don't crowd long ones out.
  */
 public final class UpstreamSelector {
 
@@ -55,6 +56,12 @@
      */
     private static final double WORTHWHILE_GOALS = 0.9;
 
+    /**
+     * Part of the goal up to which prompts before it at an engine do not matter: a request goes there even if it will
+     * be late, since refusing it would leave the engine idle.
+     */
+    private static final double FREE_BACKLOG = 0.25;
+
     /** A request with a goal so many times the shortest one has much time. */
     private static final double MUCH_TIME = 2;
 
@@ -167,21 +174,19 @@
         }
         Upstream best = null;
         double bestCost = Double.MAX_VALUE;
-        Duration bestWait = Duration.ZERO;
+        Backlog bestBacklog = Backlog.NONE;
         for (Upstream candidate : holders) {
             PeerUse load = candidate.load(now);
             if (!hasRoom(load, request, engine)) {
                 continue;
             }
-            long unread = load.unreadTokens()
-                    + request.promptTokens()
-                    - candidate.keptTokens(request.model(), request.promptParts());
-            Duration wait = pace.estimate(request.model(), unread);
-            double cost =
-                    wait.toMillis() + load.running() * MILLISECONDS_PER_RUNNING + penalty(candidate, request, now);
+            Backlog backlog = backlog(candidate, load, request);
+            double cost = backlog.untilFirstToken().toMillis()
+                    + load.running() * MILLISECONDS_PER_RUNNING
+                    + penalty(candidate, request, now);
             if (cost < bestCost) {
                 bestCost = cost;
-                bestWait = wait;
+                bestBacklog = backlog;
                 best = candidate;
             }
         }
@@ -190,26 +195,63 @@
                     ? new Selection.Refuse("engines_full", FULL_RETRY)
                     : new Selection.Wait("engines_full", false);
         }
-        if (isTooLate(request, bestWait, now)) {
-            return new Selection.Refuse("too_late_for_all_engines", bestWait);
+        if (isTooLateBehind(bestBacklog, request, now)) {
+            return new Selection.Refuse("too_late_for_all_engines", bestBacklog.untilFirstToken());
         }
-        if (bestWait.compareTo(backlogLimit(request, now)) > 0) {
+        if (isForOthers(bestBacklog, request, now)) {
             return new Selection.Wait("engines_backlogged", false);
         }
-        return new Selection.Send(best, bestWait, "least_cost");
+        return new Selection.Send(best, bestBacklog.untilFirstToken(), "least_cost");
+    }
+
+    /**
+     * What an engine reads until a request's first token.
+     *
+     * @param ahead time for the prompts that came before
+     * @param own time for the request's own prompt
+     * @param usual time for a prompt of its kind's mean length
+     */
+    private record Backlog(Duration ahead, Duration own, Duration usual) {
+
+        private static final Backlog NONE = new Backlog(Duration.ZERO, Duration.ZERO, Duration.ZERO);
+
+        private Duration untilFirstToken() {
+            return ahead.plus(own);
+        }
+    }
+
+    private Backlog backlog(Upstream candidate, PeerUse load, SelectionRequest request) {
+        long kept = candidate.keptTokens(request.model(), request.promptParts());
+        return new Backlog(
+                pace.estimate(request.model(), load.unreadTokens()),
+                pace.estimate(request.model(), request.promptTokens() - kept),
+                pace.estimate(request.model(), request.usualPromptTokens() - kept));
+    }
+
+    /**
+     * Whether a request is refused because of the prompts before it: its caller would have left, or one of the usual
+     * length of its kind would be late.
+     */
+    private static boolean isTooLateBehind(Backlog backlog, SelectionRequest request, MonotonicTime now) {
+        if (request.leavesAt().isBefore(now.plus(backlog.untilFirstToken()))) {
+            return true;
+        }
+        boolean isFree = backlog.ahead().compareTo(part(request.goal(), FREE_BACKLOG)) <= 0;
+        return !isFree && isTooLate(request, backlog.ahead().plus(backlog.usual()), now);
     }
 
     /**
-     * The wait at an engine from which a request waits here: its own goal, but where it has much time, first what
-     * leaves room for requests of its rank and of better ones that have less.
+     * Whether a request with much time waits here, to leave room at the engines for requests of its rank and of better
+     * ones that have less.
      */
-    private static Duration backlogLimit(SelectionRequest request, MonotonicTime now) {
+    private static boolean isForOthers(Backlog backlog, SelectionRequest request, MonotonicTime now) {
         Duration shortest = request.shortestGoals().headMap(request.priority(), true).values().stream()
                 .min(Duration::compareTo)
                 .orElse(request.goal());
         boolean hasMuchTime = request.goal().compareTo(part(shortest, MUCH_TIME)) >= 0;
-        boolean hasWaited = now.since(request.arrivedAt()).compareTo(part(request.goal(), PATIENT_GOALS)) >= 0;
-        return hasMuchTime && !hasWaited ? part(shortest, PATIENT_BACKLOG) : part(request.goal(), WORTHWHILE_GOALS);
+        Duration spent = now.since(request.arrivedAt()).plus(backlog.usual());
+        boolean hasTimeLeft = spent.compareTo(part(request.goal(), PATIENT_GOALS)) < 0;
+        return hasMuchTime && hasTimeLeft && backlog.ahead().compareTo(part(shortest, PATIENT_BACKLOG)) > 0;
     }
 
     private static Duration part(Duration whole, double part) {
--- a/serving/src/test/java/org/pollenhoist/serving/routing/PatientLoadTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/routing/PatientLoadTest.java
@@ -107,6 +107,7 @@
                     "",
                     PROMPT_TOKENS,
                     PROMPT_TOKENS,
+                    PROMPT_TOKENS,
                     List.of(),
                     priority,
                     arrivedAt,
--- a/serving/src/test/java/org/pollenhoist/serving/routing/ReadingPaceTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/routing/ReadingPaceTest.java
@@ -30,6 +30,24 @@
         }
     }
 
+    @Nested
+    class UnknownModel {
+
+        @Test
+        void should_be_taken_to_be_as_fast_as_the_others() {
+            for (int count = 0; count < 200; count++) {
+                pace.observe("m", 1_000, Duration.ofMillis(20));
+            }
+
+            assertThat(pace.estimate("other", 1_000)).isBetween(Duration.ofMillis(20), Duration.ofMillis(22));
+        }
+
+        @Test
+        void should_be_taken_to_be_slow_before_any_was_observed() {
+            assertThat(pace.estimate("other", 1_000)).isEqualTo(Duration.ofMillis(50));
+        }
+    }
+
     @Nested
     class Work {
 
--- a/serving/src/test/java/org/pollenhoist/serving/routing/UpstreamSelectorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/routing/UpstreamSelectorTest.java
@@ -69,6 +69,7 @@
                 model,
                 adapter,
                 1_000,
+                1_000,
                 1_200,
                 List.of(new PromptPart("p", 800)),
                 1,
@@ -171,6 +172,7 @@
                     "m",
                     "",
                     1_000,
+                    1_000,
                     1_200,
                     List.of(),
                     priority,
@@ -226,6 +228,76 @@
         }
     }
 
+    /** An engine reads twenty tokens in a millisecond here. */
+    @Nested
+    class PromptLengths {
+
+        private Selection select(long promptTokens, long usualTokens, Duration goal, Duration waited) {
+            SelectionRequest request = new SelectionRequest(
+                    "llm",
+                    "m",
+                    "",
+                    promptTokens,
+                    usualTokens,
+                    1_200,
+                    List.of(),
+                    1,
+                    NOW,
+                    NOW.plus(Duration.ofSeconds(15)),
+                    goal,
+                    new TreeMap<>(Map.of(1, GOAL)),
+                    NOW.plus(Duration.ofSeconds(15)),
+                    Set.of(),
+                    Set.of());
+            return selector.select(request, ENGINES, table, NOW.plus(waited));
+        }
+
+        private void busyFor(long milliseconds) {
+            engine("e").begin(milliseconds * 20, 1);
+        }
+
+        @Test
+        void should_admit_a_long_prompt_wherever_one_of_usual_length_is_in_time() {
+            busyFor(400);
+
+            assertThat(upstreamOf(select(10_000, 2_000, GOAL, Duration.ZERO))).isEqualTo("e");
+        }
+
+        @Test
+        void should_refuse_a_short_prompt_wherever_one_of_usual_length_is_late() {
+            busyFor(400);
+
+            assertThat(select(100, 10_000, GOAL, Duration.ZERO)).isInstanceOf(Selection.Refuse.class);
+        }
+
+        @Test
+        void should_send_what_will_be_late_to_an_engine_that_would_be_idle() {
+            busyFor(100);
+
+            assertThat(upstreamOf(select(20_000, 20_000, GOAL, Duration.ZERO))).isEqualTo("e");
+            assertThat(upstreamOf(select(1_000, 1_000, GOAL, Duration.ofSeconds(3))))
+                    .isEqualTo("e");
+        }
+
+        @Test
+        void should_not_keep_a_request_with_much_time_from_an_idle_engine_for_the_length_of_its_own_prompt() {
+            engine("e");
+
+            assertThat(upstreamOf(select(20_000, 20_000, GOAL.multipliedBy(4), Duration.ZERO)))
+                    .isEqualTo("e");
+        }
+
+        @Test
+        void should_let_a_request_with_much_time_wait_for_as_long_as_its_prompt_leaves_time() {
+            busyFor(500);
+
+            assertThat(select(20_000, 20_000, GOAL.multipliedBy(4), Duration.ofMillis(500)))
+                    .isEqualTo(new Selection.Wait("engines_backlogged", false));
+            assertThat(upstreamOf(select(20_000, 20_000, GOAL.multipliedBy(4), Duration.ofMillis(700))))
+                    .isEqualTo("e");
+        }
+    }
+
     @Nested
     class Engines {
 
