Exchange digests within the failure domain, and sums between domains

Change: fleets of more than 24 VMs exchange digests within the failure domain. One VM of each, ranked first by hash among those that are heard, tells all VMs of the others the sums: spending of each team, load of upstreams, VMs heard. What all need at once (leaving upstreams, crash notices, resignations, what engines hold) goes to all directly; demand and wants go to the VM that orders as before. Load that a peer no longer names is forgotten without walking all upstreams. A VM lets changes gather in the store the longer the larger the fleet is, up to a quarter of the time within which they have to be known. Peers' failure domains stand in their registrations. Fleets up to 24 VMs exchange as before.

Ruled out: longer intervals for all (limits need recent reports); relaying sums inside the domain (twice the delay for limits, and domains would have to find each other's relays).

Tests: DigestExchangeTest plays fleets of 9, 95 and 330 VMs with the real codec on lossy links: datagrams a VM, hearing of the whole fleet, a cut domain, a speaker that dies, limits in every window at five times the rate, also through a cut. DomainTotalTest, DomainSpeakerTest, GatheringPauseTest, FleetRetryBudgetTest (red before).

--- a/serving/src/main/java/org/pollenhoist/serving/limit/FleetBucket.java
+++ b/serving/src/main/java/org/pollenhoist/serving/limit/FleetBucket.java
@@ -23,12 +23,14 @@
     private record PeerTotal(long incarnation, long admitted) {}
 
     private final Map<String, PeerTotal> totalsByPeer = new HashMap<>();
+    private final Map<String, DomainTotal> totalsByDomain = new HashMap<>();
     private double ratePerSecond;
     private double burst;
     private double reachablePart = 1;
     private double currentPart = 1;
     private double level;
     private long admitted;
+    private long admittedByPeers;
     private long reported;
     private MonotonicTime filledAt;
 
@@ -97,10 +99,28 @@
         // What a peer spent before it was first heard lies mostly in the past and is already refilled.
         if (known != null) {
             long spent = known.incarnation == incarnation ? peerAdmitted - known.admitted : peerAdmitted;
-            level = Math.max(-burst, Math.min(level - spent, capacity()));
+            admittedByPeers += spent;
+            takeOut(spent);
         }
     }
 
+    /** Takes the total of another failure domain in, as one of its VMs tells it. */
+    void hearDomain(String domain, long teller, long total, MonotonicTime now) {
+        fill(now);
+        takeOut(totalsByDomain
+                .computeIfAbsent(domain, ignored -> new DomainTotal())
+                .hear(teller, total));
+    }
+
+    private void takeOut(long spent) {
+        level = Math.max(-burst, Math.min(level - spent, capacity()));
+    }
+
+    /** What this VM and the peers that report to it one by one have admitted. */
+    long admittedInDomain() {
+        return admitted + admittedByPeers;
+    }
+
     /** Takes over the level of a peer that has seen more of the fleet's spending than this process. */
     void adoptLevel(double peerLevel, MonotonicTime now) {
         fill(now);
--- a/serving/src/main/java/org/pollenhoist/serving/limit/FleetLimits.java
+++ b/serving/src/main/java/org/pollenhoist/serving/limit/FleetLimits.java
@@ -169,6 +169,36 @@
         }
     }
 
+    /**
+     * Takes the report of another failure domain in.
+     *
+     * @param domain the failure domain
+     * @param teller the incarnation of the VM that speaks for it
+     * @param report what its VMs admitted together
+     * @param now the present time
+     */
+    public void hearDomain(String domain, long teller, List<Spending> report, MonotonicTime now) {
+        for (Spending spending : report) {
+            FleetBucket bucket = buckets.get(spending.team());
+            if (bucket != null) {
+                bucket.hearDomain(domain, teller, spending.admitted(), now);
+            }
+        }
+    }
+
+    /**
+     * Returns what this VM and the peers that report to it one by one admitted together.
+     *
+     * @param now the present time
+     * @return one entry for each limited team
+     */
+    public List<Spending> domainReport(MonotonicTime now) {
+        List<Spending> report = new ArrayList<>();
+        buckets.forEach((team, bucket) ->
+                report.add(new Spending(team, bucket.admittedInDomain(), Math.round(bucket.level(now)))));
+        return report;
+    }
+
     /**
      * Returns this VM's report.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
@@ -20,6 +20,7 @@
 import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamTable;
 import org.pollenhoist.vm.CrashVerdictExchange;
+import org.pollenhoist.vm.generated.DomainSummary;
 import org.pollenhoist.vm.generated.ModelDemand;
 import org.pollenhoist.vm.generated.TeamSpending;
 import org.pollenhoist.vm.generated.UpstreamHolding;
@@ -64,10 +65,7 @@
                 .setStoreRevision(storeRevision)
                 .setIsPlacing(isPlacing)
                 .setIsStopping(isStopping);
-        spending.forEach(one -> digest.addSpending(TeamSpending.newBuilder()
-                .setTeam(one.team())
-                .setAdmittedTokens(one.admitted())
-                .setLevelTokens(one.level())));
+        spending.forEach(one -> digest.addSpending(spending(one)));
         demand.ifPresent(told -> addDemand(digest, told));
         upstreams.forEach(upstream -> addUse(digest, upstream, now));
         upstreams.stream().filter(Upstream::isLeavingSaid).forEach(upstream -> addLeaving(digest, upstream));
@@ -124,14 +122,62 @@
 
     private static void addUse(VmDigest.Builder digest, Upstream upstream, MonotonicTime now) {
         PeerUse own = upstream.ownLoad(now);
-        if (own.running() == 0) {
-            return;
+        if (own.running() > 0) {
+            digest.addUpstreamUses(use(upstream, own));
         }
-        digest.addUpstreamUses(UpstreamUse.newBuilder()
+    }
+
+    private static UpstreamUse use(Upstream upstream, PeerUse load) {
+        return UpstreamUse.newBuilder()
                 .setUpstreamTag(upstream.tag())
-                .setRunning(own.running())
-                .setUnreadTokens((int) own.unreadTokens())
-                .setReservedTokens((int) own.reservedTokens()));
+                .setRunning(load.running())
+                .setUnreadTokens((int) load.unreadTokens())
+                .setReservedTokens((int) load.reservedTokens())
+                .build();
+    }
+
+    private static TeamSpending spending(FleetLimits.Spending spending) {
+        return TeamSpending.newBuilder()
+                .setTeam(spending.team())
+                .setAdmittedTokens(spending.admitted())
+                .setLevelTokens(spending.level())
+                .build();
+    }
+
+    /** Replaces in a digest what concerns this VM alone by the sums over its failure domain. */
+    static VmDigest speakForDomain(VmDigest digest, DomainSummary summary) {
+        return digest.toBuilder()
+                .clearSpending()
+                .clearUpstreamUses()
+                .clearWants()
+                .setSummary(summary)
+                .build();
+    }
+
+    /** Sums up what the VMs of a failure domain spend and use together, as far as they are heard here. */
+    static DomainSummary summarize(
+            int heardVms,
+            int currentVms,
+            List<FleetLimits.Spending> spending,
+            Collection<Upstream> upstreams,
+            MonotonicTime now) {
+        DomainSummary.Builder summary =
+                DomainSummary.newBuilder().setHeardVms(heardVms).setCurrentVms(currentVms);
+        spending.forEach(one -> summary.addSpending(spending(one)));
+        upstreams.forEach(upstream -> {
+            PeerUse load = upstream.domainLoad(now);
+            if (load.running() > 0) {
+                summary.addUpstreamUses(use(upstream, load));
+            }
+        });
+        return summary.build();
+    }
+
+    /** Reads what teams have spent. */
+    static List<FleetLimits.Spending> spending(List<TeamSpending> told) {
+        return told.stream()
+                .map(one -> new FleetLimits.Spending(one.getTeam(), one.getAdmittedTokens(), one.getLevelTokens()))
+                .toList();
     }
 
     private static void addWants(VmDigest.Builder digest, List<ModelWant> wants) {
--- a/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
@@ -140,19 +140,25 @@
 
     private void installPeer(StoreItem item) {
         String vm = item.key().substring(VM_PREFIX.length());
-        String address = new String(item.value(), StandardCharsets.UTF_8);
+        String entry = new String(item.value(), StandardCharsets.UTF_8);
         if (vm.equals(settings.vmName())) {
-            isRegistered = address.equals(ownAddress());
+            isRegistered = entry.equals(ownEntry());
             return;
         }
-        int colon = address.lastIndexOf(':');
-        peers.putPeer(
-                vm, new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+        int colon = entry.indexOf(':');
+        int blank = entry.indexOf(' ', colon);
+        if (colon < 0 || blank < 0) {
+            LOG.event("registration_unreadable", "vm", vm, "entry", entry);
+            return;
+        }
+        int port = Integer.parseInt(entry.substring(colon + 1, blank));
+        peers.putPeer(vm, new InetSocketAddress(entry.substring(0, colon), port), entry.substring(blank + 1));
     }
 
-    private String ownAddress() {
+    /** Where this VM hears its peers, and its failure domain. */
+    private String ownEntry() {
         InetSocketAddress address = settings.peerAddress();
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
+        return address.getAddress().getHostAddress() + ":" + address.getPort() + " " + settings.failureDomain();
     }
 
     /** Writes this VM's entry where the store does not show it, so that peers find it. */
@@ -161,7 +167,7 @@
             return;
         }
         isRegistering = true;
-        byte[] value = ownAddress().getBytes(StandardCharsets.UTF_8);
+        byte[] value = ownEntry().getBytes(StandardCharsets.UTF_8);
         store.commit(
                 List.of(),
                 List.of(new Store.Write(VM_PREFIX + settings.vmName(), value, OptionalLong.empty())),
@@ -169,7 +175,7 @@
                 answer -> {
                     isRegistering = false;
                     isRegistered = answer instanceof StoreAnswer.Success<Long>;
-                    LOG.event("registration", "done", isRegistered, "address", ownAddress());
+                    LOG.event("registration", "done", isRegistered, "entry", ownEntry());
                 });
     }
 }
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/node/RetryBudgets.java
@@ -0,0 +1,30 @@
+package org.pollenhoist.serving.node;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.pollenhoist.serving.request.FleetRetryBudget;
+
+/** This VM's retry budgets, one a service. Confined to the event loop. */
+final class RetryBudgets {
+
+    private final Map<String, FleetRetryBudget> budgets = new HashMap<>();
+    private ServingSettings settings;
+
+    RetryBudgets(ServingSettings settings) {
+        this.settings = settings;
+    }
+
+    FleetRetryBudget of(String service) {
+        return budgets.computeIfAbsent(
+                service,
+                name -> new FleetRetryBudget(settings.retryRatio(), settings.retryWindow(), settings.retryAllowance()));
+    }
+
+    /** Takes changed bounds over; what was counted under the old ones stays. */
+    void configure(ServingSettings changed) {
+        settings = changed;
+        budgets.values()
+                .forEach(budget ->
+                        budget.configure(changed.retryRatio(), changed.retryWindow(), changed.retryAllowance()));
+    }
+}
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -8,9 +8,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +23,7 @@
 import org.pollenhoist.serving.http.HttpConnections;
 import org.pollenhoist.serving.http.Target;
 import org.pollenhoist.serving.limit.FleetLimits;
+import org.pollenhoist.serving.peer.DatagramSocket;
 import org.pollenhoist.serving.peer.PeerExchange;
 import org.pollenhoist.serving.peer.PeerReport;
 import org.pollenhoist.serving.placement.DemandMemory;
@@ -32,7 +31,6 @@
 import org.pollenhoist.serving.placement.Leadership;
 import org.pollenhoist.serving.placement.ModelWant;
 import org.pollenhoist.serving.placement.PlacementDriver;
-import org.pollenhoist.serving.request.FleetRetryBudget;
 import org.pollenhoist.serving.request.RequestEnvironment;
 import org.pollenhoist.serving.request.RequestHandler;
 import org.pollenhoist.serving.request.RequestMetrics;
@@ -40,6 +38,7 @@
 import org.pollenhoist.serving.routing.PromptSizes;
 import org.pollenhoist.serving.routing.ReadingPace;
 import org.pollenhoist.serving.routing.UpstreamSelector;
+import org.pollenhoist.serving.store.GatheringPause;
 import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreMirror;
 import org.pollenhoist.serving.upstream.Upstream;
@@ -93,13 +92,14 @@
     private final ReadingPace pace = new ReadingPace();
     private final RequestQueue queue = new RequestQueue();
     private final DemandMemory demand = new DemandMemory();
-    private final Map<String, FleetRetryBudget> retryBudgets = new HashMap<>();
+    private final RetryBudgets retryBudgets;
     private final List<Runnable> onStopped = new ArrayList<>();
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final CrashNotices crashNotices = new CrashNotices(bootClock::read);
     private final FleetLimits limits;
     private final DemandRates demandRates;
     private final HttpConnections connections;
+    private final DatagramSocket datagrams;
     private final PeerExchange peers;
     private final DigestExchange digests;
     private final FleetState state;
@@ -118,6 +118,7 @@
 
     private ServingNode(ServingSettings settings, PlatformBinding binding, EventLoop loop) {
         this.settings = settings;
+        retryBudgets = new RetryBudgets(settings);
         this.binding = binding;
         this.loop = loop;
         MonotonicTime now = bootClock.read();
@@ -128,7 +129,8 @@
         connections = new HttpConnections(loop, bootClock::read, this::upstreamAnswered);
         HttpCalls calls = new HttpCalls(loop, connections);
         quarantine = new CrashQuarantine(VmName.of(settings.vmName()), crashNotices::add);
-        peers = new PeerExchange(loop, bootClock::read, settings.vmName(), this::hear);
+        datagrams = new DatagramSocket(loop);
+        peers = new PeerExchange(datagrams, bootClock::read, settings.vmName(), this::hear);
         Store store = binding.store(calls, settings);
         leadership = new Leadership(
                 store,
@@ -139,10 +141,11 @@
                 now);
         state = new FleetState(
                 settings, binding, bootClock::read, upstreams, peers, store, this::configure, leadership);
-        mirror = new StoreMirror(loop, bootClock::read, store, state);
+        mirror = new StoreMirror(
+                loop, bootClock::read, store, state, () -> GatheringPause.of(fleetSize(), settings.propagationBound()));
         relay = new StoreRelayExchange(calls, peers, mirror, now);
         placement = new PlacementDriver(
-                (delay, action) -> loop.schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS),
+                this::after,
                 bootClock::read,
                 leadership,
                 binding.engineControl(calls, settings.vmName()),
@@ -150,7 +153,15 @@
                 pace,
                 this::holdingsChanged);
         digests = new DigestExchange(
-                loop, bootClock::read, peers, upstreams, notices, limits, demandRates, quarantine, new DigestParts());
+                this::after,
+                bootClock::read,
+                peers,
+                upstreams,
+                notices,
+                limits,
+                demandRates,
+                quarantine,
+                new DigestParts());
         handler = new RequestHandler(environment());
         callers = new CallerServer(loop, bootClock::read, this::callerLimits, handler);
     }
@@ -167,7 +178,7 @@
                 queue,
                 connections,
                 binding.requestFormat(),
-                this::retryBudget,
+                retryBudgets::of,
                 this::fleetSize,
                 demand,
                 quarantine,
@@ -175,6 +186,10 @@
                 this::wantBegan);
     }
 
+    private void after(Duration delay, Runnable action) {
+        loop.schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
     private void upstreamAnswered(Target target, HttpResponse head) {
         notices.hear(target.lifetime(), binding.requestFormat().readAnswer(head), bootClock.read());
     }
@@ -183,10 +198,8 @@
         digests.announceLeaving();
     }
 
-    private FleetRetryBudget retryBudget(String service) {
-        return retryBudgets.computeIfAbsent(
-                service,
-                name -> new FleetRetryBudget(settings.retryRatio(), settings.retryWindow(), settings.retryAllowance()));
+    private void announceSpending() {
+        digests.announceSpending();
     }
 
     private CallerLimits callerLimits() {
@@ -239,7 +252,7 @@
                         InternalEndpoints.readiness(this::isReady)),
                 endpoints.listen(settings.metricsAddress(), "/metrics", InternalEndpoints.metrics(registry)),
                 endpoints.listen(settings.peerAddress(), StoreRelayExchange.PATH, relay::answer),
-                peers.listen(settings.peerAddress()));
+                datagrams.listen(settings.peerAddress(), peers::receive));
     }
 
     private void begin() {
@@ -283,15 +296,7 @@
     }
 
     private double heardPart(Duration within, MonotonicTime now) {
-        long heard = peers.heard(now).stream()
-                .filter(report -> now.since(report.heardAt()).compareTo(within) < 0)
-                .filter(report -> peers.peers().contains(report.digest().getVmName()))
-                .count();
-        return (heard + 1.0) / fleetSize();
-    }
-
-    private void announceSpending() {
-        digests.announceSpending();
+        return Math.min(1.0, (double) digests.countHeard(within, now) / fleetSize());
     }
 
     private int fleetSize() {
@@ -315,9 +320,7 @@
     }
 
     private int placeInLine(MonotonicTime now) {
-        return (int) peers.heard(now).stream()
-                .filter(report -> report.digest().getVmName().compareTo(settings.vmName()) < 0)
-                .count();
+        return digests.countHeardBefore(settings.vmName(), now);
     }
 
     private void place(MonotonicTime now) {
@@ -329,11 +332,7 @@
 
     private List<ModelWant> allWants(MonotonicTime now) {
         List<ModelWant> wants = new ArrayList<>(queue.wants());
-        for (PeerReport report : peers.heard(now)) {
-            report.digest()
-                    .getWantsList()
-                    .forEach(want -> wants.add(new ModelWant(want.getService(), want.getModel(), want.getAdapter())));
-        }
+        wants.addAll(digests.peerWants(now));
         return wants;
     }
 
@@ -376,7 +375,7 @@
             LOG.event("reload", "changed", !isSame, "applied", !isSame && isApplicable);
             if (!isSame && isApplicable) {
                 settings = changed;
-                retryBudgets.clear();
+                retryBudgets.configure(changed);
             }
         });
     }
@@ -458,6 +457,17 @@
                     now);
         }
 
+        @Override
+        public String vmName() {
+            return settings.vmName();
+        }
+
+        @Override
+        public boolean hasNewsForAll(MonotonicTime now) {
+            boolean hasResigned = leadership.resignation().isPresent() && leadership.isVacant();
+            return hasResigned || !crashNotices.current(now).isEmpty();
+        }
+
         @Override
         public String failureDomain() {
             return settings.failureDomain();
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingSettings.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingSettings.java
@@ -24,6 +24,7 @@
  * @param retryRatio retries for each request that the fleet may do
  * @param retryWindow the window over which retries are counted
  * @param retryAllowance retries in a window beyond the ratio, for the whole fleet
+ * @param propagationBound the time within which configurations and leaving upstreams have to be known on all VMs
  * @param placementTurn how long orders of two VMs to one engine have to lie apart
  */
 public record ServingSettings(
@@ -39,6 +40,7 @@
         double retryRatio,
         Duration retryWindow,
         double retryAllowance,
+        Duration propagationBound,
         Duration placementTurn) {
 
     private static final double MILLISECONDS_PER_SECOND = 1_000.0;
@@ -63,6 +65,7 @@
         TomlTable store = root.table("store");
         TomlTable shutdown = root.table("shutdown");
         TomlTable retries = root.table("retries");
+        TomlTable propagation = root.table("propagation");
         TomlTable placement = root.table("placement");
         ServingSettings settings = new ServingSettings(
                 vm.text("name"),
@@ -77,12 +80,24 @@
                 retries.number("ratio", 0, 1),
                 seconds(retries.number("window_seconds", 1, LONGEST_SECONDS)),
                 retries.number("allowance", 0, MOST_RETRIES),
-                Duration.ofMillis(placement.integer("turn_milliseconds", 100, LONGEST_MILLISECONDS)));
-        List.of(root, vm, listen, store, shutdown, retries, placement).forEach(TomlTable::rejectUnknownKeys);
+                shorter(
+                        milliseconds(propagation, "configuration_milliseconds"),
+                        milliseconds(propagation, "leaving_milliseconds")),
+                milliseconds(placement, "turn_milliseconds"));
+        List.of(root, vm, listen, store, shutdown, retries, propagation, placement)
+                .forEach(TomlTable::rejectUnknownKeys);
         findings.throwIfAny();
         return settings;
     }
 
+    private static Duration milliseconds(TomlTable table, String key) {
+        return Duration.ofMillis(table.integer(key, 100, LONGEST_MILLISECONDS));
+    }
+
+    private static Duration shorter(Duration one, Duration other) {
+        return one.compareTo(other) < 0 ? one : other;
+    }
+
     private static Duration seconds(double seconds) {
         return Duration.ofMillis(Math.round(seconds * MILLISECONDS_PER_SECOND));
     }
--- a/serving/src/main/java/org/pollenhoist/serving/peer/PeerExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/peer/PeerExchange.java
@@ -1,22 +1,11 @@
 package org.pollenhoist.serving.peer;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
-import io.netty.channel.FixedRecvByteBufAllocator;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.epoll.EpollDatagramChannel;
-import io.netty.channel.socket.DatagramPacket;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -34,68 +23,44 @@
     /** A peer is heard while its last digest is not older than this: two from another failure domain may be lost. */
     public static final Duration HEARD_FOR = Duration.ofMillis(1_600);
 
-    /** Largest datagram over IPv4; what is longer than the receive buffer would be cut without a word. */
-    private static final int MAXIMUM_DATAGRAM_BYTES = 65_507;
-
     private static final DecisionLog LOG = DecisionLog.of("peer");
 
-    private final EventLoop loop;
+    private record Peer(InetSocketAddress address, String failureDomain) {}
+
+    private final DatagramWire wire;
     private final Supplier<MonotonicTime> clock;
     private final String self;
     private final Consumer<PeerReport> onReport;
     private final Map<String, PeerReport> reports = new LinkedHashMap<>();
-    private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
-    private Channel channel;
+    private final Map<String, Peer> peers = new LinkedHashMap<>();
 
     /**
-     * Creates an exchange that does not listen yet.
+     * Creates an exchange that knows no peers yet.
      *
-     * @param loop the event loop
+     * @param wire carries datagrams
      * @param clock reads the present time
      * @param self the name of this VM
      * @param onReport receives each new digest
      */
-    public PeerExchange(EventLoop loop, Supplier<MonotonicTime> clock, String self, Consumer<PeerReport> onReport) {
-        this.loop = loop;
+    public PeerExchange(DatagramWire wire, Supplier<MonotonicTime> clock, String self, Consumer<PeerReport> onReport) {
+        this.wire = wire;
         this.clock = clock;
         this.self = self;
         this.onReport = onReport;
     }
 
     /**
-     * Begins to listen.
+     * Takes a datagram in.
      *
-     * @param address the address
-     * @return completes once the exchange listens
+     * @param bytes the datagram
+     * @param sender where it came from
      */
-    public ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bound = new Bootstrap()
-                .group(loop)
-                .channel(EpollDatagramChannel.class)
-                .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAXIMUM_DATAGRAM_BYTES))
-                .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
-                    @Override
-                    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-                        receive(packet);
-                    }
-
-                    @Override
-                    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-                        // A peer without a listener answers with a port error, which says nothing new.
-                        LOG.event("datagram_failed", "reason", cause.getMessage());
-                    }
-                })
-                .bind(address);
-        channel = bound.channel();
-        return bound;
-    }
-
-    private void receive(DatagramPacket packet) {
+    public void receive(byte[] bytes, InetSocketAddress sender) {
         VmDigest digest;
         try {
-            digest = VmDigest.parseFrom(ByteBufUtil.getBytes(packet.content()));
+            digest = VmDigest.parseFrom(bytes);
         } catch (InvalidProtocolBufferException malformed) {
-            LOG.event("datagram_malformed", "from", packet.sender(), "reason", malformed.getMessage());
+            LOG.event("datagram_malformed", "from", sender, "reason", malformed.getMessage());
             return;
         }
         PeerReport known = reports.get(digest.getVmName());
@@ -107,9 +72,9 @@
         }
         MonotonicTime now = clock.get();
         if (known == null || known.digest().getIncarnation() != digest.getIncarnation()) {
-            LOG.event("peer_heard", "vm", digest.getVmName(), "from", packet.sender());
+            LOG.event("peer_heard", "vm", digest.getVmName(), "from", sender);
         }
-        PeerReport report = new PeerReport(packet.sender(), digest, now);
+        PeerReport report = new PeerReport(sender, digest, now);
         reports.put(digest.getVmName(), report);
         onReport.accept(report);
     }
@@ -119,10 +84,11 @@
      *
      * @param vm the peer's name
      * @param address its address
+     * @param failureDomain its failure domain
      */
-    public void putPeer(String vm, InetSocketAddress address) {
+    public void putPeer(String vm, InetSocketAddress address, String failureDomain) {
         if (!vm.equals(self)) {
-            addresses.put(vm, address);
+            peers.put(vm, new Peer(address, failureDomain));
         }
     }
 
@@ -132,7 +98,7 @@
      * @param vm its name
      */
     public void removePeer(String vm) {
-        addresses.remove(vm);
+        peers.remove(vm);
         reports.remove(vm);
     }
 
@@ -142,32 +108,33 @@
      * @param digest the digest
      */
     public void send(VmDigest digest) {
-        send(digest, addresses.values().stream());
+        send(digest, peers.values().stream());
     }
 
     /**
-     * Sends a digest to the peers in a failure domain, and to those whose failure domain is not known yet.
+     * Sends a digest to the peers in a failure domain.
      *
      * @param failureDomain the failure domain
      * @param digest the digest
      */
     public void sendWithin(String failureDomain, VmDigest digest) {
-        send(
-                digest,
-                addresses.entrySet().stream()
-                        .filter(peer -> isWithin(failureDomain, peer.getKey()))
-                        .map(Map.Entry::getValue));
+        send(digest, peers.values().stream().filter(peer -> peer.failureDomain().equals(failureDomain)));
     }
 
-    private boolean isWithin(String failureDomain, String vm) {
-        PeerReport report = reports.get(vm);
-        return report == null || report.digest().getFailureDomain().equals(failureDomain);
+    /**
+     * Sends a digest to the peers outside a failure domain.
+     *
+     * @param failureDomain the failure domain
+     * @param digest the digest
+     */
+    public void sendBeyond(String failureDomain, VmDigest digest) {
+        send(
+                digest,
+                peers.values().stream().filter(peer -> !peer.failureDomain().equals(failureDomain)));
     }
 
-    private void send(VmDigest digest, Stream<InetSocketAddress> receivers) {
-        byte[] bytes = digest.toByteArray();
-        receivers.forEach(address -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address)));
-        channel.flush();
+    private void send(VmDigest digest, Stream<Peer> receivers) {
+        wire.send(digest.toByteArray(), receivers.map(Peer::address).toList());
     }
 
     /**
@@ -177,9 +144,9 @@
      * @param vm the peer's name; nothing is sent where its address is not known
      */
     public void sendTo(VmDigest digest, String vm) {
-        InetSocketAddress address = addresses.get(vm);
-        if (address != null) {
-            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(digest.toByteArray()), address));
+        Peer peer = peers.get(vm);
+        if (peer != null) {
+            wire.send(digest.toByteArray(), List.of(peer.address()));
         }
     }
 
@@ -195,12 +162,24 @@
                 .toList();
     }
 
+    /**
+     * Counts the peers in a failure domain.
+     *
+     * @param failureDomain the failure domain
+     * @return those that are known, whether they are heard or not
+     */
+    public int peersIn(String failureDomain) {
+        return (int) peers.values().stream()
+                .filter(peer -> peer.failureDomain().equals(failureDomain))
+                .count();
+    }
+
     /**
      * Returns the names of all peers that are known.
      *
      * @return the names, whether they are heard or not
      */
     public Collection<String> peers() {
-        return addresses.keySet();
+        return peers.keySet();
     }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/request/FleetRetryBudget.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/FleetRetryBudget.java
@@ -15,9 +15,9 @@
     /** Part of the budget that is used, since windows of the VMs slide apart. */
     private static final double USED_PART = 0.8;
 
-    private final double ratio;
-    private final Duration window;
-    private final double allowance;
+    private double ratio;
+    private Duration window;
+    private double allowance;
     private final Deque<MonotonicTime> requests = new ArrayDeque<>();
     private final Deque<MonotonicTime> retries = new ArrayDeque<>();
 
@@ -34,6 +34,19 @@
         this.allowance = allowance;
     }
 
+    /**
+     * Changes the bounds. What was counted stays, so that a change does not make the budget whole again.
+     *
+     * @param newRatio retries for each request
+     * @param newWindow the window over which both are counted
+     * @param newAllowance retries in a window that all VMs together may do beyond that
+     */
+    public void configure(double newRatio, Duration newWindow, double newAllowance) {
+        ratio = newRatio;
+        window = newWindow;
+        allowance = newAllowance;
+    }
+
     /**
      * Counts a request.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
@@ -58,9 +58,6 @@
     /** Pause after a failed call. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(200);
 
-    /** Pause after changes, so that those of a moment come with one call: calls to the store are paid for. */
-    private static final Duration GATHERING_PAUSE = Duration.ofMillis(150);
-
     /** How long after an outage entries may come back. */
     private static final Duration RETURN_TIME = Duration.ofMillis(1_900);
 
@@ -70,6 +67,7 @@
     private final Supplier<MonotonicTime> clock;
     private final Store store;
     private final Listener listener;
+    private final Supplier<Duration> gatheringPause;
     private final Map<String, StoreItem> items = new LinkedHashMap<>();
     private final Map<String, MonotonicTime> heldRemovals = new HashMap<>();
     private final Set<String> listed = new HashSet<>();
@@ -86,12 +84,19 @@
      * @param clock reads the present time
      * @param store the store
      * @param listener receives changes
+     * @param gatheringPause the pause after changes, so that those of a while come with one call: calls are paid for
      */
-    public StoreMirror(EventLoop loop, Supplier<MonotonicTime> clock, Store store, Listener listener) {
+    public StoreMirror(
+            EventLoop loop,
+            Supplier<MonotonicTime> clock,
+            Store store,
+            Listener listener,
+            Supplier<Duration> gatheringPause) {
         this.loop = loop;
         this.clock = clock;
         this.store = store;
         this.listener = listener;
+        this.gatheringPause = gatheringPause;
         this.answeredAt = clock.get();
         this.returnedAt = answeredAt.plus(RETURN_TIME.negated());
     }
@@ -159,7 +164,7 @@
         if (isQuiet) {
             watch();
         } else {
-            loop.schedule(this::watch, GATHERING_PAUSE.toMillis(), TimeUnit.MILLISECONDS);
+            loop.schedule(this::watch, gatheringPause.get().toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
@@ -31,6 +31,7 @@
     private final Map<String, Set<String>> adaptersByModel = new HashMap<>();
     private final Map<String, MonotonicTime> adapterUses = new HashMap<>();
     private final Map<String, PeerUse> peerUses = new HashMap<>();
+    private final Map<String, PeerUse> domainUses = new HashMap<>();
     private final Map<String, Integer> readParts = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
@@ -282,18 +283,60 @@
         peerUses.put(peer, use);
     }
 
+    /**
+     * Forgets the load from a peer that gives none any more.
+     *
+     * @param peer the peer's name
+     */
+    public void forgetUse(String peer) {
+        peerUses.remove(peer);
+    }
+
+    /**
+     * Takes the load from another failure domain in.
+     *
+     * @param domain the failure domain
+     * @param use the load from all its VMs together
+     */
+    public void hearDomain(String domain, PeerUse use) {
+        domainUses.put(domain, use);
+    }
+
+    /**
+     * Forgets the load from another failure domain that gives none any more.
+     *
+     * @param domain the failure domain
+     */
+    public void forgetDomainUse(String domain) {
+        domainUses.remove(domain);
+    }
+
     /**
      * Returns the load of all VMs together.
      *
      * @param now the present time
-     * @return own counts and those of the peers that were heard lately
+     * @return own counts, and those of the peers and failure domains that were heard lately
      */
     public PeerUse load(MonotonicTime now) {
-        int allRunning = running;
-        long allUnread = unreadTokens;
-        long allReserved = reservedTokens;
+        return sum(domainLoad(now), domainUses, now);
+    }
+
+    /**
+     * Returns the load of this VM and of the peers that report to it one by one.
+     *
+     * @param now the present time
+     * @return own counts and those of the peers that were heard lately
+     */
+    public PeerUse domainLoad(MonotonicTime now) {
+        return sum(ownLoad(now), peerUses, now);
+    }
+
+    private static PeerUse sum(PeerUse own, Map<String, PeerUse> others, MonotonicTime now) {
+        int allRunning = own.running();
+        long allUnread = own.unreadTokens();
+        long allReserved = own.reservedTokens();
         MonotonicTime oldest = now.plus(PEER_USE_LIFETIME.negated());
-        for (PeerUse use : peerUses.values()) {
+        for (PeerUse use : others.values()) {
             if (!use.heardAt().isBefore(oldest)) {
                 allRunning += use.running();
                 allUnread += use.unreadTokens();
--- a/serving/src/test/java/org/pollenhoist/serving/node/DigestWriterTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/DigestWriterTest.java
@@ -14,12 +14,17 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.limit.FleetLimits;
 import org.pollenhoist.serving.placement.Leadership;
 import org.pollenhoist.serving.placement.RecentWork;
 import org.pollenhoist.serving.placement.VmDemand;
+import org.pollenhoist.serving.upstream.PeerUse;
+import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamDescription;
 import org.pollenhoist.serving.upstream.UpstreamTable;
+import org.pollenhoist.vm.generated.DomainSummary;
 import org.pollenhoist.vm.generated.UpstreamLifetime;
+import org.pollenhoist.vm.generated.UpstreamUse;
 import org.pollenhoist.vm.generated.VmDigest;
 
 class DigestWriterTest {
@@ -137,6 +142,63 @@
         }
     }
 
+    @Nested
+    class Summary {
+
+        @Test
+        void should_replace_what_concerns_one_vm_by_the_sums_of_its_domain() throws InvalidProtocolBufferException {
+            UpstreamTable upstreams = new UpstreamTable();
+            upstreams.put(Leaving.upstream("e", false), NOW);
+            Upstream engine = upstreams.find("e").orElseThrow();
+            engine.begin(100, 200);
+            engine.hear("vm-2", new PeerUse(3, 1_000, 4_000, NOW));
+            engine.hearDomain("south", new PeerUse(9, 9_000, 9_000, NOW));
+            VmDigest own = write(Optional.empty(), Optional.empty());
+
+            DomainSummary summary = DigestWriter.summarize(
+                    7, 6, List.of(new FleetLimits.Spending("crews", 500, 80)), upstreams.all(), NOW);
+            VmDigest told =
+                    VmDigest.parseFrom(DigestWriter.speakForDomain(own, summary).toByteArray());
+
+            assertThat(told.getVmName()).isEqualTo("vm-1");
+            assertThat(told.getSummary().getHeardVms()).isEqualTo(7);
+            assertThat(told.getSummary().getCurrentVms()).isEqualTo(6);
+            assertThat(DigestWriter.spending(told.getSummary().getSpendingList()))
+                    .containsExactly(new FleetLimits.Spending("crews", 500, 80));
+            assertThat(told.getSummary().getUpstreamUsesList())
+                    .containsExactly(UpstreamUse.newBuilder()
+                            .setUpstreamTag(engine.tag())
+                            .setRunning(4)
+                            .setUnreadTokens(1_100)
+                            .setReservedTokens(4_200)
+                            .build());
+        }
+    }
+
+    @Nested
+    class HeardLoad {
+
+        private final UpstreamTable upstreams = new UpstreamTable();
+
+        @Test
+        void should_end_where_its_teller_names_it_no_more() {
+            upstreams.put(Leaving.upstream("e", false), NOW);
+            Upstream engine = upstreams.find("e").orElseThrow();
+            HeardUses uses = new HeardUses(upstreams, Upstream::hear, Upstream::forgetUse);
+            UpstreamUse told = UpstreamUse.newBuilder()
+                    .setUpstreamTag(engine.tag())
+                    .setRunning(2)
+                    .build();
+
+            uses.hear("vm-2", List.of(told), NOW);
+            uses.hear("vm-3", List.of(told), NOW);
+            assertThat(engine.load(NOW).running()).isEqualTo(4);
+
+            uses.hear("vm-2", List.of(), NOW);
+            assertThat(engine.load(NOW).running()).isEqualTo(2);
+        }
+    }
+
     @Nested
     class Resignation {
 
--- a/serving/src/test/java/org/pollenhoist/serving/node/ServingSettingsTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/ServingSettingsTest.java
@@ -37,6 +37,10 @@
             window_seconds = 10
             allowance = 56
 
+            [propagation]
+            configuration_milliseconds = 3000
+            leaving_milliseconds = 2000
+
             [placement]
             turn_milliseconds = 3000
             """;
@@ -59,6 +63,7 @@
             assertThat(settings.isFirstStart()).isTrue();
             assertThat(settings.callerAddress().getPort()).isEqualTo(8_080);
             assertThat(settings.stopGrace()).isEqualTo(Duration.ofSeconds(8));
+            assertThat(settings.propagationBound()).isEqualTo(Duration.ofSeconds(2));
             assertThat(settings.placementTurn()).isEqualTo(Duration.ofSeconds(3));
         }
 
--- a/serving/src/test/java/org/pollenhoist/serving/request/FleetRetryBudgetTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/request/FleetRetryBudgetTest.java
@@ -48,6 +48,18 @@
             assertThat(retries).isNotEmpty();
         }
 
+        @Test
+        void should_not_become_whole_again_by_changed_bounds() {
+            FleetRetryBudget budget = new FleetRetryBudget(0, WINDOW, 1.25);
+            assertThat(budget.tryWithdraw(1, at(0))).isTrue();
+
+            budget.configure(0, WINDOW, 1.25);
+            assertThat(budget.tryWithdraw(1, at(10))).isFalse();
+
+            budget.configure(0, WINDOW, 2.5);
+            assertThat(budget.tryWithdraw(1, at(20))).isTrue();
+        }
+
         @Test
         void should_forget_retries_that_left_the_window() {
             FleetRetryBudget budget = new FleetRetryBudget(0, WINDOW, 1.25);
--- a/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
@@ -21,7 +21,8 @@
     private final ScriptedStore store = new ScriptedStore();
     private final List<String> heard = new ArrayList<>();
     private MonotonicTime now = MonotonicTime.of(Duration.ofSeconds(100));
-    private final StoreMirror mirror = new StoreMirror(loop, () -> now, store, new Listener());
+    private final StoreMirror mirror =
+            new StoreMirror(loop, () -> now, store, new Listener(), () -> GatheringPause.SHORTEST);
 
     @AfterEach
     void stop() {
