Follow the store with two VMs of each failure domain in large fleets

Cause: each VM watches the store for itself.

Change: in fleets of more than 24 VMs the two VMs of a failure domain that rank first by hash among those heard follow the store; the others take over its changes from them, by revision, over the peers' HTTP path: what was written and removed after the revision they know, or everything where the removals since then are not remembered. A follower tells its domain at once when its revision has moved, says whether it has heard of the store just now, and how long ago an outage ended, so that removals are held back as long on all VMs. A VM follows the store itself where it hears no such follower, or where what peers tell does not come for 0.9 s. A list that is read anew takes effect with its last page, so that a removal seen by it has a later revision than what peers were told before.

Ruled out: letting changes gather for longer still (the time within which upstreams that leave have to be known); relaying everything at each change (40 KB and more a time).

Tests: StoreMirrorTest.Following and Relay, among them a follower kept equal to the one that watches over 50 seeds; StoreFollowersTest.

--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
@@ -72,6 +72,9 @@
     /** A peer of the own failure domain that is silent for so long does not speak for it any more. */
     private static final Duration SPEAKER_SILENCE = Duration.ofSeconds(1);
 
+    /** A peer that follows the store and is silent for so long is not relied on. */
+    private static final Duration FOLLOWER_SILENCE = Duration.ofMillis(900);
+
     /** How much older than a VM's own report the sums of its failure domain may be. */
     private static final Duration SUMS_LAG = Duration.ofMillis(500);
 
@@ -242,6 +245,28 @@
         peers.sendBeyond(parts.failureDomain(), DigestWriter.speakForDomain(digest, summary));
     }
 
+    /** Whether this VM has to follow the store itself; in a small fleet all do. */
+    boolean mustFollowStore(MonotonicTime now) {
+        List<StoreFollowers.Peer> near = nearReports(FOLLOWER_SILENCE, now).stream()
+                .filter(report -> !report.digest().getIsStopping())
+                .map(report -> new StoreFollowers.Peer(
+                        report.digest().getVmName(), report.digest().getFollowsStore()))
+                .toList();
+        return isMesh() || StoreFollowers.mustFollow(parts.failureDomain(), parts.vmName(), near);
+    }
+
+    /** Counts the VMs of the fleet that follow the store. */
+    int storeFollowers() {
+        return isMesh() ? peers.peers().size() + 1 : StoreFollowers.FOLLOWERS * peers.failureDomains();
+    }
+
+    /** Peers of the own failure domain that do not follow the store learn at once that it has changed. */
+    void announceStoreRevision() {
+        if (!isMesh()) {
+            sendSoon(PAUSE);
+        }
+    }
+
     private List<PeerReport> nearReports(Duration within, MonotonicTime now) {
         return peers.heard(now).stream()
                 .filter(report -> now.since(report.heardAt()).compareTo(within) < 0)
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
@@ -47,6 +47,7 @@
     VmDigest write(
             long sequence,
             long storeRevision,
+            boolean followsStore,
             List<FleetLimits.Spending> spending,
             Collection<Upstream> upstreams,
             Optional<VmDemand> demand,
@@ -63,6 +64,7 @@
                 .setIncarnation(incarnation)
                 .setSequence(sequence)
                 .setStoreRevision(storeRevision)
+                .setFollowsStore(followsStore)
                 .setIsPlacing(isPlacing)
                 .setIsStopping(isStopping);
         spending.forEach(one -> digest.addSpending(spending(one)));
--- a/serving/src/main/java/org/pollenhoist/serving/node/InternalEndpoints.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/InternalEndpoints.java
@@ -10,8 +10,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.catalog.CallerLimits;
@@ -34,7 +34,7 @@
         this.clock = clock;
     }
 
-    ChannelFuture listen(InetSocketAddress address, String path, Consumer<CallerAnswer> onRequest) {
+    ChannelFuture listen(InetSocketAddress address, String path, BiConsumer<String, CallerAnswer> onRequest) {
         return new CallerServer(loop, clock, () -> CallerLimits.DEFAULTS, (request, answer) -> {
                     answer(request, answer, path, onRequest);
                     return () -> {};
@@ -43,22 +43,23 @@
     }
 
     private static void answer(
-            IncomingRequest request, CallerAnswer answer, String path, Consumer<CallerAnswer> onRequest) {
+            IncomingRequest request, CallerAnswer answer, String path, BiConsumer<String, CallerAnswer> onRequest) {
         request.body().release();
-        if (request.head().uri().equals(path)) {
-            onRequest.accept(answer);
+        String uri = request.head().uri();
+        if (uri.equals(path) || uri.startsWith(path + '?')) {
+            onRequest.accept(uri, answer);
         } else {
             answer.sendWhole(NOT_FOUND, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
         }
     }
 
-    static Consumer<CallerAnswer> readiness(BooleanSupplier isReady) {
-        return answer -> answer.sendWhole(
+    static BiConsumer<String, CallerAnswer> readiness(BooleanSupplier isReady) {
+        return (uri, answer) -> answer.sendWhole(
                 isReady.getAsBoolean() ? OK : NOT_READY, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
     }
 
-    static Consumer<CallerAnswer> metrics(PrometheusRegistry registry) {
-        return answer -> {
+    static BiConsumer<String, CallerAnswer> metrics(PrometheusRegistry registry) {
+        return (uri, answer) -> {
             ByteArrayOutputStream text = new ByteArrayOutputStream();
             try {
                 PrometheusTextFormatWriter.create().write(text, registry.scrape());
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -38,7 +38,6 @@
 import org.pollenhoist.serving.routing.PromptSizes;
 import org.pollenhoist.serving.routing.ReadingPace;
 import org.pollenhoist.serving.routing.UpstreamSelector;
-import org.pollenhoist.serving.store.GatheringPause;
 import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreMirror;
 import org.pollenhoist.serving.upstream.Upstream;
@@ -105,6 +104,7 @@
     private final FleetState state;
     private final StoreMirror mirror;
     private final StoreRelayExchange relay;
+    private final StoreFollowing following;
     private final Leadership leadership;
     private final PlacementDriver placement;
     private final CrashQuarantine quarantine;
@@ -141,9 +141,8 @@
                 now);
         state = new FleetState(
                 settings, binding, bootClock::read, upstreams, peers, store, this::configure, leadership);
-        mirror = new StoreMirror(
-                loop, bootClock::read, store, state, () -> GatheringPause.of(fleetSize(), settings.propagationBound()));
-        relay = new StoreRelayExchange(calls, peers, mirror, now);
+        mirror = new StoreMirror(loop, bootClock::read, store, state, this::gatheringPause);
+        relay = new StoreRelayExchange(calls, peers, mirror, bootClock::read);
         placement = new PlacementDriver(
                 this::after,
                 bootClock::read,
@@ -162,6 +161,7 @@
                 demandRates,
                 quarantine,
                 new DigestParts());
+        following = new StoreFollowing(mirror, relay, digests);
         handler = new RequestHandler(environment());
         callers = new CallerServer(loop, bootClock::read, this::callerLimits, handler);
     }
@@ -186,6 +186,10 @@
                 this::wantBegan);
     }
 
+    private Duration gatheringPause() {
+        return following.gatheringPause(settings.propagationBound());
+    }
+
     private void after(Duration delay, Runnable action) {
         loop.schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
     }
@@ -269,7 +273,7 @@
             MonotonicTime now = bootClock.read();
             handler.expire(now);
             mirror.tick(now);
-            relay.tick(now);
+            following.tick(now);
             limits.setReachablePart(heardPart(PeerExchange.HEARD_FOR, now), now);
             Duration current = limits.isPressed(now) ? CURRENT_REPORTS_UNDER_PRESSURE : CURRENT_REPORTS;
             limits.setCurrentPart(heardPart(current, now), now);
@@ -369,9 +373,7 @@
     public void reload(ServingSettings changed) {
         loop.execute(() -> {
             boolean isSame = changed.equals(settings);
-            boolean isApplicable = changed.vmName().equals(settings.vmName())
-                    && changed.callerAddress().equals(settings.callerAddress())
-                    && changed.peerAddress().equals(settings.peerAddress());
+            boolean isApplicable = changed.isForSameProcess(settings);
             LOG.event("reload", "changed", !isSame, "applied", !isSame && isApplicable);
             if (!isSame && isApplicable) {
                 settings = changed;
@@ -445,6 +447,7 @@
             return writer.write(
                     sequence,
                     mirror.revision(),
+                    mirror.isCurrent(now),
                     limits.report(now),
                     upstreams.all(),
                     hasDemand ? Optional.of(demand.demand(now)) : Optional.empty(),
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingSettings.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingSettings.java
@@ -90,6 +90,13 @@
         return settings;
     }
 
+    /** Whether a running process with other settings can take these over, since names and addresses are the same. */
+    boolean isForSameProcess(ServingSettings running) {
+        return vmName.equals(running.vmName)
+                && callerAddress.equals(running.callerAddress)
+                && peerAddress.equals(running.peerAddress);
+    }
+
     private static Duration milliseconds(TomlTable table, String key) {
         return Duration.ofMillis(table.integer(key, 100, LONGEST_MILLISECONDS));
     }
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreFollowing.java
@@ -0,0 +1,41 @@
+package org.pollenhoist.serving.node;
+
+import java.time.Duration;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.store.GatheringPause;
+import org.pollenhoist.serving.store.StoreMirror;
+
+/**
+ * Keeps what this VM knows of the store up to date: by following it where this VM has to, else by what peers tell.
+ * Confined to the event loop.
+ */
+final class StoreFollowing {
+
+    private final StoreMirror mirror;
+    private final StoreRelayExchange relay;
+    private final DigestExchange digests;
+    private long toldRevision;
+
+    StoreFollowing(StoreMirror mirror, StoreRelayExchange relay, DigestExchange digests) {
+        this.mirror = mirror;
+        this.relay = relay;
+        this.digests = digests;
+    }
+
+    void tick(MonotonicTime now) {
+        boolean isFollowing = digests.mustFollowStore(now) || relay.isLagging(now);
+        mirror.setFollowing(isFollowing);
+        relay.tick(isFollowing, now);
+        if (mirror.revision() != toldRevision) {
+            toldRevision = mirror.revision();
+            if (isFollowing) {
+                digests.announceStoreRevision();
+            }
+        }
+    }
+
+    /** How long changes may gather in the store before this VM asks for them. */
+    Duration gatheringPause(Duration bound) {
+        return GatheringPause.of(digests.storeFollowers(), bound);
+    }
+}
--- a/serving/src/main/java/org/pollenhoist/serving/peer/PeerExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/peer/PeerExchange.java
@@ -162,6 +162,15 @@
                 .toList();
     }
 
+    /**
+     * Counts the failure domains of all peers.
+     *
+     * @return the number of different ones
+     */
+    public int failureDomains() {
+        return (int) peers.values().stream().map(Peer::failureDomain).distinct().count();
+    }
+
     /**
      * Counts the peers in a failure domain.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -58,6 +57,12 @@
     /** Pause after a failed call. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(200);
 
+    /** Removals that are remembered for peers. */
+    private static final int REMEMBERED_REMOVALS = 512;
+
+    /** How much later than asked for an answer to a watch may come, the pause before it included. */
+    private static final Duration ANSWER_SLACK = Duration.ofSeconds(1);
+
     /** How long after an outage entries may come back. */
     private static final Duration RETURN_TIME = Duration.ofMillis(1_900);
 
@@ -71,6 +76,23 @@
     private final Map<String, StoreItem> items = new LinkedHashMap<>();
     private final Map<String, MonotonicTime> heldRemovals = new HashMap<>();
     private final Set<String> listed = new HashSet<>();
+    private final Map<String, Long> removedAt = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            boolean isTooMany = size() > REMEMBERED_REMOVALS;
+            if (isTooMany) {
+                removalsKnownFrom = Math.max(removalsKnownFrom, eldest.getValue());
+            }
+            return isTooMany;
+        }
+    };
+
+    private boolean isFollowing = true;
+    private boolean isResting;
+    private long listingRevision;
+    private long removalsKnownFrom;
     private long revision;
     private boolean isLoaded;
     private boolean isAvailable = true;
@@ -121,7 +143,7 @@
         markAvailable();
         if (isFirst) {
             // Changes between the pages are caught up by watching from the first page's revision.
-            revision = page.revision();
+            listingRevision = page.revision();
         }
         for (StoreItem item : page.items()) {
             listed.add(item.key());
@@ -133,9 +155,11 @@
         }
         Set<String> missing = new HashSet<>(items.keySet());
         missing.removeAll(listed);
-        missing.forEach(this::remove);
+        revision = Math.max(revision, listingRevision);
+        missing.forEach(key -> remove(key, revision));
         if (!isLoaded) {
             isLoaded = true;
+            removalsKnownFrom = revision;
             LOG.event("store_loaded", "items", items.size(), "revision", revision);
         }
         listener.onListed();
@@ -143,6 +167,10 @@
     }
 
     private void watch() {
+        if (!isFollowing) {
+            isResting = true;
+            return;
+        }
         store.watch("", revision, WATCH_WAIT, answer -> {
             switch (answer) {
                 case StoreAnswer.Success<StorePage> page -> {
@@ -191,18 +219,21 @@
             return;
         }
         if (item.isRemoved()) {
-            remove(item.key());
+            remove(item.key(), item.revision());
             return;
         }
         heldRemovals.remove(item.key());
+        removedAt.remove(item.key());
         items.put(item.key(), item);
         listener.onWritten(item);
     }
 
-    private void remove(String key) {
+    private void remove(String key, long removalRevision) {
         if (items.remove(key) == null) {
             return;
         }
+        removedAt.remove(key);
+        removedAt.put(key, removalRevision);
         MonotonicTime now = clock.get();
         MonotonicTime until = returnedAt.plus(RETURN_TIME);
         if (now.isBefore(until) && listener.mayReturn(key)) {
@@ -214,32 +245,91 @@
     }
 
     /**
-     * Takes over what a peer knows of the store, where that is newer.
+     * Begins or ceases to follow the store. Without following, what is known changes only by what peers tell.
      *
-     * @param known all items that the peer knows
-     * @param knownRevision the revision up to which it knows them
+     * @param follows whether to follow
      */
-    public void adopt(List<StoreItem> known, long knownRevision) {
-        if (knownRevision <= revision) {
+    public void setFollowing(boolean follows) {
+        if (follows == isFollowing) {
             return;
         }
-        LOG.event("store_relayed", "items", known.size(), "revision", knownRevision, "before", revision);
-        revision = knownRevision;
-        Set<String> missing = new HashSet<>(items.keySet());
-        known.forEach(item -> missing.remove(item.key()));
-        known.forEach(this::apply);
-        missing.forEach(this::remove);
-        isLoaded = true;
-        listener.onListed();
+        isFollowing = follows;
+        LOG.event("store_following", "follows", follows, "revision", revision);
+        if (follows && isResting) {
+            isResting = false;
+            watch();
+        }
+    }
+
+    /**
+     * Tells whether this process follows the store and has heard of it just now.
+     *
+     * @param now the present time
+     * @return false while it does not follow, or the store does not answer
+     */
+    public boolean isCurrent(MonotonicTime now) {
+        Duration longest = WATCH_WAIT.plus(ANSWER_SLACK);
+        return isFollowing && isLoaded && isAvailable && now.since(answeredAt).compareTo(longest) < 0;
     }
 
     /**
-     * Returns all items that are known.
+     * Returns what a peer does not know.
      *
-     * @return the items
+     * @param knownRevision the revision up to which it knows the store
+     * @param now the present time
+     * @return the changes since then, or everything where these are not known any more
      */
-    public Collection<StoreItem> items() {
-        return items.values();
+    public StoreChanges changesAfter(long knownRevision, MonotonicTime now) {
+        boolean isWhole = knownRevision < removalsKnownFrom || knownRevision == 0;
+        List<StoreItem> changed = items.values().stream()
+                .filter(item -> isWhole || item.revision() > knownRevision)
+                .toList();
+        List<StoreItem> removals = removedAt.entrySet().stream()
+                .filter(removal -> !isWhole && removal.getValue() > knownRevision)
+                .map(removal -> new StoreItem(removal.getKey(), new byte[0], removal.getValue(), true))
+                .toList();
+        return new StoreChanges(revision, changed, removals, isWhole, now.since(returnedAt));
+    }
+
+    /**
+     * Takes over what a peer knows of the store, where that is newer.
+     *
+     * @param known what the peer tells
+     */
+    public void adopt(StoreChanges known) {
+        if (known.revision() <= revision || (!known.isWhole() && !isLoaded)) {
+            return;
+        }
+        LOG.event(
+                "store_relayed",
+                "items",
+                known.items().size(),
+                "removals",
+                known.removals().size(),
+                "whole",
+                known.isWhole(),
+                "revision",
+                known.revision(),
+                "before",
+                revision);
+        noteReturn(clock.get().plus(known.sinceReturn().negated()));
+        revision = known.revision();
+        Set<String> missing = new HashSet<>(known.isWhole() ? items.keySet() : Set.of());
+        known.items().forEach(item -> missing.remove(item.key()));
+        known.items().forEach(this::apply);
+        known.removals().forEach(this::apply);
+        missing.forEach(key -> remove(key, revision));
+        if (known.isWhole()) {
+            removalsKnownFrom = revision;
+            isLoaded = true;
+            listener.onListed();
+        }
+    }
+
+    private void noteReturn(MonotonicTime at) {
+        if (returnedAt.isBefore(at)) {
+            returnedAt = at;
+        }
     }
 
     /**
@@ -274,14 +364,4 @@
     public long revision() {
         return revision;
     }
-
-    /**
-     * Tells how long ago the store answered.
-     *
-     * @param now the present time
-     * @return the time since its last answer
-     */
-    public Duration silence(MonotonicTime now) {
-        return now.since(answeredAt);
-    }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/node/DigestWriterTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/DigestWriterTest.java
@@ -40,6 +40,7 @@
                 .write(
                         1,
                         2,
+                        false,
                         List.of(),
                         List.of(),
                         demand,
@@ -109,6 +110,7 @@
                     .write(
                             1,
                             2,
+                            false,
                             List.of(),
                             upstreams.all(),
                             Optional.empty(),
--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
@@ -120,6 +120,7 @@
             return writer.write(
                     sequence,
                     1,
+                    false,
                     limits.report(at),
                     upstreams.all(),
                     Optional.empty(),
--- a/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Random;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -29,6 +30,9 @@
         loop.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.SECONDS);
     }
 
+    /** An outage that is long over. */
+    private static final Duration LONG_AGO = Duration.ofHours(1);
+
     private static StoreItem item(String key, long revision) {
         return new StoreItem(key, new byte[0], revision, false);
     }
@@ -41,6 +45,10 @@
         return new StoreAnswer.Success<>(new StorePage(List.of(items), revision, false));
     }
 
+    private static StoreChanges whole(long revision, StoreItem... items) {
+        return new StoreChanges(revision, List.of(items), List.of(), true, LONG_AGO);
+    }
+
     private void load() {
         mirror.start();
         store.answer(page(5, item("a", 3), item("b", 4)));
@@ -163,7 +171,7 @@
         @Test
         void should_take_newer_items_over() {
             load();
-            mirror.adopt(List.of(item("b", 8), item("c", 9)), 9);
+            mirror.adopt(whole(9, item("b", 8), item("c", 9)));
 
             assertThat(heard).containsExactly("b=8", "c=9", "-a", "listed");
             assertThat(mirror.revision()).isEqualTo(9);
@@ -172,10 +180,126 @@
         @Test
         void should_ignore_what_a_peer_knows_less_of() {
             load();
-            mirror.adopt(List.of(), 4);
+            mirror.adopt(whole(4));
 
             assertThat(heard).isEmpty();
         }
+
+        @Test
+        void should_take_over_what_has_changed_without_taking_it_for_all_there_is() {
+            load();
+            mirror.adopt(new StoreChanges(9, List.of(item("c", 9)), List.of(removal("b", 8)), false, LONG_AGO));
+
+            assertThat(heard).containsExactly("c=9", "-b");
+            assertThat(mirror.find("a")).isPresent();
+            assertThat(mirror.revision()).isEqualTo(9);
+        }
+
+        @Test
+        void should_hold_a_removal_back_that_a_peer_saw_just_after_an_outage() {
+            load();
+            mirror.adopt(new StoreChanges(9, List.of(), List.of(removal("a", 9)), false, Duration.ofMillis(400)));
+            pass(1_400);
+            assertThat(heard).isEmpty();
+
+            pass(200);
+
+            assertThat(heard).containsExactly("-a");
+        }
+
+        @Test
+        void should_tell_a_peer_what_has_changed_since_its_revision() {
+            load();
+            store.answer(page(8, item("c", 6), removal("b", 7), item("a", 8)));
+
+            assertThat(mirror.changesAfter(6, now).items())
+                    .usingRecursiveFieldByFieldElementComparator()
+                    .containsExactly(item("a", 8));
+            assertThat(mirror.changesAfter(6, now).removals())
+                    .usingRecursiveFieldByFieldElementComparator()
+                    .containsExactly(removal("b", 7));
+            assertThat(mirror.changesAfter(6, now).isWhole()).isFalse();
+        }
+
+        @Test
+        void should_tell_a_peer_everything_that_knows_less_than_the_removals_that_are_remembered() {
+            load();
+
+            assertThat(mirror.changesAfter(4, now).isWhole()).isTrue();
+            assertThat(mirror.changesAfter(4, now).items())
+                    .usingRecursiveFieldByFieldElementComparator()
+                    .containsExactlyInAnyOrder(item("a", 3), item("b", 4));
+        }
+
+        /** What a follower knows after any pull is what the watching mirror knew then. */
+        @Test
+        void should_keep_a_follower_equal_to_the_one_that_watches() {
+            for (long seed = 1; seed <= 50; seed++) {
+                Random random = new Random(seed);
+                ScriptedStore watched = new ScriptedStore();
+                StoreMirror watching = new StoreMirror(loop, () -> now, watched, new Listener(), () -> Duration.ZERO);
+                StoreMirror following =
+                        new StoreMirror(loop, () -> now, new ScriptedStore(), new Listener(), () -> Duration.ZERO);
+                watching.start();
+                watched.answer(page(1));
+                long revision = 1;
+                for (int step = 0; step < 200; step++) {
+                    List<StoreItem> changes = new ArrayList<>();
+                    for (int change = random.nextInt(4); change >= 0; change--) {
+                        String key = "k" + random.nextInt(12);
+                        revision++;
+                        changes.add(random.nextInt(3) == 0 ? removal(key, revision) : item(key, revision));
+                    }
+                    changes.forEach(change -> watching.adopt(
+                            change.isRemoved()
+                                    ? new StoreChanges(change.revision(), List.of(), List.of(change), false, LONG_AGO)
+                                    : new StoreChanges(
+                                            change.revision(), List.of(change), List.of(), false, LONG_AGO)));
+                    if (random.nextInt(3) == 0) {
+                        following.adopt(watching.changesAfter(following.revision(), now));
+                        assertThat(following.changesAfter(0, now).items())
+                                .as("seed %s step %s", seed, step)
+                                .containsExactlyInAnyOrderElementsOf(
+                                        watching.changesAfter(0, now).items());
+                    }
+                }
+            }
+        }
+    }
+
+    @Nested
+    class Following {
+
+        @Test
+        void should_end_with_the_watch_under_way_and_go_on_from_the_revision_known_then() {
+            load();
+            mirror.setFollowing(false);
+            store.answer(page(6));
+            assertThat(store.waiting).isEmpty();
+            mirror.adopt(new StoreChanges(9, List.of(), List.of(), false, LONG_AGO));
+
+            mirror.setFollowing(true);
+
+            assertThat(store.calls.peekLast()).isEqualTo("watch 9");
+        }
+
+        @Test
+        void should_be_current_while_the_store_answers() {
+            load();
+            assertThat(mirror.isCurrent(now)).isTrue();
+            assertThat(mirror.isCurrent(now.plus(Duration.ofSeconds(3)))).isFalse();
+
+            store.answer(new StoreAnswer.Unavailable<>("no answer"));
+            assertThat(mirror.isCurrent(now)).isFalse();
+        }
+
+        @Test
+        void should_not_be_current_where_it_has_ended() {
+            load();
+            mirror.setFollowing(false);
+
+            assertThat(mirror.isCurrent(now)).isFalse();
+        }
     }
 
     private final class Listener implements StoreMirror.Listener {
