Keep what a VM waits for in the digest with which it speaks for its domain

Cause: found on reading the change. The VM that orders keeps the last digest of each VM and reads from it which models and adapters are waited for; the sums of a domain came without these, so that the wants of the VM that speaks were unknown to an ordering VM of another domain until its next report, up to half a second.

Test: DigestWriterTest.Summary (red before).

--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestWriter.java
@@ -146,12 +146,14 @@
                 .build();
     }
 
-    /** Replaces in a digest what concerns this VM alone by the sums over its failure domain. */
+    /**
+     * Replaces this VM's spending and use in a digest by the sums over its failure domain. What its requests wait for
+     * stays, since the VM that orders may be the one that hears it.
+     */
     static VmDigest speakForDomain(VmDigest digest, DomainSummary summary) {
         return digest.toBuilder()
                 .clearSpending()
                 .clearUpstreamUses()
-                .clearWants()
                 .setSummary(summary)
                 .build();
     }
--- a/serving/src/test/java/org/pollenhoist/serving/node/DigestWriterTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/DigestWriterTest.java
@@ -23,6 +23,8 @@
 import org.pollenhoist.serving.upstream.UpstreamDescription;
 import org.pollenhoist.serving.upstream.UpstreamTable;
 import org.pollenhoist.vm.generated.DomainSummary;
+import org.pollenhoist.vm.generated.ModelWant;
+import org.pollenhoist.vm.generated.TeamSpending;
 import org.pollenhoist.vm.generated.UpstreamLifetime;
 import org.pollenhoist.vm.generated.UpstreamUse;
 import org.pollenhoist.vm.generated.VmDigest;
@@ -155,7 +157,10 @@
             engine.begin(100, 200);
             engine.hear("vm-2", new PeerUse(3, 1_000, 4_000, NOW));
             engine.hearDomain("south", new PeerUse(9, 9_000, 9_000, NOW));
-            VmDigest own = write(Optional.empty(), Optional.empty());
+            VmDigest own = write(Optional.empty(), Optional.empty()).toBuilder()
+                    .addSpending(TeamSpending.newBuilder().setTeam("crews").setAdmittedTokens(20))
+                    .addWants(ModelWant.newBuilder().setModel("m"))
+                    .build();
 
             DomainSummary summary = DigestWriter.summarize(
                     7, 6, List.of(new FleetLimits.Spending("crews", 500, 80)), upstreams.all(), NOW);
@@ -163,6 +168,8 @@
                     VmDigest.parseFrom(DigestWriter.speakForDomain(own, summary).toByteArray());
 
             assertThat(told.getVmName()).isEqualTo("vm-1");
+            assertThat(told.getSpendingList()).isEmpty();
+            assertThat(told.getWantsList()).hasSize(1);
             assertThat(told.getSummary().getHeardVms()).isEqualTo(7);
             assertThat(told.getSummary().getCurrentVms()).isEqualTo(6);
             assertThat(DigestWriter.spending(told.getSummary().getSpendingList()))
