--- a/library/src/main/java/org/pollenhoist/request/CrashCase.java
+++ b/library/src/main/java/org/pollenhoist/request/CrashCase.java
@@ -20,6 +20,14 @@
     private MonotonicTime trialAllowedFrom;
     private boolean isAnnounced;
     private long runningTrial = NO_TRIAL;
+    private boolean isVerdictKnown;
+
+    /** Notes whether there is a verdict. Returns true where that is new. */
+    boolean changeVerdict(boolean isVerdict) {
+        boolean isNew = isVerdict != isVerdictKnown;
+        isVerdictKnown = isVerdict;
+        return isNew;
+    }
 
     void addCrash(UpstreamName upstream, MonotonicTime until) {
         upstreams.add(upstream);
--- a/library/src/main/java/org/pollenhoist/request/CrashQuarantine.java
+++ b/library/src/main/java/org/pollenhoist/request/CrashQuarantine.java
@@ -79,20 +79,15 @@
         Admission admission;
         synchronized (lock) {
             CrashCase found = liveCase(fingerprint, now);
+            if (found != null) {
+                logVerdict(fingerprint, found, "faulty_upstreams", now);
+            }
             admission = found == null ? new Admission.Unrestricted() : decide(found, copies, now);
             if (admission instanceof Admission.AskAgain && found.takeUnannouncedClaim()) {
                 notice = notice(fingerprint, found, now);
             }
         }
         send(notice);
-        if (!(admission instanceof Admission.Unrestricted)) {
-            LOG.event(
-                    "admission",
-                    "fingerprint",
-                    fingerprint,
-                    "decision",
-                    admission.getClass().getSimpleName());
-        }
         return admission;
     }
 
@@ -116,15 +111,18 @@
             }
             changed.addCrash(upstream, now.plus(CASE_LIFETIME));
             notice = notice(fingerprint, changed, now);
+            LOG.event(
+                    "crash",
+                    "fingerprint",
+                    fingerprint,
+                    "upstream",
+                    upstream,
+                    "upstreams",
+                    notice.upstreams().size(),
+                    "faulty",
+                    isFaulty(upstream, now));
+            logVerdict(fingerprint, changed, "break", now);
         }
-        LOG.event(
-                "crash",
-                "fingerprint",
-                fingerprint,
-                "upstream",
-                upstream,
-                "upstreams",
-                notice.upstreams().size());
         send(notice);
     }
 
@@ -187,6 +185,7 @@
             if (notice.trialVm().isPresent()) {
                 found.hearClaim(notice.trialVm().get(), self, now.plus(CLAIM_LIFETIME));
             }
+            logVerdict(notice.fingerprint(), found, "peer", now);
         }
     }
 
@@ -228,6 +227,23 @@
         return new Admission.Trial(number, found.upstreams());
     }
 
+    /** Writes a line where a verdict was reached or is no longer held. */
+    private void logVerdict(RequestFingerprint fingerprint, CrashCase changed, String reason, MonotonicTime now) {
+        boolean isVerdict = isVerdict(changed, now);
+        if (changed.changeVerdict(isVerdict)) {
+            LOG.event(
+                    isVerdict ? "crash_verdict" : "crash_verdict_lifted",
+                    "fingerprint",
+                    fingerprint,
+                    "reason",
+                    reason,
+                    "upstreams",
+                    changed.upstreams().size(),
+                    "blamed",
+                    blamedUpstreams(changed, now));
+        }
+    }
+
     private boolean isVerdict(CrashCase found, MonotonicTime now) {
         return blamedUpstreams(found, now) >= UPSTREAMS_BEFORE_VERDICT;
     }
--- a/serving/src/main/java/org/pollenhoist/serving/request/CrashSuspicion.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/CrashSuspicion.java
@@ -42,12 +42,17 @@
     }
 
     private final CrashQuarantine quarantine;
+    private final RequestMetrics metrics;
+    private final String identifier;
     private final Optional<RequestFingerprint> fingerprint;
     private Optional<Admission.Trial> trial = Optional.empty();
     private MonotonicTime askAgainAt;
+    private boolean isWaitNoted;
 
-    CrashSuspicion(CrashQuarantine quarantine, IncomingRequest request, MonotonicTime now) {
-        this.quarantine = quarantine;
+    CrashSuspicion(RequestEnvironment environment, String identifier, IncomingRequest request, MonotonicTime now) {
+        this.quarantine = environment.quarantine();
+        this.metrics = environment.metrics();
+        this.identifier = identifier;
         this.askAgainAt = now;
         this.fingerprint = request.body().isReadable()
                 ? Optional.of(RequestFingerprint.of(
@@ -55,6 +60,11 @@
                 : Optional.empty();
     }
 
+    /** What tells the request apart from others, for the log. */
+    String fingerprint() {
+        return fingerprint.map(RequestFingerprint::toString).orElse("none");
+    }
+
     Verdict check(CopyCount copies, MonotonicTime now) {
         if (fingerprint.isEmpty() || trial.isPresent()) {
             return new Verdict.Run(Set.of());
@@ -66,18 +76,36 @@
             case Admission.Unrestricted unrestricted -> new Verdict.Run(Set.of());
             case Admission.Trial allowed -> {
                 trial = Optional.of(allowed);
+                note("trial", "once_more_elsewhere");
                 yield new Verdict.Run(allowed.excluded());
             }
             case Admission.AskAgain later -> {
                 askAgainAt = now.plus(later.delay());
+                noteWait();
                 yield new Verdict.Wait();
             }
-            case Admission.Refused refused ->
-                new Verdict.Refuse("suspected_of_crashing_upstreams", refused.retryAfter());
-            case Admission.Quarantined quarantined -> new Verdict.Refuse("crashes_upstreams", quarantined.remaining());
+            case Admission.Refused refused -> refuse("suspected_of_crashing_upstreams", refused.retryAfter());
+            case Admission.Quarantined quarantined -> refuse("crashes_upstreams", quarantined.remaining());
         };
     }
 
+    private Verdict refuse(String reason, Duration retryAfter) {
+        note("refuse", reason);
+        return new Verdict.Refuse(reason, retryAfter);
+    }
+
+    private void noteWait() {
+        if (!isWaitNoted) {
+            isWaitNoted = true;
+            note("wait", "trial_not_settled");
+        }
+    }
+
+    private void note(String decision, String reason) {
+        metrics.countSuspicion(decision);
+        RequestLog.suspected(identifier, fingerprint(), decision, reason);
+    }
+
     void recordBreak(Upstream upstream, MonotonicTime now) {
         fingerprint.ifPresent(request -> quarantine.recordBreak(
                 request, UpstreamName.of(upstream.description().identifier()), now));
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestLog.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestLog.java
@@ -20,6 +20,11 @@
         route(identifier, asked, "wait", reason);
     }
 
+    static void suspected(String identifier, String fingerprint, String decision, String reason) {
+        LOG.event(
+                "suspicion", "request", identifier, "fingerprint", fingerprint, "decision", decision, "reason", reason);
+    }
+
     private static void route(String identifier, CallerRequest asked, String decision, String reason) {
         LOG.event(
                 "route",
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestMetrics.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestMetrics.java
@@ -12,6 +12,7 @@
 
     private final Counter requests;
     private final Counter attempts;
+    private final Counter suspicions;
     private final Histogram queueing;
     private final Histogram firstAnswer;
 
@@ -31,6 +32,11 @@
                 .help("Attempts at upstreams by result.")
                 .labelNames("result")
                 .register(registry);
+        suspicions = Counter.builder()
+                .name("pollenhoist_suspected_requests_total")
+                .help("Decisions on requests that may have crashed upstreams, by decision.")
+                .labelNames("decision")
+                .register(registry);
         queueing = Histogram.builder()
                 .name("pollenhoist_queue_seconds")
                 .help("Time from a request's arrival to its first attempt, in seconds.")
@@ -52,6 +58,10 @@
         attempts.labelValues(result).inc();
     }
 
+    void countSuspicion(String decision) {
+        suspicions.labelValues(decision).inc();
+    }
+
     void observeQueueing(Duration waited) {
         queueing.observe(waited.toMillis() / MILLISECONDS_PER_SECOND);
     }
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -130,7 +130,7 @@
         reservedTokens = admitted.tokens();
         deadline = admitted.deadline().earlierOf(latestEnd.orElse(admitted.deadline()));
         environment.retryBudgets().apply(service.name()).recordRequest(now);
-        suspicion = new CrashSuspicion(environment.quarantine(), incoming, now);
+        suspicion = new CrashSuspicion(environment, identifier, incoming, now);
         environment.recordAsked(route, asked, now);
         dispatch(now);
     }
@@ -385,6 +385,11 @@
             answer.onWritability(started::setReading);
         }
 
+        @Override
+        protected String fingerprint() {
+            return suspicion.fingerprint();
+        }
+
         @Override
         protected boolean isStream() {
             return route.kind() == org.pollenhoist.serving.catalog.RequestKind.STREAM;
--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -73,6 +73,16 @@
     final void cancel() {
         if (!isOver) {
             close("cancelled");
+            LOG.event(
+                    "attempt_cancelled",
+                    "request",
+                    asked.identifier(),
+                    "fingerprint",
+                    fingerprint(),
+                    "upstream",
+                    upstream.description().identifier(),
+                    "after_ms",
+                    environment.clock().get().since(startedAt).toMillis());
             if (exchange != null) {
                 exchange.cancel();
             }
@@ -224,6 +234,9 @@
                 environment.clock().get().since(startedAt).toMillis());
     }
 
+    /** What tells the request apart from others, for the log. */
+    protected abstract String fingerprint();
+
     /** Whether the request asks for a stream of events. */
     protected abstract boolean isStream();
 
