Keep the verdict on a crashing request until its upstreams are seen to live on

Cause: CrashQuarantine asked at each request anew which upstreams are to blame and left out those that look faulty, which three broken connections within two minutes under different requests make them. Lost answers do that to all upstreams at once, so that no crash counted and verdicts were gone.

Class: a conclusion that is computed anew from evidence which other events may take away, and evidence that counts without being proved. Of the same class: a lost answer counted as a crash for ten minutes, though the upstream lived on.

Change: a verdict is kept once it is reached. A crash belongs to one lifetime of an upstream, which ends once; an upstream looks faulty only where several of its lifetimes ended, and not for a third crash under the same request. What shows that a break was no crash: the entry of that lifetime still stands after the time in which a dead one lapses, seen by a VM that knew the store all along (CrashReview); that alone lifts a verdict. New setting: the heartbeat of upstreams.

CrashQuarantineTest.Verdict and CrashReviewTest play the single decisions.

--- a/library/src/main/java/org/pollenhoist/entry/AttemptLoop.java
+++ b/library/src/main/java/org/pollenhoist/entry/AttemptLoop.java
@@ -19,6 +19,7 @@
 import org.pollenhoist.request.NextStep;
 import org.pollenhoist.request.RequestProgress;
 import org.pollenhoist.request.StoredAnswer;
+import org.pollenhoist.request.UpstreamLifetime;
 import org.pollenhoist.routing.InFlightHandle;
 import org.pollenhoist.routing.RoutingDecision;
 import org.pollenhoist.upstream.AnswerCollector;
@@ -112,7 +113,8 @@
                 yield new AttemptResult.NotSent(AttemptResult.Proof.UPSTREAM_STATEMENT);
             }
             case UpstreamAttempt.Broken broken -> {
-                parts.quarantine().recordBreak(flow.fingerprint(), chosen.upstream(), now);
+                parts.quarantine()
+                        .recordBreak(flow.fingerprint(), UpstreamLifetime.ofUnknownStart(chosen.upstream()), now);
                 endTrial();
                 yield new AttemptResult.FailedBeforeAnswer();
             }
@@ -229,7 +231,7 @@
             MonotonicTime now = MonotonicTime.read();
             inFlight.release(now);
             parts.metrics().countAttempt("AnswerBroke");
-            parts.quarantine().recordBreak(flow.fingerprint(), upstream, now);
+            parts.quarantine().recordBreak(flow.fingerprint(), UpstreamLifetime.ofUnknownStart(upstream), now);
             endTrial();
         }
 
--- a/library/src/main/java/org/pollenhoist/request/CrashCase.java
+++ b/library/src/main/java/org/pollenhoist/request/CrashCase.java
@@ -1,9 +1,13 @@
 package org.pollenhoist.request;
 
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.UpstreamName;
 import org.pollenhoist.common.VmName;
@@ -13,25 +17,31 @@
 
     private static final long NO_TRIAL = 0;
 
-    private final Set<UpstreamName> upstreams = new TreeSet<>();
+    private final Map<UpstreamLifetime, MonotonicTime> crashes = new TreeMap<>();
+    private final Set<UpstreamLifetime> refuted = new HashSet<>();
     private MonotonicTime liveUntil;
     private VmName claimant;
     private MonotonicTime claimedUntil;
     private MonotonicTime trialAllowedFrom;
     private boolean isAnnounced;
     private long runningTrial = NO_TRIAL;
-    private boolean isVerdictKnown;
+    private boolean isVerdict;
 
-    /** Notes whether there is a verdict. Returns true where that is new. */
-    boolean changeVerdict(boolean isVerdict) {
-        boolean isNew = isVerdict != isVerdictKnown;
-        isVerdictKnown = isVerdict;
-        return isNew;
+    void addCrash(UpstreamLifetime lifetime, MonotonicTime now, MonotonicTime until) {
+        if (!refuted.contains(lifetime)) {
+            crashes.putIfAbsent(lifetime, now);
+            prolong(until);
+        }
     }
 
-    void addCrash(UpstreamName upstream, MonotonicTime until) {
-        upstreams.add(upstream);
-        prolong(until);
+    /** The lifetimes did not end, or not through this request. What else is known of it may be forgotten soon. */
+    void refute(Set<UpstreamLifetime> lifetimes, MonotonicTime forgottenFrom) {
+        crashes.keySet().removeAll(lifetimes);
+        refuted.addAll(lifetimes);
+        if (crashes.isEmpty()) {
+            liveUntil = forgottenFrom;
+            claimant = null;
+        }
     }
 
     void prolong(MonotonicTime until) {
@@ -40,8 +50,29 @@
         }
     }
 
+    Set<UpstreamLifetime> crashes() {
+        return Set.copyOf(crashes.keySet());
+    }
+
+    /** The crashes that were noted at a time or before it, and of which a condition holds. */
+    Set<UpstreamLifetime> crashesBefore(MonotonicTime time, Predicate<UpstreamLifetime> condition) {
+        return crashes.entrySet().stream()
+                .filter(crash -> !time.isBefore(crash.getValue()))
+                .map(Map.Entry::getKey)
+                .filter(condition)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     Set<UpstreamName> upstreams() {
-        return Set.copyOf(upstreams);
+        return crashes.keySet().stream().map(UpstreamLifetime::upstream).collect(Collectors.toUnmodifiableSet());
+    }
+
+    boolean isVerdict() {
+        return isVerdict;
+    }
+
+    void setVerdict(boolean verdict) {
+        isVerdict = verdict;
     }
 
     boolean isLiveAt(MonotonicTime now) {
--- a/library/src/main/java/org/pollenhoist/request/CrashQuarantine.java
+++ b/library/src/main/java/org/pollenhoist/request/CrashQuarantine.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.UpstreamName;
@@ -16,7 +17,10 @@
  * Blames requests for crashes of upstreams. A request under which one upstream crashed is suspect: in the whole fleet
  * it runs once more at most, elsewhere, and never on a model's last copy. A request under which a second upstream
  * crashed is quarantined, and its repeats get the same final answer at once. An upstream that crashes under many
- * different requests is blamed in their place.
+ * different requests is blamed in their place, but not for three crashes under the same one.
+ *
+ * <p>A broken connection counts as a crash until the upstream is seen to live on ({@link #review}). Nothing else lifts
+ * a verdict.
  *
  * <p>The VM that wants to run a suspect request once more claims the trial, waits until a competing claim would have
  * arrived, and yields to the one with the lower name. Thread-safe; one lock, which is held while copies are counted
@@ -25,10 +29,17 @@
 public final class CrashQuarantine {
 
     private static final DecisionLog LOG = DecisionLog.of("request");
-    private static final int UPSTREAMS_BEFORE_VERDICT = 2;
+    private static final int CRASHES_BEFORE_VERDICT = 2;
+
+    /** Crashes after which the upstreams are not blamed any more, however often they crash. */
+    private static final int CRASHES_BEYOND_CHANCE = 3;
+
     private static final int MAXIMUM_CASES = 10_000;
     private static final Duration CASE_LIFETIME = Duration.ofMinutes(10);
 
+    /** How long it is remembered which upstreams did not crash, so that peers who think so are not believed. */
+    private static final Duration REFUTED_LIFETIME = Duration.ofSeconds(10);
+
     /**
      * When a caller whose request broke off is told to come back. A repeat that comes then, through whatever VM, finds
      * the suspicion there: the bound on crashes holds where notices arrive before callers do.
@@ -79,9 +90,6 @@
         Admission admission;
         synchronized (lock) {
             CrashCase found = liveCase(fingerprint, now);
-            if (found != null) {
-                logVerdict(fingerprint, found, "faulty_upstreams", now);
-            }
             admission = found == null ? new Admission.Unrestricted() : decide(found, copies, now);
             if (admission instanceof Admission.AskAgain && found.takeUnannouncedClaim()) {
                 notice = notice(fingerprint, found, now);
@@ -95,33 +103,31 @@
      * Notes that the connection to an upstream broke while a request ran there, as a crash would break it.
      *
      * @param fingerprint the request
-     * @param upstream the upstream
+     * @param lifetime the lifetime of the upstream
      * @param now the present time
      */
-    public void recordBreak(RequestFingerprint fingerprint, UpstreamName upstream, MonotonicTime now) {
+    public void recordBreak(RequestFingerprint fingerprint, UpstreamLifetime lifetime, MonotonicTime now) {
         CrashNotice notice;
         synchronized (lock) {
             crashesByUpstream
-                    .computeIfAbsent(upstream, name -> new UpstreamCrashes())
-                    .record(fingerprint, now);
-            CrashCase changed = liveCase(fingerprint, now);
-            if (changed == null) {
-                changed = new CrashCase();
-                cases.put(fingerprint, changed);
-            }
-            changed.addCrash(upstream, now.plus(CASE_LIFETIME));
-            notice = notice(fingerprint, changed, now);
+                    .computeIfAbsent(lifetime.upstream(), name -> new UpstreamCrashes())
+                    .record(fingerprint, lifetime, now);
+            CrashCase changed = liveOrNewCase(fingerprint, now);
+            changed.addCrash(lifetime, now, now.plus(CASE_LIFETIME));
             LOG.event(
                     "crash",
                     "fingerprint",
                     fingerprint,
                     "upstream",
-                    upstream,
-                    "upstreams",
-                    notice.upstreams().size(),
+                    lifetime.upstream(),
+                    "started",
+                    lifetime.startedMilliseconds(),
+                    "crashes",
+                    changed.crashes().size(),
                     "faulty",
-                    isFaulty(upstream, now));
-            logVerdict(fingerprint, changed, "break", now);
+                    isFaulty(lifetime.upstream(), now));
+            judge(fingerprint, changed, false, "break", now);
+            notice = notice(fingerprint, changed, now);
         }
         send(notice);
     }
@@ -136,14 +142,52 @@
         CrashNotice notice = null;
         synchronized (lock) {
             CrashCase found = liveCase(fingerprint, now);
-            if (found != null && !isVerdict(found, now)) {
-                cases.remove(fingerprint);
-                notice = new CrashNotice(fingerprint, Set.of(), Optional.empty(), true, CASE_LIFETIME);
+            if (found != null && !found.isVerdict()) {
+                Set<UpstreamLifetime> cleared = found.crashes();
+                found.refute(cleared, now.plus(REFUTED_LIFETIME));
+                notice = new CrashNotice(fingerprint, cleared, Optional.empty(), true, false, CASE_LIFETIME);
             }
         }
         send(notice);
     }
 
+    /**
+     * Drops the crashes of upstreams that live on: their connections broke for another reason. A verdict that rested on
+     * them is lifted.
+     *
+     * @param isLive tells whether a lifetime has not ended, as far as can be seen
+     * @param visibleWithin the longest time after which the end of an upstream can be seen
+     * @param now the present time
+     */
+    public void review(Predicate<UpstreamLifetime> isLive, Duration visibleWithin, MonotonicTime now) {
+        synchronized (lock) {
+            MonotonicTime seen = now.plus(visibleWithin.negated());
+            cases.forEach((fingerprint, reviewed) -> {
+                Set<UpstreamLifetime> live = reviewed.crashesBefore(seen, isLive);
+                if (!live.isEmpty()) {
+                    refute(fingerprint, reviewed, live, now);
+                }
+            });
+            cases.values().removeIf(reviewed -> !reviewed.isLiveAt(now));
+            crashesByUpstream.values().removeIf(crashes -> crashes.isEmpty(now));
+        }
+    }
+
+    private void refute(
+            RequestFingerprint fingerprint, CrashCase reviewed, Set<UpstreamLifetime> live, MonotonicTime now) {
+        reviewed.refute(live, now.plus(REFUTED_LIFETIME));
+        live.forEach(lifetime -> {
+            UpstreamCrashes crashes = crashesByUpstream.get(lifetime.upstream());
+            if (crashes != null) {
+                crashes.refute(lifetime);
+            }
+        });
+        if (reviewed.isVerdict() && reviewed.crashes().size() < CRASHES_BEFORE_VERDICT) {
+            reviewed.setVerdict(false);
+            logVerdict("crash_verdict_lifted", fingerprint, reviewed, "upstreams_live", now);
+        }
+    }
+
     /**
      * Notes that the attempt of a trial has ended, in whatever way; what it showed is recorded before.
      *
@@ -167,25 +211,17 @@
      */
     public void receive(CrashNotice notice, MonotonicTime now) {
         synchronized (lock) {
-            CrashCase found = liveCase(notice.fingerprint(), now);
+            CrashCase found = liveOrNewCase(notice.fingerprint(), now);
             if (notice.isCleared()) {
-                if (found != null && !isVerdict(found, now)) {
-                    cases.remove(notice.fingerprint());
+                if (!found.isVerdict()) {
+                    found.refute(notice.crashes(), now.plus(REFUTED_LIFETIME));
                 }
                 return;
             }
-            if (found == null) {
-                found = new CrashCase();
-                cases.put(notice.fingerprint(), found);
-            }
             MonotonicTime until = now.plus(notice.remaining());
-            for (UpstreamName upstream : notice.upstreams()) {
-                found.addCrash(upstream, until);
-            }
-            if (notice.trialVm().isPresent()) {
-                found.hearClaim(notice.trialVm().get(), self, now.plus(CLAIM_LIFETIME));
-            }
-            logVerdict(notice.fingerprint(), found, "peer", now);
+            notice.crashes().forEach(lifetime -> found.addCrash(lifetime, now, until));
+            notice.trialVm().ifPresent(vm -> found.hearClaim(vm, self, now.plus(CLAIM_LIFETIME)));
+            judge(notice.fingerprint(), found, notice.isVerdict(), "peer", now);
         }
     }
 
@@ -204,11 +240,11 @@
     }
 
     private Admission decide(CrashCase found, CopyCount copies, MonotonicTime now) {
-        if (isVerdict(found, now)) {
+        if (found.isVerdict()) {
             found.prolong(now.plus(CASE_LIFETIME));
             return new Admission.Quarantined(CASE_LIFETIME);
         }
-        if (blamedUpstreams(found, now) == 0) {
+        if (blamedCrashes(found, now) == 0) {
             return new Admission.Unrestricted();
         }
         if (copies.copies(found.upstreams()) <= 1 || found.isTriedElsewhere(self, now)) {
@@ -227,33 +263,46 @@
         return new Admission.Trial(number, found.upstreams());
     }
 
-    /** Writes a line where a verdict was reached or is no longer held. */
-    private void logVerdict(RequestFingerprint fingerprint, CrashCase changed, String reason, MonotonicTime now) {
-        boolean isVerdict = isVerdict(changed, now);
-        if (changed.changeVerdict(isVerdict)) {
-            LOG.event(
-                    isVerdict ? "crash_verdict" : "crash_verdict_lifted",
-                    "fingerprint",
-                    fingerprint,
-                    "reason",
-                    reason,
-                    "upstreams",
-                    changed.upstreams().size(),
-                    "blamed",
-                    blamedUpstreams(changed, now));
+    private void judge(
+            RequestFingerprint fingerprint, CrashCase changed, boolean isTold, String reason, MonotonicTime now) {
+        long counted = isTold ? changed.crashes().size() : blamedCrashes(changed, now);
+        boolean isGuilty =
+                counted >= CRASHES_BEFORE_VERDICT || changed.crashes().size() >= CRASHES_BEYOND_CHANCE;
+        if (isGuilty && !changed.isVerdict()) {
+            changed.setVerdict(true);
+            logVerdict("crash_verdict", fingerprint, changed, reason, now);
         }
     }
 
-    private boolean isVerdict(CrashCase found, MonotonicTime now) {
-        return blamedUpstreams(found, now) >= UPSTREAMS_BEFORE_VERDICT;
+    private void logVerdict(
+            String event, RequestFingerprint fingerprint, CrashCase changed, String reason, MonotonicTime now) {
+        LOG.event(
+                event,
+                "fingerprint",
+                fingerprint,
+                "reason",
+                reason,
+                "crashes",
+                changed.crashes().size(),
+                "blamed",
+                blamedCrashes(changed, now));
     }
 
-    private long blamedUpstreams(CrashCase found, MonotonicTime now) {
-        return found.upstreams().stream()
-                .filter(upstream -> !isFaulty(upstream, now))
+    private long blamedCrashes(CrashCase found, MonotonicTime now) {
+        return found.crashes().stream()
+                .filter(lifetime -> !isFaulty(lifetime.upstream(), now))
                 .count();
     }
 
+    private CrashCase liveOrNewCase(RequestFingerprint fingerprint, MonotonicTime now) {
+        CrashCase found = liveCase(fingerprint, now);
+        if (found == null) {
+            found = new CrashCase();
+            cases.put(fingerprint, found);
+        }
+        return found;
+    }
+
     private CrashCase liveCase(RequestFingerprint fingerprint, MonotonicTime now) {
         CrashCase found = cases.get(fingerprint);
         if (found == null || found.isLiveAt(now)) {
@@ -264,7 +313,8 @@
     }
 
     private CrashNotice notice(RequestFingerprint fingerprint, CrashCase found, MonotonicTime now) {
-        return new CrashNotice(fingerprint, found.upstreams(), found.claimant(now), false, found.remaining(now));
+        return new CrashNotice(
+                fingerprint, found.crashes(), found.claimant(now), false, found.isVerdict(), found.remaining(now));
     }
 
     private void send(CrashNotice notice) {
--- a/library/src/main/java/org/pollenhoist/request/UpstreamCrashes.java
+++ b/library/src/main/java/org/pollenhoist/request/UpstreamCrashes.java
@@ -15,18 +15,31 @@
 
     private final ArrayDeque<Crash> crashes = new ArrayDeque<>();
 
-    private record Crash(MonotonicTime start, Set<RequestFingerprint> fingerprints) {}
+    private record Crash(UpstreamLifetime lifetime, MonotonicTime start, Set<RequestFingerprint> fingerprints) {
 
-    void record(RequestFingerprint fingerprint, MonotonicTime now) {
+        /** A lifetime ends once; where it is not known, what breaks within a moment belongs to one crash. */
+        private boolean isSame(UpstreamLifetime broken, MonotonicTime now) {
+            return broken.isStartKnown()
+                    ? lifetime.equals(broken)
+                    : now.since(start).compareTo(ONE_CRASH) < 0;
+        }
+    }
+
+    void record(RequestFingerprint fingerprint, UpstreamLifetime lifetime, MonotonicTime now) {
         Crash last = crashes.peekLast();
-        if (last == null || now.since(last.start()).compareTo(ONE_CRASH) >= 0) {
-            last = new Crash(now, new HashSet<>());
+        if (last == null || !last.isSame(lifetime, now)) {
+            last = new Crash(lifetime, now, new HashSet<>());
             crashes.addLast(last);
         }
         last.fingerprints().add(fingerprint);
         forgetOld(now);
     }
 
+    /** The upstream lives on, so that this was no crash. */
+    void refute(UpstreamLifetime lifetime) {
+        crashes.removeIf(crash -> crash.lifetime().equals(lifetime));
+    }
+
     /** Several crashes that no single request can explain. */
     boolean isFaulty(MonotonicTime now) {
         forgetOld(now);
@@ -38,6 +51,11 @@
         return inAll.isEmpty();
     }
 
+    boolean isEmpty(MonotonicTime now) {
+        forgetOld(now);
+        return crashes.isEmpty();
+    }
+
     private void forgetOld(MonotonicTime now) {
         while (!crashes.isEmpty() && now.since(crashes.getFirst().start()).compareTo(REMEMBERED) > 0) {
             crashes.removeFirst();
--- /dev/null
+++ b/library/src/main/java/org/pollenhoist/request/UpstreamLifetime.java
@@ -0,0 +1,36 @@
+package org.pollenhoist.request;
+
+import java.util.Comparator;
+import org.pollenhoist.common.UpstreamName;
+
+/**
+ * One lifetime of an upstream: from a start of its process to its end.
+ *
+ * @param upstream the upstream
+ * @param startedMilliseconds the start of its process, in Unix milliseconds; 0 where it is not known
+ */
+public record UpstreamLifetime(UpstreamName upstream, long startedMilliseconds)
+        implements Comparable<UpstreamLifetime> {
+
+    private static final Comparator<UpstreamLifetime> ORDER =
+            Comparator.comparing(UpstreamLifetime::upstream).thenComparingLong(UpstreamLifetime::startedMilliseconds);
+
+    /**
+     * Returns a lifetime of an upstream that does not say when it started.
+     *
+     * @param upstream the upstream
+     * @return the lifetime
+     */
+    public static UpstreamLifetime ofUnknownStart(UpstreamName upstream) {
+        return new UpstreamLifetime(upstream, 0);
+    }
+
+    boolean isStartKnown() {
+        return startedMilliseconds != 0;
+    }
+
+    @Override
+    public int compareTo(UpstreamLifetime other) {
+        return ORDER.compare(this, other);
+    }
+}
--- a/library/src/main/java/org/pollenhoist/vm/CrashVerdictExchange.java
+++ b/library/src/main/java/org/pollenhoist/vm/CrashVerdictExchange.java
@@ -13,6 +13,7 @@
 import org.pollenhoist.request.RequestFingerprint;
 import org.pollenhoist.vm.generated.CrashVerdict;
 import org.pollenhoist.vm.generated.Frame;
+import org.pollenhoist.vm.generated.UpstreamLifetime;
 
 /**
  * Carries notices about suspect requests between VMs.
@@ -60,8 +61,12 @@
                 .setFingerprint(ByteString.copyFrom(notice.fingerprint().toBytes()))
                 .setRemainingSeconds((int) notice.remaining().toSeconds())
                 .setTrialVm(notice.trialVm().map(VmName::value).orElse(""))
-                .setCleared(notice.isCleared());
-        notice.upstreams().forEach(upstream -> verdict.addUpstreams(upstream.value()));
+                .setCleared(notice.isCleared())
+                .setIsVerdict(notice.isVerdict());
+        notice.crashes()
+                .forEach(lifetime -> verdict.addCrashes(UpstreamLifetime.newBuilder()
+                        .setUpstream(lifetime.upstream().value())
+                        .setStartedMilliseconds(lifetime.startedMilliseconds())));
         return verdict.build();
     }
 
@@ -72,15 +77,18 @@
      * @return the notice
      */
     public static CrashNotice fromMessage(CrashVerdict verdict) {
-        Set<UpstreamName> upstreams =
-                verdict.getUpstreamsList().stream().map(UpstreamName::of).collect(Collectors.toUnmodifiableSet());
+        Set<org.pollenhoist.request.UpstreamLifetime> crashes = verdict.getCrashesList().stream()
+                .map(told -> new org.pollenhoist.request.UpstreamLifetime(
+                        UpstreamName.of(told.getUpstream()), told.getStartedMilliseconds()))
+                .collect(Collectors.toUnmodifiableSet());
         Optional<VmName> trialVm =
                 verdict.getTrialVm().isEmpty() ? Optional.empty() : Optional.of(VmName.of(verdict.getTrialVm()));
         return new CrashNotice(
                 RequestFingerprint.parse(verdict.getFingerprint().toByteArray()),
-                upstreams,
+                crashes,
                 trialVm,
                 verdict.getCleared(),
+                verdict.getIsVerdict(),
                 Duration.ofSeconds(Integer.toUnsignedLong(verdict.getRemainingSeconds())));
     }
 }
--- a/library/src/test/java/org/pollenhoist/request/CrashQuarantineTest.java
+++ b/library/src/test/java/org/pollenhoist/request/CrashQuarantineTest.java
@@ -27,6 +27,14 @@
         return MonotonicTime.of(Duration.ofMillis(milliseconds));
     }
 
+    private static UpstreamLifetime lifetime(UpstreamName upstream) {
+        return UpstreamLifetime.ofUnknownStart(upstream);
+    }
+
+    private static UpstreamLifetime lifetime(UpstreamName upstream, long started) {
+        return new UpstreamLifetime(upstream, started);
+    }
+
     private static RequestFingerprint request(int number) {
         return RequestFingerprint.of("POST", "/", new byte[] {(byte) number});
     }
@@ -41,7 +49,7 @@
 
         @Test
         void should_admit_one_trial_elsewhere_after_settling_when_one_upstream_crashed() {
-            quarantine.recordBreak(POISON, FIRST, at(0));
+            quarantine.recordBreak(POISON, lifetime(FIRST), at(0));
             assertThat(quarantine.admit(POISON, MANY, at(1))).isEqualTo(new Admission.AskAgain(Duration.ofMillis(200)));
             assertThat(quarantine.admit(POISON, MANY, at(201))).isEqualTo(new Admission.Trial(1, Set.of(FIRST)));
             assertThat(quarantine.admit(POISON, MANY, at(202))).isInstanceOf(Admission.Refused.class);
@@ -49,15 +57,15 @@
 
         @Test
         void should_never_try_on_the_last_copy_when_suspect() {
-            quarantine.recordBreak(POISON, FIRST, at(0));
+            quarantine.recordBreak(POISON, lifetime(FIRST), at(0));
             CopyCount lastCopy = without -> 2 - without.size();
             assertThat(quarantine.admit(POISON, lastCopy, at(300))).isInstanceOf(Admission.Refused.class);
         }
 
         @Test
         void should_give_the_same_final_answer_at_once_when_two_upstreams_crashed() {
-            quarantine.recordBreak(POISON, FIRST, at(0));
-            quarantine.recordBreak(POISON, SECOND, at(500));
+            quarantine.recordBreak(POISON, lifetime(FIRST), at(0));
+            quarantine.recordBreak(POISON, lifetime(SECOND), at(500));
             Admission first = quarantine.admit(POISON, MANY, at(501));
             assertThat(first).isEqualTo(new Admission.Quarantined(Duration.ofMinutes(10)));
             assertThat(quarantine.admit(POISON, MANY, at(502))).isEqualTo(first);
@@ -65,14 +73,14 @@
 
         @Test
         void should_admit_freely_again_when_a_trial_ended_well() {
-            quarantine.recordBreak(POISON, FIRST, at(0));
+            quarantine.recordBreak(POISON, lifetime(FIRST), at(0));
             quarantine.recordSuccess(POISON, at(400));
             assertThat(quarantine.admit(POISON, MANY, at(401))).isEqualTo(new Admission.Unrestricted());
         }
 
         @Test
         void should_yield_to_the_lower_name_when_two_vms_claim_the_trial() {
-            quarantine.recordBreak(POISON, FIRST, at(0));
+            quarantine.recordBreak(POISON, lifetime(FIRST), at(0));
             quarantine.admit(POISON, MANY, at(1));
             quarantine.receive(claim("vm-0"), at(50));
             assertThat(quarantine.admit(POISON, MANY, at(300))).isInstanceOf(Admission.Refused.class);
@@ -80,7 +88,7 @@
 
         @Test
         void should_keep_the_claim_when_the_other_name_is_higher() {
-            quarantine.recordBreak(POISON, FIRST, at(0));
+            quarantine.recordBreak(POISON, lifetime(FIRST), at(0));
             quarantine.admit(POISON, MANY, at(1));
             quarantine.receive(claim("vm-2"), at(50));
             assertThat(quarantine.admit(POISON, MANY, at(300))).isInstanceOf(Admission.Trial.class);
@@ -88,17 +96,104 @@
 
         private CrashNotice claim(String vm) {
             return new CrashNotice(
-                    POISON, Set.of(FIRST), java.util.Optional.of(VmName.of(vm)), false, Duration.ofMinutes(1));
+                    POISON,
+                    Set.of(lifetime(FIRST)),
+                    java.util.Optional.of(VmName.of(vm)),
+                    false,
+                    false,
+                    Duration.ofMinutes(1));
+        }
+    }
+
+    @Nested
+    class Verdict {
+
+        private static final Duration VISIBLE_WITHIN = Duration.ofSeconds(5);
+
+        private void reachVerdict() {
+            quarantine.recordBreak(POISON, lifetime(FIRST, 1), at(0));
+            quarantine.recordBreak(POISON, lifetime(SECOND, 1), at(500));
+        }
+
+        private void makeFaulty(UpstreamName upstream) {
+            for (int crash = 0; crash < 3; crash++) {
+                quarantine.recordBreak(request(10 + crash), lifetime(upstream, 2 + crash), at(2_000L * (crash + 1)));
+            }
+            assertThat(quarantine.isFaulty(upstream, at(6_000))).isTrue();
+        }
+
+        @Test
+        void should_stay_when_its_upstreams_look_faulty_later() {
+            reachVerdict();
+            makeFaulty(FIRST);
+            makeFaulty(SECOND);
+            assertThat(quarantine.admit(POISON, MANY, at(6_001))).isInstanceOf(Admission.Quarantined.class);
+        }
+
+        @Test
+        void should_be_reached_at_the_third_crash_when_all_upstreams_look_faulty() {
+            makeFaulty(FIRST);
+            makeFaulty(SECOND);
+            quarantine.recordBreak(POISON, lifetime(FIRST, 9), at(6_100));
+            quarantine.recordBreak(POISON, lifetime(SECOND, 9), at(6_200));
+            assertThat(quarantine.admit(POISON, MANY, at(6_201))).isInstanceOf(Admission.Unrestricted.class);
+            quarantine.recordBreak(POISON, lifetime(SECOND, 10), at(6_300));
+            assertThat(quarantine.admit(POISON, MANY, at(6_301))).isInstanceOf(Admission.Quarantined.class);
+        }
+
+        @Test
+        void should_be_lifted_when_an_upstream_lives_on_that_seemed_to_crash() {
+            reachVerdict();
+            quarantine.review(lifetime(FIRST, 1)::equals, VISIBLE_WITHIN, at(5_000));
+            assertThat(quarantine.admit(POISON, MANY, at(5_001))).isInstanceOf(Admission.AskAgain.class);
+        }
+
+        @Test
+        void should_stay_when_the_end_of_an_upstream_could_not_be_seen_yet() {
+            reachVerdict();
+            quarantine.review(lifetime -> true, VISIBLE_WITHIN, at(4_999));
+            assertThat(quarantine.admit(POISON, MANY, at(5_000))).isInstanceOf(Admission.Quarantined.class);
+        }
+
+        @Test
+        void should_stay_when_the_upstreams_have_started_again() {
+            reachVerdict();
+            quarantine.review(lifetime(FIRST, 2)::equals, VISIBLE_WITHIN, at(60_000));
+            assertThat(quarantine.admit(POISON, MANY, at(60_001))).isInstanceOf(Admission.Quarantined.class);
+        }
+
+        @Test
+        void should_not_be_reached_by_a_peer_that_counts_an_upstream_which_lives_on() {
+            reachVerdict();
+            quarantine.review(lifetime(FIRST, 1)::equals, VISIBLE_WITHIN, at(5_000));
+            quarantine.receive(
+                    new CrashNotice(
+                            POISON,
+                            Set.of(lifetime(FIRST, 1), lifetime(SECOND, 1)),
+                            java.util.Optional.empty(),
+                            false,
+                            true,
+                            Duration.ofMinutes(1)),
+                    at(5_100));
+            assertThat(quarantine.admit(POISON, MANY, at(5_101))).isInstanceOf(Admission.AskAgain.class);
         }
     }
 
     @Nested
     class FaultyUpstream {
 
+        @Test
+        void should_not_be_blamed_when_it_lost_answers_and_lives_on() {
+            for (int lost = 0; lost < 9; lost++) {
+                quarantine.recordBreak(request(lost), lifetime(FIRST, 1), at(2_000L * lost));
+            }
+            assertThat(quarantine.isFaulty(FIRST, at(18_000))).isFalse();
+        }
+
         @Test
         void should_be_blamed_in_place_of_the_requests_when_it_crashes_under_different_ones() {
             for (int crash = 0; crash < 3; crash++) {
-                quarantine.recordBreak(request(crash), FIRST, at(2_000L * crash));
+                quarantine.recordBreak(request(crash), lifetime(FIRST), at(2_000L * crash));
             }
             assertThat(quarantine.isFaulty(FIRST, at(6_000))).isTrue();
             assertThat(quarantine.admit(request(0), MANY, at(6_000))).isEqualTo(new Admission.Unrestricted());
@@ -107,8 +202,8 @@
         @Test
         void should_not_be_blamed_when_one_request_was_there_at_each_crash() {
             for (int crash = 0; crash < 3; crash++) {
-                quarantine.recordBreak(request(crash), FIRST, at(2_000L * crash));
-                quarantine.recordBreak(POISON, FIRST, at(2_000L * crash + 10));
+                quarantine.recordBreak(request(crash), lifetime(FIRST), at(2_000L * crash));
+                quarantine.recordBreak(POISON, lifetime(FIRST), at(2_000L * crash + 10));
             }
             assertThat(quarantine.isFaulty(FIRST, at(6_000))).isFalse();
         }
--- a/library/src/test/java/org/pollenhoist/request/PoisonousFleet.java
+++ b/library/src/test/java/org/pollenhoist/request/PoisonousFleet.java
@@ -117,7 +117,7 @@
         UpstreamName upstream = candidates.get(random.nextInt(candidates.size()));
         after(RUN_MILLISECONDS, () -> {
             crashed.add(upstream);
-            vms.get(vm).recordBreak(POISON, upstream, now());
+            vms.get(vm).recordBreak(POISON, UpstreamLifetime.ofUnknownStart(upstream), now());
             if (trial != null) {
                 vms.get(vm).endTrial(POISON, trial);
             }
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -67,18 +67,6 @@
     /** How often idle connections are looked at. */
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
-    /**
-     * How long a balancer may still send new connections after the VM ceased to be ready: two checks, and the way of a
-     * connection. What comes later could not be finished before the process is killed.
-     */
-    private static final Duration BALANCER_LAG = Duration.ofMillis(2_600);
-
-    /** Time before the kill at which a planned stop ends in any case. */
-    private static final Duration KILL_MARGIN = Duration.ofMillis(600);
-
-    /** Time before the end of a planned stop at which the last answers are sent, so that they reach their callers. */
-    private static final Duration LAST_ANSWERS = Duration.ofMillis(200);
-
     /** How long a VM's place in line for the placement lease delays its application. */
     private static final Duration APPLICATION_STEP = Duration.ofMillis(150);
 
@@ -92,7 +80,6 @@
     private final RequestQueue queue = new RequestQueue();
     private final DemandMemory demand = new DemandMemory();
     private final RetryBudgets retryBudgets;
-    private final List<Runnable> onStopped = new ArrayList<>();
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final CrashNotices crashNotices = new CrashNotices(bootClock::read);
     private final FleetLimits limits;
@@ -108,13 +95,14 @@
     private final Leadership leadership;
     private final PlacementDriver placement;
     private final CrashQuarantine quarantine;
+    private final CrashReview crashReview;
     private final RequestHandler handler;
     private final CallerServer callers;
+    private final PlannedStop stop;
 
     private ServingSettings settings;
     private MonotonicTime leaderMissingSince;
     private MonotonicTime sweptAt;
-    private Optional<MonotonicTime> stoppingSince = Optional.empty();
 
     private ServingNode(ServingSettings settings, PlatformBinding binding, EventLoop loop) {
         this.settings = settings;
@@ -129,6 +117,7 @@
         connections = new HttpConnections(loop, bootClock::read, this::upstreamAnswered);
         HttpCalls calls = new HttpCalls(loop, connections);
         quarantine = new CrashQuarantine(VmName.of(settings.vmName()), crashNotices::add);
+        crashReview = new CrashReview(quarantine, upstreams, settings.upstreamHeartbeat());
         datagrams = new DatagramSocket(loop);
         peers = new PeerExchange(datagrams, bootClock::read, settings.vmName(), this::hear);
         Store store = binding.store(calls, settings);
@@ -164,6 +153,7 @@
         following = new StoreFollowing(mirror, relay, digests);
         handler = new RequestHandler(environment());
         callers = new CallerServer(loop, bootClock::read, this::callerLimits, handler);
+        stop = new PlannedStop(handler, callers);
     }
 
     private RequestEnvironment environment() {
@@ -265,7 +255,7 @@
     }
 
     private boolean isReady() {
-        return state.catalog().isPresent() && stoppingSince.isEmpty();
+        return state.catalog().isPresent() && !stop.isBegun();
     }
 
     private void tick() {
@@ -283,7 +273,7 @@
             if (now.since(sweptAt).compareTo(SWEEP_INTERVAL) >= 0) {
                 sweep(now);
             }
-            stoppingSince.ifPresent(since -> stopWhenDone(since, now));
+            stop.tick(now);
         } catch (RuntimeException failure) {
             // The next tick must come whatever happened in this one.
             LOG.event("tick_failed", "reason", failure, "at", failure.getStackTrace()[0]);
@@ -294,7 +284,8 @@
         sweptAt = now;
         callers.sweep(now);
         connections.closeIdle(now);
-        if (stoppingSince.isEmpty()) {
+        crashReview.tick(following.isCurrent(now), now);
+        if (!stop.isBegun()) {
             state.registerWhereMissing();
         }
     }
@@ -390,53 +381,16 @@
      */
     public void stop(Runnable whenStopped) {
         loop.execute(() -> {
-            onStopped.add(whenStopped);
-            if (stoppingSince.isPresent()) {
+            MonotonicTime now = bootClock.read();
+            if (!stop.begin(settings.stopGrace(), whenStopped, now)) {
                 return;
             }
-            MonotonicTime now = bootClock.read();
-            stoppingSince = Optional.of(now);
-            callers.stop();
-            handler.endAllBy(now.plus(longestStop().minus(LAST_ANSWERS)));
             queue.pump(now);
             leadership.stop();
-            LOG.event(
-                    "stopping",
-                    "running",
-                    handler.runningRequests(),
-                    "grace_ms",
-                    settings.stopGrace().toMillis());
             digests.send(now);
         });
     }
 
-    private Duration longestStop() {
-        return settings.stopGrace().minus(KILL_MARGIN);
-    }
-
-    private void stopWhenDone(MonotonicTime since, MonotonicTime now) {
-        Duration elapsed = now.since(since);
-        boolean hasBalancerNoticed = elapsed.compareTo(BALANCER_LAG) >= 0;
-        if (hasBalancerNoticed) {
-            handler.refuseNew();
-            callers.closeIdle();
-        }
-        boolean isDrained = hasBalancerNoticed && handler.runningRequests() == 0 && callers.runningRequests() == 0;
-        boolean isOverdue = elapsed.compareTo(longestStop()) >= 0;
-        if (isDrained || isOverdue) {
-            LOG.event(
-                    "stopped",
-                    "after_ms",
-                    elapsed.toMillis(),
-                    "cut",
-                    handler.runningRequests(),
-                    "connections",
-                    callers.openConnections());
-            onStopped.forEach(Runnable::run);
-            onStopped.clear();
-        }
-    }
-
     /** What this VM tells its peers, and what it does with what they tell. */
     private final class DigestParts implements DigestExchange.Parts {
 
@@ -453,7 +407,7 @@
                     hasDemand ? Optional.of(demand.demand(now)) : Optional.empty(),
                     queue.wants(),
                     placement.isOrdering(now),
-                    stoppingSince.isPresent(),
+                    stop.isBegun(),
                     engines,
                     crashNotices.current(now),
                     leadership.resignation(),
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingSettings.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingSettings.java
@@ -25,6 +25,7 @@
  * @param retryWindow the window over which retries are counted
  * @param retryAllowance retries in a window beyond the ratio, for the whole fleet
  * @param propagationBound the time within which configurations and leaving upstreams have to be known on all VMs
+ * @param upstreamHeartbeat how often upstreams write their entries, which lapse after three missed times
  * @param placementTurn how long orders of two VMs to one engine have to lie apart
  */
 public record ServingSettings(
@@ -41,6 +42,7 @@
         Duration retryWindow,
         double retryAllowance,
         Duration propagationBound,
+        Duration upstreamHeartbeat,
         Duration placementTurn) {
 
     private static final double MILLISECONDS_PER_SECOND = 1_000.0;
@@ -66,6 +68,7 @@
         TomlTable shutdown = root.table("shutdown");
         TomlTable retries = root.table("retries");
         TomlTable propagation = root.table("propagation");
+        TomlTable upstreams = root.table("upstreams");
         TomlTable placement = root.table("placement");
         ServingSettings settings = new ServingSettings(
                 vm.text("name"),
@@ -83,8 +86,9 @@
                 shorter(
                         milliseconds(propagation, "configuration_milliseconds"),
                         milliseconds(propagation, "leaving_milliseconds")),
+                milliseconds(upstreams, "heartbeat_milliseconds"),
                 milliseconds(placement, "turn_milliseconds"));
-        List.of(root, vm, listen, store, shutdown, retries, propagation, placement)
+        List.of(root, vm, listen, store, shutdown, retries, propagation, upstreams, placement)
                 .forEach(TomlTable::rejectUnknownKeys);
         findings.throwIfAny();
         return settings;
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreFollowing.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreFollowing.java
@@ -15,6 +15,7 @@
     private final StoreRelayExchange relay;
     private final DigestExchange digests;
     private long toldRevision;
+    private boolean isFollowing = true;
 
     StoreFollowing(StoreMirror mirror, StoreRelayExchange relay, DigestExchange digests) {
         this.mirror = mirror;
@@ -23,7 +24,7 @@
     }
 
     void tick(MonotonicTime now) {
-        boolean isFollowing = digests.mustFollowStore(now) || relay.isLagging(now);
+        isFollowing = digests.mustFollowStore(now) || relay.isLagging(now);
         mirror.setFollowing(isFollowing);
         relay.tick(isFollowing, now);
         if (mirror.revision() != toldRevision) {
@@ -34,6 +35,11 @@
         }
     }
 
+    /** Whether this VM knows now what the store holds, by itself or from peers of its failure domain that do. */
+    boolean isCurrent(MonotonicTime now) {
+        return !isFollowing || mirror.isCurrent(now);
+    }
+
     /** How long changes may gather in the store before this VM asks for them. */
     Duration gatheringPause(Duration bound) {
         return GatheringPause.of(digests.storeFollowers(), bound);
--- a/serving/src/main/java/org/pollenhoist/serving/request/CrashSuspicion.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/CrashSuspicion.java
@@ -107,8 +107,7 @@
     }
 
     void recordBreak(Upstream upstream, MonotonicTime now) {
-        fingerprint.ifPresent(request -> quarantine.recordBreak(
-                request, UpstreamName.of(upstream.description().identifier()), now));
+        fingerprint.ifPresent(request -> quarantine.recordBreak(request, upstream.lifetime(), now));
     }
 
     void recordSuccess(MonotonicTime now) {
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.common.UpstreamName;
+import org.pollenhoist.request.UpstreamLifetime;
 import org.pollenhoist.serving.request.PromptPart;
 
 /**
@@ -93,6 +95,15 @@
         return description;
     }
 
+    /**
+     * Returns which lifetime of the upstream this is.
+     *
+     * @return the upstream and the start of its process
+     */
+    public UpstreamLifetime lifetime() {
+        return new UpstreamLifetime(UpstreamName.of(description.identifier()), description.startedMilliseconds());
+    }
+
     /**
      * Returns a short number that stands for the upstream's identifier between VMs. Two upstreams hardly ever share
      * one; where they do, the load of one is counted at the other too.
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamTable.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamTable.java
@@ -10,6 +10,7 @@
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.UpstreamName;
+import org.pollenhoist.request.UpstreamLifetime;
 
 /** All upstreams that register themselves, by identifier. Confined to the event loop. */
 public final class UpstreamTable {
@@ -83,6 +84,17 @@
         return Optional.ofNullable(upstreams.get(identifier));
     }
 
+    /**
+     * Tells whether an upstream is registered in a lifetime.
+     *
+     * @param lifetime the lifetime
+     * @return false where it has ended, as far as is known here
+     */
+    public boolean contains(UpstreamLifetime lifetime) {
+        Upstream found = upstreams.get(lifetime.upstream().value());
+        return found != null && found.description().startedMilliseconds() == lifetime.startedMilliseconds();
+    }
+
     /**
      * Finds an upstream by its short number.
      *
--- /dev/null
+++ b/serving/src/test/java/org/pollenhoist/serving/node/CrashReviewTest.java
@@ -0,0 +1,93 @@
+package org.pollenhoist.serving.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.common.UpstreamName;
+import org.pollenhoist.common.VmName;
+import org.pollenhoist.request.Admission;
+import org.pollenhoist.request.CrashQuarantine;
+import org.pollenhoist.request.RequestFingerprint;
+import org.pollenhoist.request.UpstreamLifetime;
+import org.pollenhoist.serving.upstream.UpstreamDescription;
+import org.pollenhoist.serving.upstream.UpstreamTable;
+
+class CrashReviewTest {
+
+    private static final RequestFingerprint REQUEST = RequestFingerprint.of("POST", "/charge/1", new byte[] {1});
+    private static final Duration HEARTBEAT = Duration.ofSeconds(1);
+
+    private final UpstreamTable upstreams = new UpstreamTable();
+    private final CrashQuarantine quarantine = new CrashQuarantine(VmName.of("vm-1"), notice -> {});
+    private final CrashReview review = new CrashReview(quarantine, upstreams, HEARTBEAT);
+
+    private static MonotonicTime at(long milliseconds) {
+        return MonotonicTime.of(Duration.ofMillis(milliseconds));
+    }
+
+    private static UpstreamLifetime lifetime(String upstream) {
+        return new UpstreamLifetime(UpstreamName.of(upstream), 1);
+    }
+
+    private void register(String upstream, long started) {
+        upstreams.put(
+                new UpstreamDescription(
+                        upstream, started, "app", new InetSocketAddress(1), "north", 4, false, 0, List.of(), Set.of()),
+                at(0));
+    }
+
+    private void reachVerdict(long milliseconds) {
+        quarantine.recordBreak(REQUEST, lifetime("i-1"), at(milliseconds));
+        quarantine.recordBreak(REQUEST, lifetime("i-2"), at(milliseconds + 1));
+    }
+
+    private boolean isQuarantined(long milliseconds) {
+        return quarantine.admit(REQUEST, without -> 9, at(milliseconds)) instanceof Admission.Quarantined;
+    }
+
+    private void tick(long from, long to, boolean isStoreKnown) {
+        for (long now = from; now <= to; now += 500) {
+            review.tick(isStoreKnown, at(now));
+        }
+    }
+
+    @Nested
+    class Tick {
+
+        @Test
+        void should_lift_a_verdict_that_rests_on_lost_answers_of_upstreams_that_live_on() {
+            register("i-1", 1);
+            register("i-2", 1);
+            tick(0, 10_000, true);
+            reachVerdict(10_000);
+            tick(10_500, 17_000, true);
+            assertThat(isQuarantined(17_001)).isFalse();
+        }
+
+        @Test
+        void should_keep_a_verdict_when_the_upstreams_have_started_again_or_are_gone() {
+            register("i-1", 2);
+            tick(0, 10_000, true);
+            reachVerdict(10_000);
+            tick(10_500, 60_000, true);
+            assertThat(isQuarantined(60_001)).isTrue();
+        }
+
+        @Test
+        void should_keep_a_verdict_while_the_store_is_not_known_since_dead_entries_remain_then() {
+            register("i-1", 1);
+            register("i-2", 1);
+            tick(0, 10_000, true);
+            reachVerdict(10_000);
+            tick(10_500, 30_000, false);
+            tick(30_500, 35_500, true);
+            assertThat(isQuarantined(35_501)).isTrue();
+        }
+    }
+}
--- a/serving/src/test/java/org/pollenhoist/serving/node/ServingSettingsTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/ServingSettingsTest.java
@@ -41,6 +41,9 @@
             configuration_milliseconds = 3000
             leaving_milliseconds = 2000
 
+            [upstreams]
+            heartbeat_milliseconds = 1200
+
             [placement]
             turn_milliseconds = 3000
             """;
@@ -64,6 +67,7 @@
             assertThat(settings.callerAddress().getPort()).isEqualTo(8_080);
             assertThat(settings.stopGrace()).isEqualTo(Duration.ofSeconds(8));
             assertThat(settings.propagationBound()).isEqualTo(Duration.ofSeconds(2));
+            assertThat(settings.upstreamHeartbeat()).isEqualTo(Duration.ofMillis(1_200));
             assertThat(settings.placementTurn()).isEqualTo(Duration.ofSeconds(3));
         }
 
