Let verdicts on crashing requests outlive the VM that reached them

What callers saw: after VMs were killed and started, requests that end upstreams were run again: each start cost up to two further upstreams, and after a loss of all VMs nobody knew a verdict.

Cause: a verdict was told for two seconds as an event and kept in the memory of those who heard it. A VM that started later, was cut off or came anew never learned it.

Class: state that is told once and never reconciled.

Change: verdicts are state. Digests go on naming them by turns, and the VM that reaches one writes it into the platform's store under a lease (VerdictRecords), from where each VM reads it at its start; one that the store does not show is written by whoever knows it, in turns, and one that was lifted is taken out. The stand-in of the store removes what a transaction removes.

--- a/library/src/main/java/org/pollenhoist/request/CrashQuarantine.java
+++ b/library/src/main/java/org/pollenhoist/request/CrashQuarantine.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -210,6 +211,20 @@
      * @param now the present time
      */
     public void receive(CrashNotice notice, MonotonicTime now) {
+        receive(notice, "peer", now);
+    }
+
+    /**
+     * Takes a verdict over that was kept elsewhere.
+     *
+     * @param verdict the verdict
+     * @param now the present time
+     */
+    public void restore(CrashNotice verdict, MonotonicTime now) {
+        receive(verdict, "kept", now);
+    }
+
+    private void receive(CrashNotice notice, String source, MonotonicTime now) {
         synchronized (lock) {
             CrashCase found = liveOrNewCase(notice.fingerprint(), now);
             if (notice.isCleared()) {
@@ -221,7 +236,23 @@
             MonotonicTime until = now.plus(notice.remaining());
             notice.crashes().forEach(lifetime -> found.addCrash(lifetime, now, until));
             notice.trialVm().ifPresent(vm -> found.hearClaim(vm, self, now.plus(CLAIM_LIFETIME)));
-            judge(notice.fingerprint(), found, notice.isVerdict(), "peer", now);
+            judge(notice.fingerprint(), found, notice.isVerdict(), source, now);
+        }
+    }
+
+    /**
+     * Returns the verdicts that are in force.
+     *
+     * @param now the present time
+     * @return a notice for each
+     */
+    public List<CrashNotice> verdicts(MonotonicTime now) {
+        synchronized (lock) {
+            return cases.entrySet().stream()
+                    .filter(entry ->
+                            entry.getValue().isVerdict() && entry.getValue().isLiveAt(now))
+                    .map(entry -> notice(entry.getKey(), entry.getValue(), now))
+                    .toList();
         }
     }
 
--- a/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
@@ -39,6 +39,7 @@
     private final Store store;
     private final Consumer<Catalog> onCatalog;
     private final Leadership leadership;
+    private final VerdictRecords verdicts;
     private Optional<Catalog> catalog = Optional.empty();
     private boolean isLoaded;
     private boolean isRegistered;
@@ -52,7 +53,8 @@
             PeerExchange peers,
             Store store,
             Consumer<Catalog> onCatalog,
-            Leadership leadership) {
+            Leadership leadership,
+            VerdictRecords verdicts) {
         this.settings = settings;
         this.binding = binding;
         this.clock = clock;
@@ -61,6 +63,7 @@
         this.store = store;
         this.onCatalog = onCatalog;
         this.leadership = leadership;
+        this.verdicts = verdicts;
     }
 
     Optional<Catalog> catalog() {
@@ -75,6 +78,8 @@
             installUpstream(item);
         } else if (item.key().startsWith(VM_PREFIX)) {
             installPeer(item);
+        } else if (item.key().startsWith(VerdictRecords.PREFIX)) {
+            verdicts.onWritten(item, clock.get());
         } else if (item.key().equals(LEADER_KEY)) {
             leadership.onRecord(Optional.of(item), clock.get());
         }
@@ -85,7 +90,9 @@
         if (key.equals(LEADER_KEY)) {
             leadership.onRecord(Optional.empty(), clock.get());
         }
-        if (key.startsWith(binding.upstreamPrefix())) {
+        if (key.startsWith(VerdictRecords.PREFIX)) {
+            verdicts.onRemoved(key);
+        } else if (key.startsWith(binding.upstreamPrefix())) {
             upstreams.remove(key.substring(binding.upstreamPrefix().length()), "entry removed");
         } else if (key.startsWith(VM_PREFIX)) {
             String vm = key.substring(VM_PREFIX.length());
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -15,6 +15,7 @@
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.VmName;
+import org.pollenhoist.request.CrashNotice;
 import org.pollenhoist.request.CrashQuarantine;
 import org.pollenhoist.serving.catalog.CallerLimits;
 import org.pollenhoist.serving.catalog.Catalog;
@@ -81,7 +82,6 @@
     private final DemandMemory demand = new DemandMemory();
     private final RetryBudgets retryBudgets;
     private final PrometheusRegistry registry = new PrometheusRegistry();
-    private final CrashNotices crashNotices = new CrashNotices(bootClock::read);
     private final FleetLimits limits;
     private final DemandRates demandRates;
     private final HttpConnections connections;
@@ -96,6 +96,8 @@
     private final PlacementDriver placement;
     private final CrashQuarantine quarantine;
     private final CrashReview crashReview;
+    private final CrashNotices crashNotices;
+    private final VerdictRecords verdicts;
     private final RequestHandler handler;
     private final CallerServer callers;
     private final PlannedStop stop;
@@ -116,11 +118,13 @@
         demandRates = new DemandRates();
         connections = new HttpConnections(loop, bootClock::read, this::upstreamAnswered);
         HttpCalls calls = new HttpCalls(loop, connections);
-        quarantine = new CrashQuarantine(VmName.of(settings.vmName()), crashNotices::add);
+        quarantine = new CrashQuarantine(VmName.of(settings.vmName()), this::announceCrash);
+        crashNotices = new CrashNotices(quarantine::verdicts);
         crashReview = new CrashReview(quarantine, upstreams, settings.upstreamHeartbeat());
         datagrams = new DatagramSocket(loop);
         peers = new PeerExchange(datagrams, bootClock::read, settings.vmName(), this::hear);
         Store store = binding.store(calls, settings);
+        verdicts = new VerdictRecords(store, quarantine);
         leadership = new Leadership(
                 store,
                 FleetState.LEADER_KEY,
@@ -129,7 +133,7 @@
                 settings.isFirstStart(),
                 now);
         state = new FleetState(
-                settings, binding, bootClock::read, upstreams, peers, store, this::configure, leadership);
+                settings, binding, bootClock::read, upstreams, peers, store, this::configure, leadership, verdicts);
         mirror = new StoreMirror(loop, bootClock::read, store, state, this::gatheringPause);
         relay = new StoreRelayExchange(calls, peers, mirror, bootClock::read);
         placement = new PlacementDriver(
@@ -192,6 +196,14 @@
         digests.announceLeaving();
     }
 
+    private void announceCrash(CrashNotice notice) {
+        MonotonicTime now = bootClock.read();
+        crashNotices.add(notice, now);
+        if (notice.isVerdict()) {
+            verdicts.write(notice, now);
+        }
+    }
+
     private void announceSpending() {
         digests.announceSpending();
     }
@@ -285,6 +297,7 @@
         callers.sweep(now);
         connections.closeIdle(now);
         crashReview.tick(following.isCurrent(now), now);
+        verdicts.tick(placeInLine(now), now);
         if (!stop.isBegun()) {
             state.registerWhereMissing();
         }
@@ -409,7 +422,7 @@
                     placement.isOrdering(now),
                     stop.isBegun(),
                     engines,
-                    crashNotices.current(now),
+                    crashNotices.next(now),
                     leadership.resignation(),
                     now);
         }
@@ -422,7 +435,7 @@
         @Override
         public boolean hasNewsForAll(MonotonicTime now) {
             boolean hasResigned = leadership.resignation().isPresent() && leadership.isVacant();
-            return hasResigned || !crashNotices.current(now).isEmpty();
+            return hasResigned || crashNotices.hasNews(now);
         }
 
         @Override
--- /dev/null
+++ b/serving/src/test/java/org/pollenhoist/serving/node/VerdictRecordsTest.java
@@ -0,0 +1,214 @@
+package org.pollenhoist.serving.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.common.UpstreamName;
+import org.pollenhoist.common.VmName;
+import org.pollenhoist.request.Admission;
+import org.pollenhoist.request.CrashQuarantine;
+import org.pollenhoist.request.RequestFingerprint;
+import org.pollenhoist.request.UpstreamLifetime;
+import org.pollenhoist.serving.store.Store;
+import org.pollenhoist.serving.store.StoreAnswer;
+import org.pollenhoist.serving.store.StoreItem;
+import org.pollenhoist.serving.store.StorePage;
+
+class VerdictRecordsTest {
+
+    private static final RequestFingerprint REQUEST = RequestFingerprint.of("POST", "/charge/1", new byte[] {1});
+    private static final String KEY = VerdictRecords.PREFIX + REQUEST;
+
+    private final ItemStore store = new ItemStore();
+
+    /** One VM as far as verdicts go. */
+    private final class Vm {
+
+        private final List<Runnable> announced = new ArrayList<>();
+        private final CrashQuarantine quarantine;
+        private final VerdictRecords records;
+        private long now;
+
+        private Vm(String name) {
+            quarantine = new CrashQuarantine(VmName.of(name), notice -> {
+                if (notice.isVerdict()) {
+                    announced.add(() -> writeNow(notice));
+                }
+            });
+            records = new VerdictRecords(store, quarantine);
+        }
+
+        private void writeNow(org.pollenhoist.request.CrashNotice verdict) {
+            records.write(verdict, at(now));
+        }
+
+        private void seeCrash(String upstream, long milliseconds) {
+            now = milliseconds;
+            quarantine.recordBreak(REQUEST, lifetime(upstream), at(milliseconds));
+            announced.forEach(Runnable::run);
+            announced.clear();
+        }
+
+        private void seeStore(long milliseconds) {
+            store.items.forEach(
+                    (key, value) -> records.onWritten(new StoreItem(key, value, 1, false), at(milliseconds)));
+        }
+
+        private boolean refuses(long milliseconds) {
+            return quarantine.admit(REQUEST, without -> 9, at(milliseconds)) instanceof Admission.Quarantined;
+        }
+    }
+
+    private static MonotonicTime at(long milliseconds) {
+        return MonotonicTime.of(Duration.ofMillis(milliseconds));
+    }
+
+    private static UpstreamLifetime lifetime(String upstream) {
+        return new UpstreamLifetime(UpstreamName.of(upstream), 1);
+    }
+
+    @Nested
+    class Writing {
+
+        @Test
+        void should_keep_a_verdict_at_once_so_that_it_outlives_all_vms() {
+            Vm first = new Vm("vm-1");
+            first.seeCrash("i-1", 0);
+            assertThat(store.items).isEmpty();
+            first.seeCrash("i-2", 100);
+            assertThat(store.items).containsOnlyKeys(KEY);
+
+            Vm later = new Vm("vm-2");
+            later.seeStore(0);
+
+            assertThat(later.refuses(1)).isTrue();
+        }
+
+        @Test
+        void should_write_once_where_the_store_shows_it() {
+            Vm vm = new Vm("vm-1");
+            vm.seeCrash("i-1", 0);
+            vm.seeCrash("i-2", 100);
+            vm.seeStore(200);
+
+            vm.records.tick(0, at(60_000));
+
+            assertThat(store.commits).isEqualTo(1);
+        }
+
+        @Test
+        void should_write_again_when_the_store_was_down() {
+            Vm vm = new Vm("vm-1");
+            store.isDown = true;
+            vm.seeCrash("i-1", 0);
+            vm.seeCrash("i-2", 100);
+            store.isDown = false;
+
+            for (long now = 500; now <= 3_000; now += 500) {
+                vm.records.tick(0, at(now));
+            }
+
+            assertThat(store.items).containsOnlyKeys(KEY);
+        }
+
+        @Test
+        void should_write_what_a_peer_knows_in_the_own_turn_only() {
+            Vm vm = new Vm("vm-1");
+            Vm other = new Vm("vm-2");
+            store.isDown = true;
+            vm.seeCrash("i-1", 0);
+            vm.seeCrash("i-2", 100);
+            store.isDown = false;
+            vm.quarantine.verdicts(at(200)).forEach(verdict -> other.quarantine.receive(verdict, at(200)));
+
+            other.records.tick(3, at(300));
+            other.records.tick(3, at(1_800));
+            assertThat(store.items).isEmpty();
+            other.records.tick(3, at(2_000));
+            assertThat(store.items).containsOnlyKeys(KEY);
+        }
+    }
+
+    @Nested
+    class Removing {
+
+        @Test
+        void should_take_out_a_verdict_that_was_lifted_since_its_upstreams_live_on() {
+            Vm vm = new Vm("vm-1");
+            vm.seeCrash("i-1", 0);
+            vm.seeCrash("i-2", 100);
+            vm.seeStore(200);
+
+            vm.quarantine.review(lifetime -> true, Duration.ofSeconds(5), at(6_000));
+            vm.records.tick(0, at(6_000));
+            vm.records.tick(0, at(12_000));
+
+            assertThat(store.items).isEmpty();
+        }
+
+        @Test
+        void should_leave_what_it_can_not_read() {
+            Vm vm = new Vm("vm-1");
+            store.items.put(KEY, new byte[] {1, 2, 3});
+            vm.seeStore(0);
+
+            vm.records.tick(0, at(0));
+            vm.records.tick(0, at(60_000));
+
+            assertThat(store.items).containsOnlyKeys(KEY);
+        }
+    }
+
+    /** Keeps items at once, or answers that it is down. */
+    private static final class ItemStore implements Store {
+
+        private final Map<String, byte[]> items = new HashMap<>();
+        private boolean isDown;
+        private int commits;
+
+        @Override
+        public void list(String prefix, String afterKey, Consumer<StoreAnswer<StorePage>> answer) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void watch(String prefix, long afterRevision, Duration wait, Consumer<StoreAnswer<StorePage>> answer) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void commit(
+                List<Condition> conditions,
+                List<Write> writes,
+                List<String> removals,
+                Consumer<StoreAnswer<Long>> answer) {
+            commits++;
+            writes.forEach(write -> items.put(write.key(), write.value()));
+            removals.forEach(items::remove);
+            answer.accept(new StoreAnswer.Success<>(1L));
+        }
+
+        @Override
+        public void grantLease(Duration duration, Consumer<StoreAnswer<Long>> answer) {
+            answer.accept(isDown ? new StoreAnswer.Unavailable<>("down") : new StoreAnswer.Success<>(1L));
+        }
+
+        @Override
+        public void renewLease(long lease, Consumer<StoreAnswer<Duration>> answer) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void endLease(long lease) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
