Follow crashing requests that have no body, by their team

What callers saw: a request without a body that ends upstreams was run without any bound: 40 ends in 20 repeats, each of which was sent to two upstreams.

Cause: such requests were left out, since many different ones looked the same without their caller.

Class: a crash that nobody counts. The team that holds the caller's key belongs to what tells requests apart, beside method, path and body; the key itself may change. The fingerprint is computed only where a request is suspect or breaks off.

--- a/library/src/main/java/org/pollenhoist/request/CrashQuarantine.java
+++ b/library/src/main/java/org/pollenhoist/request/CrashQuarantine.java
@@ -240,6 +240,17 @@
         }
     }
 
+    /**
+     * Tells whether any request is suspect, so that others need not be told apart.
+     *
+     * @return false where all requests may run
+     */
+    public boolean hasCases() {
+        synchronized (lock) {
+            return !cases.isEmpty();
+        }
+    }
+
     /**
      * Returns the verdicts that are in force.
      *
--- a/library/src/main/java/org/pollenhoist/request/RequestFingerprint.java
+++ b/library/src/main/java/org/pollenhoist/request/RequestFingerprint.java
@@ -5,9 +5,10 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.List;
 
 /**
- * Tells requests apart by their content, whoever sends them.
+ * Tells requests apart by their content.
  *
  * @param high the first 64 bits of the content's digest
  * @param low the next 64 bits
@@ -26,11 +27,24 @@
      * @return the fingerprint
      */
     public static RequestFingerprint of(String method, String path, byte[] body) {
+        return of(method, path, "", body);
+    }
+
+    /**
+     * Returns the fingerprint of a request of one caller, which tells requests apart that have no body.
+     *
+     * @param method the HTTP method
+     * @param path the path with its query
+     * @param caller who sends it, empty where that is not known
+     * @param body the whole body
+     * @return the fingerprint
+     */
+    public static RequestFingerprint of(String method, String path, String caller, byte[] body) {
         MessageDigest digest = sha256();
-        digest.update(method.getBytes(StandardCharsets.UTF_8));
-        digest.update((byte) 0);
-        digest.update(path.getBytes(StandardCharsets.UTF_8));
-        digest.update((byte) 0);
+        for (String part : List.of(method, path, caller)) {
+            digest.update(part.getBytes(StandardCharsets.UTF_8));
+            digest.update((byte) 0);
+        }
         return parse(digest.digest(body));
     }
 
--- a/serving/src/main/java/org/pollenhoist/serving/request/CrashSuspicion.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/CrashSuspicion.java
@@ -14,8 +14,8 @@
 import org.pollenhoist.serving.upstream.Upstream;
 
 /**
- * Whether one request may run in view of the upstreams that crashed under requests like it. Requests without a body are
- * not followed: many different ones look the same. Confined to the event loop.
+ * Whether one request may run in view of the upstreams that crashed under it before. Its repeats have the same method,
+ * path, team and body. Confined to the event loop.
  */
 final class CrashSuspicion {
 
@@ -44,35 +44,43 @@
     private final CrashQuarantine quarantine;
     private final RequestMetrics metrics;
     private final String identifier;
-    private final Optional<RequestFingerprint> fingerprint;
+    private final IncomingRequest request;
+    private final String team;
+    private Optional<RequestFingerprint> fingerprint = Optional.empty();
     private Optional<Admission.Trial> trial = Optional.empty();
     private MonotonicTime askAgainAt;
     private boolean isWaitNoted;
 
-    CrashSuspicion(RequestEnvironment environment, String identifier, IncomingRequest request, MonotonicTime now) {
+    CrashSuspicion(
+            RequestEnvironment environment,
+            String identifier,
+            IncomingRequest request,
+            String team,
+            MonotonicTime now) {
         this.quarantine = environment.quarantine();
         this.metrics = environment.metrics();
         this.identifier = identifier;
+        this.request = request;
+        this.team = team;
         this.askAgainAt = now;
-        this.fingerprint = request.body().isReadable()
-                ? Optional.of(RequestFingerprint.of(
-                        request.head().method().name(), request.head().uri(), ByteBufUtil.getBytes(request.body())))
-                : Optional.empty();
     }
 
-    /** What tells the request apart from others, for the log. */
-    String fingerprint() {
-        return fingerprint.map(RequestFingerprint::toString).orElse("none");
+    /** What tells the request apart from others; computed only where it is needed. */
+    RequestFingerprint fingerprint() {
+        RequestFingerprint known = fingerprint.orElseGet(() -> RequestFingerprint.of(
+                request.head().method().name(), request.head().uri(), team, ByteBufUtil.getBytes(request.body())));
+        fingerprint = Optional.of(known);
+        return known;
     }
 
     Verdict check(CopyCount copies, MonotonicTime now) {
-        if (fingerprint.isEmpty() || trial.isPresent()) {
+        if (trial.isPresent() || !quarantine.hasCases()) {
             return new Verdict.Run(Set.of());
         }
         if (now.isBefore(askAgainAt)) {
             return new Verdict.Wait();
         }
-        return switch (quarantine.admit(fingerprint.get(), copies, now)) {
+        return switch (quarantine.admit(fingerprint(), copies, now)) {
             case Admission.Unrestricted unrestricted -> new Verdict.Run(Set.of());
             case Admission.Trial allowed -> {
                 trial = Optional.of(allowed);
@@ -103,18 +111,20 @@
 
     private void note(String decision, String reason) {
         metrics.countSuspicion(decision);
-        RequestLog.suspected(identifier, fingerprint(), decision, reason);
+        RequestLog.suspected(identifier, fingerprint().toString(), decision, reason);
     }
 
     void recordBreak(Upstream upstream, MonotonicTime now) {
-        fingerprint.ifPresent(request -> quarantine.recordBreak(request, upstream.lifetime(), now));
+        quarantine.recordBreak(fingerprint(), upstream.lifetime(), now);
     }
 
     void recordSuccess(MonotonicTime now) {
-        fingerprint.ifPresent(request -> quarantine.recordSuccess(request, now));
+        if (quarantine.hasCases()) {
+            quarantine.recordSuccess(fingerprint(), now);
+        }
     }
 
     void end() {
-        trial.ifPresent(ended -> quarantine.endTrial(fingerprint.orElseThrow(), ended));
+        trial.ifPresent(ended -> quarantine.endTrial(fingerprint(), ended));
     }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -130,11 +130,15 @@
         reservedTokens = admitted.tokens();
         deadline = admitted.deadline().earlierOf(latestEnd.orElse(admitted.deadline()));
         environment.retryBudgets().apply(service.name()).recordRequest(now);
-        suspicion = new CrashSuspicion(environment, identifier, incoming, now);
+        suspicion = new CrashSuspicion(environment, identifier, incoming, teamName(), now);
         environment.recordAsked(route, asked, now);
         dispatch(now);
     }
 
+    private String teamName() {
+        return team.map(Team::name).orElse("");
+    }
+
     void refuseStopping(MonotonicTime now) {
         refuse(Refusal.notRunRetryAfter(ErrorCode.NOT_READY, "the process is stopping", STOPPING_RETRY_AFTER), now);
     }
@@ -335,15 +339,7 @@
         incoming.body().release();
         String routeName = route == null ? "none" : route.name();
         environment.metrics().countRequest(routeName, outcome);
-        RequestLog.ended(
-                identifier,
-                routeName,
-                team.map(Team::name).orElse(""),
-                outcome,
-                reason,
-                tries,
-                mayHaveRun,
-                now.since(arrivedAt));
+        RequestLog.ended(identifier, routeName, teamName(), outcome, reason, tries, mayHaveRun, now.since(arrivedAt));
         onEnd.accept(this);
     }
 
@@ -387,7 +383,7 @@
 
         @Override
         protected String fingerprint() {
-            return suspicion.fingerprint();
+            return suspicion.fingerprint().toString();
         }
 
         @Override
