Count the end of an upstream under a request that was given up before

What callers saw: a request whose caller leaves before the upstream ends was run without bound: 25 ends in 25 repeats.

Cause: a caller that leaves cancels the attempt, and what breaks after that was not noted; neither was an upstream that falls silent until the deadline, nor one that starts again under its old identifier before its connections were seen to break.

Class: a crash that nobody counts, since only a broken connection was evidence of one.

Change: attempts that are given up without an answer are remembered for ten seconds (UnansweredAttempts). Where the entry of such an upstream lapses, or names a later start, without its having said that it leaves and without its being heard after the attempt, the request counts as one under which it ended.

UnansweredAttemptsTest plays the single cases.

--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -36,6 +36,7 @@
 import org.pollenhoist.serving.request.RequestHandler;
 import org.pollenhoist.serving.request.RequestMetrics;
 import org.pollenhoist.serving.request.RequestQueue;
+import org.pollenhoist.serving.request.UnansweredAttempts;
 import org.pollenhoist.serving.routing.PromptSizes;
 import org.pollenhoist.serving.routing.ReadingPace;
 import org.pollenhoist.serving.routing.UpstreamSelector;
@@ -75,7 +76,7 @@
     private final EventLoop loop;
     private final BootClock bootClock = new BootClock();
     private final long incarnation = ThreadLocalRandom.current().nextLong();
-    private final UpstreamTable upstreams = new UpstreamTable();
+    private final UpstreamTable upstreams = new UpstreamTable(this::upstreamEnded);
     private final UpstreamNotices notices = new UpstreamNotices(upstreams, this::upstreamLeaving);
     private final ReadingPace pace = new ReadingPace();
     private final RequestQueue queue = new RequestQueue();
@@ -95,6 +96,7 @@
     private final Leadership leadership;
     private final PlacementDriver placement;
     private final CrashQuarantine quarantine;
+    private final UnansweredAttempts unanswered;
     private final CrashReview crashReview;
     private final CrashNotices crashNotices;
     private final VerdictRecords verdicts;
@@ -119,6 +121,7 @@
         connections = new HttpConnections(loop, bootClock::read, this::upstreamAnswered);
         HttpCalls calls = new HttpCalls(loop, connections);
         quarantine = new CrashQuarantine(VmName.of(settings.vmName()), this::announceCrash);
+        unanswered = new UnansweredAttempts(quarantine);
         crashNotices = new CrashNotices(quarantine::verdicts);
         crashReview = new CrashReview(quarantine, upstreams, settings.upstreamHeartbeat());
         datagrams = new DatagramSocket(loop);
@@ -176,6 +179,7 @@
                 this::fleetSize,
                 demand,
                 quarantine,
+                unanswered,
                 new RequestMetrics(registry),
                 this::wantBegan);
     }
@@ -192,6 +196,10 @@
         notices.hear(target.lifetime(), binding.requestFormat().readAnswer(head), bootClock.read());
     }
 
+    private void upstreamEnded(Upstream upstream) {
+        unanswered.upstreamEnded(upstream, bootClock.read());
+    }
+
     private void upstreamLeaving(Upstream upstream) {
         digests.announceLeaving();
     }
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
@@ -36,6 +36,7 @@
  * @param fleetSize how many VMs the fleet has
  * @param demand counts what is asked of models
  * @param quarantine knows requests that crash upstreams
+ * @param unanswered remembers attempts that were given up
  * @param metrics counts outcomes
  * @param onWant is told at once when a request begins to wait for a model or adapter
  */
@@ -54,6 +55,7 @@
         IntSupplier fleetSize,
         DemandMemory demand,
         CrashQuarantine quarantine,
+        UnansweredAttempts unanswered,
         RequestMetrics metrics,
         Runnable onWant) {
 
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -15,6 +15,7 @@
 import org.pollenhoist.common.ErrorCode;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.UpstreamName;
+import org.pollenhoist.request.RequestFingerprint;
 import org.pollenhoist.serving.catalog.Route;
 import org.pollenhoist.serving.catalog.Service;
 import org.pollenhoist.serving.catalog.Team;
@@ -382,8 +383,8 @@
         }
 
         @Override
-        protected String fingerprint() {
-            return suspicion.fingerprint().toString();
+        protected RequestFingerprint fingerprint() {
+            return suspicion.fingerprint();
         }
 
         @Override
--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.request.RequestFingerprint;
 import org.pollenhoist.serving.http.AnswerListener;
 import org.pollenhoist.serving.http.ExchangeFailure;
 import org.pollenhoist.serving.http.HttpExchange;
@@ -73,6 +74,7 @@
     final void cancel() {
         if (!isOver) {
             close("cancelled");
+            MonotonicTime now = environment.clock().get();
             LOG.event(
                     "attempt_cancelled",
                     "request",
@@ -82,8 +84,11 @@
                     "upstream",
                     upstream.description().identifier(),
                     "after_ms",
-                    environment.clock().get().since(startedAt).toMillis());
+                    now.since(startedAt).toMillis());
             if (exchange != null) {
+                if (exchange.isSent()) {
+                    environment.unanswered().add(fingerprint(), upstream, now);
+                }
                 exchange.cancel();
             }
         }
@@ -102,6 +107,7 @@
 
     @Override
     public final boolean onHead(HttpResponse answerHead) {
+        upstream.noteHeard(environment.clock().get());
         AnswerHead candidate = environment.format().readAnswer(answerHead);
         boolean isOurs = candidate.requestIdentifier().isPresent()
                 ? candidate.requestIdentifier().get().equals(asked.identifier())
@@ -145,6 +151,7 @@
             gather(part);
             return;
         }
+        upstream.noteHeard(environment.clock().get());
         Optional<ByteBuf> complete = events.append(part);
         if (complete.isPresent()) {
             markPromptRead();
@@ -234,8 +241,8 @@
                 environment.clock().get().since(startedAt).toMillis());
     }
 
-    /** What tells the request apart from others, for the log. */
-    protected abstract String fingerprint();
+    /** What tells the request apart from others. */
+    protected abstract RequestFingerprint fingerprint();
 
     /** Whether the request asks for a stream of events. */
     protected abstract boolean isStream();
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
@@ -24,9 +24,6 @@
     /** How long an upstream that could not be reached gets no new request, unless there is no other. */
     private static final Duration SUSPICION = Duration.ofSeconds(1);
 
-    /** Time in which half of the memory of failures fades. */
-    private static final double FAILURE_HALF_LIFE_SECONDS = 2;
-
     /** Prompt parts that are remembered as read by an upstream. */
     private static final int REMEMBERED_PARTS = 512;
 
@@ -46,20 +43,21 @@
     private final Map<String, MonotonicTime> arrivals = new HashMap<>();
     private UpstreamDescription description;
     private boolean isGone;
+    private boolean hasEndedUnplanned;
     private boolean isLeavingSaid;
     private int running;
     private long unreadTokens;
     private long reservedTokens;
-    private double recentFailures;
-    private double recentAnswers;
-    private MonotonicTime fadedAt;
+    private final FailureMemory failures;
     private MonotonicTime suspectedUntil;
     private MonotonicTime pausedUntil;
+    private MonotonicTime lastHeardAt;
 
     Upstream(UpstreamDescription description, MonotonicTime now) {
-        this.fadedAt = now;
+        this.failures = new FailureMemory(now);
         this.suspectedUntil = now;
         this.pausedUntil = now;
+        this.lastHeardAt = now;
         describe(description);
     }
 
@@ -82,8 +80,38 @@
         return names;
     }
 
-    void markGone() {
+    /** Returns whether the end of the lifetime was unplanned: nobody said before that it leaves. */
+    boolean markGone() {
+        hasEndedUnplanned = isUsable();
         isGone = true;
+        return hasEndedUnplanned;
+    }
+
+    /**
+     * Tells whether the lifetime has ended though the upstream did not say that it leaves.
+     *
+     * @return true once that is known here
+     */
+    public boolean hasEndedUnplanned() {
+        return hasEndedUnplanned;
+    }
+
+    /**
+     * Notes that a part of an answer came.
+     *
+     * @param now the present time
+     */
+    public void noteHeard(MonotonicTime now) {
+        lastHeardAt = now;
+    }
+
+    /**
+     * Returns when the upstream was last heard here.
+     *
+     * @return the last part of an answer, or when it became known
+     */
+    public MonotonicTime lastHeardAt() {
+        return lastHeardAt;
     }
 
     /**
@@ -423,11 +451,7 @@
      * @param now the present time
      */
     public void record(boolean isFailure, MonotonicTime now) {
-        fade(now);
-        recentAnswers++;
-        if (isFailure) {
-            recentFailures++;
-        }
+        failures.record(isFailure, now);
     }
 
     /**
@@ -456,17 +480,6 @@
      * @return 0 to 1, pulled towards 0 while few attempts were made
      */
     public double failureRate(MonotonicTime now) {
-        fade(now);
-        return recentFailures / (recentAnswers + 2);
-    }
-
-    private void fade(MonotonicTime now) {
-        double seconds = now.secondsSince(fadedAt);
-        if (seconds > 0) {
-            double kept = Math.pow(0.5, seconds / FAILURE_HALF_LIFE_SECONDS);
-            recentFailures *= kept;
-            recentAnswers *= kept;
-            fadedAt = now;
-        }
+        return failures.rate(now);
     }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamTable.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
@@ -19,6 +20,21 @@
 
     private final Map<String, Upstream> upstreams = new LinkedHashMap<>();
     private final Map<Integer, Upstream> byTag = new HashMap<>();
+    private final Consumer<Upstream> onUnplannedEnd;
+
+    /** Creates an empty table. */
+    public UpstreamTable() {
+        this(upstream -> {});
+    }
+
+    /**
+     * Creates an empty table.
+     *
+     * @param onUnplannedEnd is told an upstream that has ended though it did not say that it leaves
+     */
+    public UpstreamTable(Consumer<Upstream> onUnplannedEnd) {
+        this.onUnplannedEnd = onUnplannedEnd;
+    }
 
     /**
      * Takes an upstream's description in. A new lifetime starts anew: its load and its memory are empty.
@@ -36,7 +52,7 @@
             return;
         }
         if (known != null) {
-            known.markGone();
+            end(known);
         }
         Upstream joined = new Upstream(description, now);
         upstreams.put(description.identifier(), joined);
@@ -53,6 +69,12 @@
                 description.models().size());
     }
 
+    private void end(Upstream ended) {
+        if (ended.markGone()) {
+            onUnplannedEnd.accept(ended);
+        }
+    }
+
     private static boolean isSameLifetime(UpstreamDescription known, UpstreamDescription description) {
         return known.startedMilliseconds() == description.startedMilliseconds()
                 && known.address().equals(description.address())
@@ -68,7 +90,7 @@
     public void remove(String identifier, String reason) {
         Upstream removed = upstreams.remove(identifier);
         if (removed != null) {
-            removed.markGone();
+            end(removed);
             byTag.remove(removed.tag(), removed);
             LOG.event("upstream_gone", "upstream", identifier, "reason", reason);
         }
--- /dev/null
+++ b/serving/src/test/java/org/pollenhoist/serving/request/UnansweredAttemptsTest.java
@@ -0,0 +1,96 @@
+package org.pollenhoist.serving.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.common.VmName;
+import org.pollenhoist.request.Admission;
+import org.pollenhoist.request.CrashQuarantine;
+import org.pollenhoist.request.RequestFingerprint;
+import org.pollenhoist.serving.upstream.Upstream;
+import org.pollenhoist.serving.upstream.UpstreamDescription;
+import org.pollenhoist.serving.upstream.UpstreamTable;
+
+class UnansweredAttemptsTest {
+
+    private static final RequestFingerprint REQUEST = RequestFingerprint.of("GET", "/lookup/1", "crews", new byte[0]);
+
+    private final CrashQuarantine quarantine = new CrashQuarantine(VmName.of("vm-1"), notice -> {});
+    private final UnansweredAttempts attempts = new UnansweredAttempts(quarantine);
+    private final UpstreamTable upstreams =
+            new UpstreamTable(upstream -> attempts.upstreamEnded(upstream, at(milliseconds())));
+    private long present;
+
+    private long milliseconds() {
+        return present;
+    }
+
+    private static MonotonicTime at(long milliseconds) {
+        return MonotonicTime.of(Duration.ofMillis(milliseconds));
+    }
+
+    private Upstream register(long started, boolean isLeaving) {
+        upstreams.put(
+                new UpstreamDescription(
+                        "i-1", started, "app", new InetSocketAddress(1), "north", 4, isLeaving, 0, List.of(), Set.of()),
+                at(0));
+        return upstreams.find("i-1").orElseThrow();
+    }
+
+    private boolean isSuspect() {
+        return !(quarantine.admit(REQUEST, without -> 9, at(present)) instanceof Admission.Unrestricted);
+    }
+
+    @Nested
+    class End {
+
+        @Test
+        void should_make_a_request_suspect_that_was_given_up_before_its_upstream_ended() {
+            attempts.add(REQUEST, register(1, false), at(1_000));
+            present = 5_000;
+            upstreams.remove("i-1", "entry removed");
+            assertThat(isSuspect()).isTrue();
+        }
+
+        @Test
+        void should_make_a_request_suspect_whose_upstream_starts_again_under_the_same_identifier() {
+            attempts.add(REQUEST, register(1, false), at(1_000));
+            present = 5_000;
+            register(2, false);
+            assertThat(isSuspect()).isTrue();
+        }
+
+        @Test
+        void should_make_a_request_suspect_that_is_given_up_after_its_upstream_ended() {
+            Upstream upstream = register(1, false);
+            upstreams.remove("i-1", "entry removed");
+            attempts.add(REQUEST, upstream, at(1_000));
+            assertThat(isSuspect()).isTrue();
+        }
+
+        @Test
+        void should_not_make_a_request_suspect_whose_upstream_was_heard_long_after_it() {
+            Upstream upstream = register(1, false);
+            attempts.add(REQUEST, upstream, at(1_000));
+            upstream.noteHeard(at(4_000));
+            present = 5_000;
+            upstreams.remove("i-1", "entry removed");
+            assertThat(isSuspect()).isFalse();
+        }
+
+        @Test
+        void should_not_make_a_request_suspect_whose_upstream_leaves_as_planned() {
+            attempts.add(REQUEST, register(1, false), at(1_000));
+            register(1, true);
+            present = 5_000;
+            upstreams.remove("i-1", "entry removed");
+            assertThat(isSuspect()).isFalse();
+        }
+    }
+}
