Ask anew before a crashing request goes on after its trial

What callers saw: one request on a route with several attempts ended three upstreams or more by itself: the trial that a suspect request is allowed once in the fleet counted as leave for every further attempt.

Cause: CrashSuspicion did not ask the quarantine again once a trial had been granted.

Evidence: CrashingRequestTest.should_not_go_on_to_further_upstreams_after_its_trial_ended_one failed before (a route with five attempts, two ends expected) and passes now. A broken attempt ends its trial, so that the next one is asked for anew and meets the verdict.

--- a/serving/src/main/java/org/pollenhoist/serving/request/CrashSuspicion.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/CrashSuspicion.java
@@ -116,6 +116,7 @@
 
     void recordBreak(Upstream upstream, MonotonicTime now) {
         quarantine.recordBreak(fingerprint(), upstream.lifetime(), now);
+        end();
     }
 
     void recordSuccess(MonotonicTime now) {
@@ -126,5 +127,6 @@
 
     void end() {
         trial.ifPresent(ended -> quarantine.endTrial(fingerprint(), ended));
+        trial = Optional.empty();
     }
 }
