Clear a request from suspicion when its whole answer comes

What callers saw: after one lost answer a booking was refused as suspected for up to ten minutes where few upstreams were left, although it had been answered meanwhile.

Cause: only the end of a stream told the quarantine that a request ended well; whole answers, those of plain services, did not.

Evidence: ServingNodeTest.should_not_suspect_a_request_any_more_that_was_answered_after_its_answer_was_lost failed before (503 where the only upstream left is the one whose answer was lost) and passes now.

--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -447,6 +447,9 @@
                 return;
             }
             noteFirstAnswer(now);
+            if (read.isSuccess()) {
+                suspicion.recordSuccess(now);
+            }
             end(read.isSuccess() ? "ok" : "upstream_status_" + read.status(), "complete", now);
             answer.sendWhole(head.status().code(), Messages.toCaller(head), body);
         }
