Give a started process its part of the retry allowance after a window only

What callers would see: retries beyond the fleet's budget where VMs are started one after the other, or all at once.

Cause: the count of retries starts anew with each process, so that eight VMs started in turn within a window had their allowance twice; and a VM that knows no other one yet took the whole fleet's allowance for its own.

Change: a process does without its part of the allowance for its first window.

Evidence: FleetRetryBudgetTest.should_not_become_whole_again_when_all_vms_are_started_anew_in_turn and should_not_take_the_whole_allowance_for_its_own_while_it_knows_no_other_vm fail without the condition and pass with it.

--- a/serving/src/main/java/org/pollenhoist/serving/node/RetryBudgets.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/RetryBudgets.java
@@ -2,22 +2,26 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.request.FleetRetryBudget;
 
 /** This VM's retry budgets, one a service. Confined to the event loop. */
 final class RetryBudgets {
 
     private final Map<String, FleetRetryBudget> budgets = new HashMap<>();
+    private final MonotonicTime startedAt;
     private ServingSettings settings;
 
-    RetryBudgets(ServingSettings settings) {
+    RetryBudgets(ServingSettings settings, MonotonicTime startedAt) {
         this.settings = settings;
+        this.startedAt = startedAt;
     }
 
     FleetRetryBudget of(String service) {
         return budgets.computeIfAbsent(
                 service,
-                name -> new FleetRetryBudget(settings.retryRatio(), settings.retryWindow(), settings.retryAllowance()));
+                name -> new FleetRetryBudget(
+                        settings.retryRatio(), settings.retryWindow(), settings.retryAllowance(), startedAt));
     }
 
     /** Takes changed bounds over; what was counted under the old ones stays. */
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -110,10 +110,10 @@
 
     private ServingNode(ServingSettings settings, PlatformBinding binding, EventLoop loop) {
         this.settings = settings;
-        retryBudgets = new RetryBudgets(settings);
         this.binding = binding;
         this.loop = loop;
         MonotonicTime now = bootClock.read();
+        retryBudgets = new RetryBudgets(settings, now);
         leaderMissingSince = now;
         sweptAt = now;
         limits = new FleetLimits(settings.isFirstStart(), this::fleetSize, this::announceSpending);
--- a/serving/src/test/java/org/pollenhoist/serving/request/FleetRetryBudgetTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/request/FleetRetryBudgetTest.java
@@ -15,6 +15,7 @@
     private static final Duration WINDOW = Duration.ofSeconds(10);
     private static final double ALLOWANCE = 56;
     private static final int FLEET = 8;
+    private static final MonotonicTime LONG_AGO = at(-60_000);
 
     private static MonotonicTime at(long milliseconds) {
         return MonotonicTime.of(Duration.ofMillis(milliseconds));
@@ -28,7 +29,7 @@
         void should_keep_the_whole_fleet_within_its_bound_in_every_window() {
             List<FleetRetryBudget> budgets = new ArrayList<>();
             for (int vm = 0; vm < FLEET; vm++) {
-                budgets.add(new FleetRetryBudget(RATIO, WINDOW, ALLOWANCE));
+                budgets.add(new FleetRetryBudget(RATIO, WINDOW, ALLOWANCE, LONG_AGO));
             }
             List<Long> retries = new ArrayList<>();
             for (long time = 0; time < 60_000; time += 20) {
@@ -48,9 +49,33 @@
             assertThat(retries).isNotEmpty();
         }
 
+        @Test
+        void should_not_become_whole_again_when_all_vms_are_started_anew_in_turn() {
+            List<FleetRetryBudget> budgets = new ArrayList<>();
+            for (int vm = 0; vm < FLEET; vm++) {
+                budgets.add(new FleetRetryBudget(0, WINDOW, ALLOWANCE, LONG_AGO));
+            }
+            int retries = 0;
+            for (long time = 0; time < WINDOW.toMillis(); time += 10) {
+                int vm = (int) (time / 10 % FLEET);
+                if (time % 1_000 == 500 && time / 1_000 < FLEET) {
+                    budgets.set((int) (time / 1_000), new FleetRetryBudget(0, WINDOW, ALLOWANCE, at(time)));
+                }
+                retries += budgets.get(vm).tryWithdraw(FLEET, at(time)) ? 1 : 0;
+            }
+            assertThat((double) retries).isLessThanOrEqualTo(ALLOWANCE);
+        }
+
+        @Test
+        void should_not_take_the_whole_allowance_for_its_own_while_it_knows_no_other_vm() {
+            FleetRetryBudget budget = new FleetRetryBudget(0, WINDOW, ALLOWANCE, at(0));
+            assertThat(budget.tryWithdraw(1, at(10))).isFalse();
+            assertThat(budget.tryWithdraw(1, at(WINDOW.toMillis()))).isTrue();
+        }
+
         @Test
         void should_not_become_whole_again_by_changed_bounds() {
-            FleetRetryBudget budget = new FleetRetryBudget(0, WINDOW, 1.25);
+            FleetRetryBudget budget = new FleetRetryBudget(0, WINDOW, 1.25, LONG_AGO);
             assertThat(budget.tryWithdraw(1, at(0))).isTrue();
 
             budget.configure(0, WINDOW, 1.25);
@@ -62,7 +87,7 @@
 
         @Test
         void should_forget_retries_that_left_the_window() {
-            FleetRetryBudget budget = new FleetRetryBudget(0, WINDOW, 1.25);
+            FleetRetryBudget budget = new FleetRetryBudget(0, WINDOW, 1.25, LONG_AGO);
             assertThat(budget.tryWithdraw(1, at(0))).isTrue();
             assertThat(budget.tryWithdraw(1, at(9_999))).isFalse();
             assertThat(budget.tryWithdraw(1, at(10_001))).isTrue();
