Give an answer up that sends interim heads without end

What callers saw: an upstream that sends 1xx heads one after the other kept a request until its deadline, and the process read all that came: 256 MB in the test, as much as the server sent.

Cause: interim heads were passed over without a count. Blank lines, status lines and header fields without end were bounded already, by the codec; the tests show it.

Change: more than eight interim heads are a malformed answer; the connection is closed, and the attempt counts as one that may have run.

Evidence: EndlessAnswersTest.Heads, over real sockets while another exchange is answered; the case of interim heads failed before and passes now.

--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -22,6 +22,9 @@
     private static final String KEEP_ALIVE = "Keep-Alive";
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
+    /** Interim heads that may come before an answer. */
+    private static final int MAXIMUM_INTERIM_HEADS = 8;
+
     private enum AnswerState {
         NONE,
         ACCEPTED,
@@ -37,6 +40,7 @@
     private AnswerState state = AnswerState.NONE;
     private boolean isReusable = true;
     private boolean isReset;
+    private int interimHeads;
     private Duration keepAlive = HttpConnections.DEFAULT_KEEP_ALIVE;
     private MonotonicTime idleSince;
 
@@ -73,6 +77,7 @@
     void start(HttpExchange newExchange) {
         exchange = newExchange;
         state = AnswerState.NONE;
+        interimHeads = 0;
         written = context.writeAndFlush(newExchange.begin(this));
     }
 
@@ -114,7 +119,7 @@
             }
             readHead(head);
         }
-        if (message instanceof HttpContent content && !exchange.isEnded()) {
+        if (message instanceof HttpContent content && exchange != null && !exchange.isEnded()) {
             if (content.decoderResult().isFailure()) {
                 fail(ExchangeFailure.BROKEN_ANSWER, "unreadable body");
                 return;
@@ -126,6 +131,10 @@
     private void readHead(HttpResponse head) {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             state = AnswerState.INTERIM;
+            interimHeads++;
+            if (interimHeads > MAXIMUM_INTERIM_HEADS) {
+                fail(ExchangeFailure.MALFORMED_ANSWER, "more than " + MAXIMUM_INTERIM_HEADS + " interim heads");
+            }
             return;
         }
         Matcher timeout = KEEP_ALIVE_TIMEOUT.matcher(head.headers().get(KEEP_ALIVE, ""));
--- /dev/null
+++ b/serving/src/test/java/org/pollenhoist/serving/http/EndlessAnswersTest.java
@@ -0,0 +1,163 @@
+package org.pollenhoist.serving.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.epoll.EpollEventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollenhoist.common.MonotonicTime;
+
+/** The client against servers that send bytes without end until it closes. */
+class EndlessAnswersTest {
+
+    /** What a server sends at the most; a client that reads all of it has no bound. */
+    private static final long CAP_BYTES = 256L << 20;
+
+    /** What a client may take in: its own bounds, and what the buffers of two sockets hold. */
+    private static final long ALLOWED_BYTES = 32L << 20;
+
+    private static final String WHOLE = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok";
+
+    private final EpollEventLoopGroup group = new EpollEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private final HttpConnections connections = new HttpConnections(loop, MonotonicTime::read, (target, head) -> {});
+    private final AtomicLong sent = new AtomicLong();
+    private final CompletableFuture<Void> closed = new CompletableFuture<>();
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private ServerSocket serve(String beginning, String repeated) throws IOException {
+        ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(() -> answer(server, beginning, repeated), "server");
+        thread.setDaemon(true);
+        thread.start();
+        return server;
+    }
+
+    private void answer(ServerSocket server, String beginning, String repeated) {
+        byte[] part =
+                repeated.repeat(1 + 16_384 / Math.max(1, repeated.length())).getBytes(StandardCharsets.US_ASCII);
+        try (Socket socket = server.accept()) {
+            assertThat(socket.getInputStream().read()).isNotNegative();
+            OutputStream output = socket.getOutputStream();
+            output.write(beginning.getBytes(StandardCharsets.US_ASCII));
+            while (!repeated.isEmpty() && sent.get() < CAP_BYTES) {
+                output.write(part);
+                sent.addAndGet(part.length);
+            }
+        } catch (IOException clientClosed) {
+            closed.complete(null);
+        }
+    }
+
+    private CompletableFuture<String> send(ServerSocket server) {
+        CompletableFuture<String> result = new CompletableFuture<>();
+        Target target = new Target(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), "1");
+        loop.execute(() -> connections.send(
+                target,
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER),
+                ConnectionOptions.ANY_IDLE,
+                new Collector(result)));
+        return result.orTimeout(60, TimeUnit.SECONDS);
+    }
+
+    private void assertGivenUp(String beginning, String repeated, ExchangeFailure failure) throws IOException {
+        try (ServerSocket endless = serve(beginning, repeated);
+                ServerSocket other = serve(WHOLE, "")) {
+            CompletableFuture<String> result = send(endless);
+
+            assertThat(send(other).join()).isEqualTo("ok");
+            assertThat(result.join()).isEqualTo(failure.name());
+            closed.orTimeout(60, TimeUnit.SECONDS).join();
+            assertThat(sent).hasValueLessThan(ALLOWED_BYTES);
+        }
+    }
+
+    private static final class Collector implements AnswerListener {
+
+        private final CompletableFuture<String> result;
+        private final StringBuilder body = new StringBuilder();
+
+        private Collector(CompletableFuture<String> result) {
+            this.result = result;
+        }
+
+        @Override
+        public boolean onHead(HttpResponse head) {
+            return "a".equals(head.headers().get("X-Id"));
+        }
+
+        @Override
+        public void onBody(ByteBuf part) {
+            body.append(part.toString(StandardCharsets.US_ASCII));
+        }
+
+        @Override
+        public void onEnd() {
+            result.complete(body.toString());
+        }
+
+        @Override
+        public void onFailure(ExchangeFailure failure, String reason) {
+            result.complete(failure.name());
+        }
+    }
+
+    @Nested
+    class Heads {
+
+        @Test
+        void should_be_given_up_when_interim_heads_follow_each_other_without_end() throws IOException {
+            assertGivenUp("", "HTTP/1.1 102 Processing\r\n\r\n", ExchangeFailure.MALFORMED_ANSWER);
+        }
+
+        @Test
+        void should_be_given_up_when_blank_lines_come_without_end() throws IOException {
+            assertGivenUp("", "\r\n", ExchangeFailure.MALFORMED_ANSWER);
+        }
+
+        @Test
+        void should_be_given_up_when_a_status_line_has_no_end() throws IOException {
+            assertGivenUp("HTTP/1.1 200 ", "very good ", ExchangeFailure.MALFORMED_ANSWER);
+        }
+
+        @Test
+        void should_be_given_up_when_header_fields_have_no_end() throws IOException {
+            assertGivenUp("HTTP/1.1 200 OK\r\n", "X-More: and more\r\n", ExchangeFailure.MALFORMED_ANSWER);
+        }
+    }
+
+    @Nested
+    class IdleConnections {
+
+        @Test
+        void should_be_closed_when_blank_lines_come_without_end() throws IOException {
+            try (ServerSocket server = serve(WHOLE, "\r\n")) {
+                assertThat(send(server).join()).isEqualTo("ok");
+                closed.orTimeout(60, TimeUnit.SECONDS).join();
+                assertThat(sent).hasValueLessThan(ALLOWED_BYTES);
+            }
+        }
+    }
+}
