Give an answer up behind which foreign answers have no end

What callers saw: an answer that names another request is dropped and the next one awaited; one whose body has no end, or many one after the other, kept the request until its deadline while the process read all of it.

Change: up to eight such answers and one megabyte of them are read; then the exchange fails as a malformed answer and the connection is closed.

--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -25,6 +25,12 @@
     /** Interim heads that may come before an answer. */
     private static final int MAXIMUM_INTERIM_HEADS = 8;
 
+    /** Answers to other requests that may come before an answer. */
+    private static final int MAXIMUM_SKIPPED_ANSWERS = 8;
+
+    /** Bytes of such answers that are read. */
+    private static final long MAXIMUM_SKIPPED_BYTES = 1L << 20;
+
     private enum AnswerState {
         NONE,
         ACCEPTED,
@@ -41,6 +47,8 @@
     private boolean isReusable = true;
     private boolean isReset;
     private int interimHeads;
+    private int skippedAnswers;
+    private long skippedBytes;
     private Duration keepAlive = HttpConnections.DEFAULT_KEEP_ALIVE;
     private MonotonicTime idleSince;
 
@@ -78,6 +86,8 @@
         exchange = newExchange;
         state = AnswerState.NONE;
         interimHeads = 0;
+        skippedAnswers = 0;
+        skippedBytes = 0;
         written = context.writeAndFlush(newExchange.begin(this));
     }
 
@@ -149,11 +159,21 @@
         state = isAccepted ? AnswerState.ACCEPTED : AnswerState.SKIPPED;
         if (!isAccepted) {
             isReusable = false;
+            skippedAnswers++;
         }
     }
 
     private void readContent(HttpContent content) {
         ByteBuf bytes = content.content();
+        if (state == AnswerState.SKIPPED) {
+            skippedBytes += bytes.readableBytes();
+        }
+        if (skippedAnswers > MAXIMUM_SKIPPED_ANSWERS || skippedBytes > MAXIMUM_SKIPPED_BYTES) {
+            fail(
+                    ExchangeFailure.MALFORMED_ANSWER,
+                    skippedAnswers + " answers to other requests with " + skippedBytes + " bytes");
+            return;
+        }
         if (state == AnswerState.ACCEPTED && bytes.isReadable()) {
             exchange.listener().onBody(bytes);
         }
--- a/serving/src/test/java/org/pollenhoist/serving/http/EndlessAnswersTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/EndlessAnswersTest.java
@@ -148,6 +148,22 @@
         }
     }
 
+    @Nested
+    class Bodies {
+
+        private static final String FOREIGN = "HTTP/1.1 200 OK\r\nX-Id: other\r\n";
+
+        @Test
+        void should_be_given_up_when_the_body_of_a_foreign_answer_has_no_end() throws IOException {
+            assertGivenUp(FOREIGN + "\r\n", "more and more ", ExchangeFailure.MALFORMED_ANSWER);
+        }
+
+        @Test
+        void should_be_given_up_when_foreign_answers_follow_each_other_without_end() throws IOException {
+            assertGivenUp("", FOREIGN + "Content-Length: 2\r\n\r\nno", ExchangeFailure.MALFORMED_ANSWER);
+        }
+    }
+
     @Nested
     class IdleConnections {
 
