Give a stream up whose event has no end

What callers saw: an upstream whose event never ends held the request until its deadline; all bytes were kept and copied anew with each part, on the event loop, so that other callers waited as well.

Cause: EventStream joined all pending bytes with each part and searched them from the end, and knew no limit.

Change: parts are appended to one buffer, of which only what is new is searched; beyond one megabyte without the end of an event the attempt breaks off as event_too_large, its connection is closed, and it may have run.

--- a/serving/src/main/java/org/pollenhoist/serving/request/EventStream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/EventStream.java
@@ -17,6 +17,12 @@
     private static final byte CARRIAGE_RETURN = '\r';
     private static final String IDENTIFIER_FIELD = "id:";
 
+    /** Longest event that is gathered, in bytes. */
+    private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
+
+    /** Bytes of the longest blank line with the end of the line before it. */
+    private static final int LONGEST_BLANK_LINE = 4;
+
     private final ByteBufAllocator allocator;
     private ByteBuf pending = Unpooled.EMPTY_BUFFER;
     private OptionalLong lastIdentifier = OptionalLong.empty();
@@ -32,22 +38,31 @@
      * @return the whole events that are complete now, to be released by the caller; empty where there is none
      */
     Optional<ByteBuf> append(ByteBuf part) {
-        ByteBuf joined = allocator.buffer(pending.readableBytes() + part.readableBytes());
-        joined.writeBytes(pending).writeBytes(part);
-        pending.release();
-        pending = joined;
-        int end = endOfLastEvent(joined);
+        if (!pending.isReadable()) {
+            pending.release();
+            pending = allocator.buffer(part.readableBytes());
+        }
+        int known = pending.readableBytes();
+        pending.writeBytes(part);
+        int end = endOfLastEvent(pending, Math.max(0, known - LONGEST_BLANK_LINE));
         if (end == 0) {
             return Optional.empty();
         }
-        ByteBuf events = joined.readRetainedSlice(end);
+        ByteBuf events = allocator.buffer(end).writeBytes(pending, end);
+        pending.discardReadBytes();
         noteIdentifiers(events.toString(StandardCharsets.UTF_8));
         return Optional.of(events);
     }
 
-    private static int endOfLastEvent(ByteBuf bytes) {
+    /** Whether an event is so long that its end is not to be awaited. */
+    boolean isEventTooLong() {
+        return pending.readableBytes() > MAXIMUM_EVENT_BYTES;
+    }
+
+    /** Length of all events that are whole; those that end within a first part are known to be none. */
+    private static int endOfLastEvent(ByteBuf bytes, int searched) {
         int begin = bytes.readerIndex();
-        for (int index = bytes.writerIndex() - 1; index > begin; index--) {
+        for (int index = bytes.writerIndex() - 1; index > begin + searched; index--) {
             if (bytes.getByte(index) == LINE_FEED && isLineEndBefore(bytes, begin, index)) {
                 return index + 1 - begin;
             }
--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -158,6 +158,9 @@
             onEvents(head, complete.get(), events.lastIdentifier());
             isFirstEvent = false;
         }
+        if (!isOver && events.isEventTooLong()) {
+            breakOff("event_too_large");
+        }
     }
 
     private void markPromptRead() {
--- a/serving/src/test/java/org/pollenhoist/serving/request/EventStreamTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/request/EventStreamTest.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -36,6 +37,43 @@
             assertThat(append("id: 1\r\ndata: x\r\n\r\n")).contains("id: 1\r\ndata: x\r\n\r\n");
         }
 
+        @Test
+        void should_find_the_end_of_an_event_wherever_its_bytes_are_parted() {
+            String text = "id: 1\r\ndata: x\r\n\r\nid: 2\ndata: y\n\n";
+            for (int first = 0; first <= text.length(); first++) {
+                for (int second = first; second <= text.length(); second++) {
+                    EventStream parted = new EventStream(UnpooledByteBufAllocator.DEFAULT);
+                    StringBuilder events = new StringBuilder();
+                    for (String part :
+                            List.of(text.substring(0, first), text.substring(first, second), text.substring(second))) {
+                        parted.append(Unpooled.copiedBuffer(part, StandardCharsets.UTF_8))
+                                .ifPresent(whole -> events.append(whole.toString(StandardCharsets.UTF_8)));
+                    }
+                    assertThat(events).hasToString(text);
+                    assertThat(parted.hasPartialEvent()).isFalse();
+                }
+            }
+        }
+
+        @Test
+        void should_tell_that_an_event_is_too_long_to_await_its_end() {
+            String part = "x".repeat(16_384);
+            int appended = 0;
+            while (!stream.isEventTooLong()) {
+                assertThat(append(part)).isEmpty();
+                appended += part.length();
+            }
+            assertThat(appended).isEqualTo((1 << 20) + part.length());
+        }
+
+        @Test
+        void should_not_tell_so_of_many_whole_events() {
+            for (int number = 0; number < 100; number++) {
+                append("data: " + "x".repeat(100_000) + "\n\n");
+                assertThat(stream.isEventTooLong()).isFalse();
+            }
+        }
+
         @Test
         void should_drop_a_piece_of_an_event() {
             append("id: 1\ndata: x");
