--- a/serving/src/main/java/org/pollenhoist/serving/node/RetryBudgets.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/RetryBudgets.java
@@ -9,19 +9,19 @@
 final class RetryBudgets {
 
     private final Map<String, FleetRetryBudget> budgets = new HashMap<>();
-    private final MonotonicTime startedAt;
+    private final MonotonicTime allowedFrom;
     private ServingSettings settings;
 
     RetryBudgets(ServingSettings settings, MonotonicTime startedAt) {
         this.settings = settings;
-        this.startedAt = startedAt;
+        this.allowedFrom = settings.isFirstStart() ? startedAt : startedAt.plus(settings.retryWindow());
     }
 
     FleetRetryBudget of(String service) {
         return budgets.computeIfAbsent(
                 service,
                 name -> new FleetRetryBudget(
-                        settings.retryRatio(), settings.retryWindow(), settings.retryAllowance(), startedAt));
+                        settings.retryRatio(), settings.retryWindow(), settings.retryAllowance(), allowedFrom));
     }
 
     /** Takes changed bounds over; what was counted under the old ones stays. */
--- a/serving/src/main/java/org/pollenhoist/serving/request/FleetRetryBudget.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/FleetRetryBudget.java
@@ -8,8 +8,8 @@
 /**
  * This VM's part of the budget for sending requests to a further upstream, which all VMs share, over a sliding window.
  * Each VM may use its own requests' ratio and an equal part of the fixed allowance, so that no word between VMs is
- * needed. A process that has just started does without its part of the allowance for a window: the one before it at
- * the same VM may have used it up. Confined to the event loop.
+ * needed. A process that takes the place of another one does without its part of the allowance for a window, since that
+ * one may have used it up. Confined to the event loop.
  */
 public final class FleetRetryBudget {
 
@@ -19,7 +19,7 @@
     private double ratio;
     private Duration window;
     private double allowance;
-    private final MonotonicTime startedAt;
+    private final MonotonicTime allowedFrom;
     private final Deque<MonotonicTime> requests = new ArrayDeque<>();
     private final Deque<MonotonicTime> retries = new ArrayDeque<>();
 
@@ -29,13 +29,13 @@
      * @param ratio retries for each request
      * @param window the window over which both are counted
      * @param allowance retries in a window that all VMs together may do beyond that
-     * @param startedAt when the process started
+     * @param allowedFrom when the part of the allowance may be used
      */
-    public FleetRetryBudget(double ratio, Duration window, double allowance, MonotonicTime startedAt) {
+    public FleetRetryBudget(double ratio, Duration window, double allowance, MonotonicTime allowedFrom) {
         this.ratio = ratio;
         this.window = window;
         this.allowance = allowance;
-        this.startedAt = startedAt;
+        this.allowedFrom = allowedFrom;
     }
 
     /**
@@ -70,8 +70,7 @@
      */
     public boolean tryWithdraw(int fleetSize, MonotonicTime now) {
         forget(now);
-        boolean hasAllowance = now.since(startedAt).compareTo(window) >= 0;
-        double part = hasAllowance ? allowance / Math.max(1, fleetSize) : 0;
+        double part = now.isBefore(allowedFrom) ? 0 : allowance / Math.max(1, fleetSize);
         double budget = USED_PART * (ratio * requests.size() + part);
         if (retries.size() + 1 > budget) {
             return false;
--- a/serving/src/test/java/org/pollenhoist/serving/request/FleetRetryBudgetTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/request/FleetRetryBudgetTest.java
@@ -59,7 +59,7 @@
             for (long time = 0; time < WINDOW.toMillis(); time += 10) {
                 int vm = (int) (time / 10 % FLEET);
                 if (time % 1_000 == 500 && time / 1_000 < FLEET) {
-                    budgets.set((int) (time / 1_000), new FleetRetryBudget(0, WINDOW, ALLOWANCE, at(time)));
+                    budgets.set((int) (time / 1_000), new FleetRetryBudget(0, WINDOW, ALLOWANCE, at(time).plus(WINDOW)));
                 }
                 retries += budgets.get(vm).tryWithdraw(FLEET, at(time)) ? 1 : 0;
             }
@@ -68,7 +68,7 @@
 
         @Test
         void should_not_take_the_whole_allowance_for_its_own_while_it_knows_no_other_vm() {
-            FleetRetryBudget budget = new FleetRetryBudget(0, WINDOW, ALLOWANCE, at(0));
+            FleetRetryBudget budget = new FleetRetryBudget(0, WINDOW, ALLOWANCE, at(0).plus(WINDOW));
             assertThat(budget.tryWithdraw(1, at(10))).isFalse();
             assertThat(budget.tryWithdraw(1, at(WINDOW.toMillis()))).isTrue();
         }
