Fail a call to the store or a peer whose answer has no end

What was seen: bytes beyond eight megabytes of an answer were dropped without a word, the rest was read on until the call's time-out, and an answer that ended later was taken for whole though its end was missing.

Change: the call fails at once, its reason names the bound, and the connection is closed.

Evidence: EndlessAnswersTest.Calls failed before (no result within the time that the test waits) and passes now.

--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpCalls.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpCalls.java
@@ -63,6 +63,7 @@
     public void call(Target target, FullHttpRequest request, Duration timeout, Consumer<Result> result) {
         Gatherer gatherer = new Gatherer(result);
         HttpExchange exchange = connections.send(target, request, ConnectionOptions.ANY_IDLE, gatherer);
+        gatherer.exchange = exchange;
         gatherer.timer = loop.schedule(
                 () -> {
                     boolean isSent = exchange.isSent();
@@ -80,6 +81,7 @@
 
         private final Consumer<Result> result;
         private final ByteBuf body = Unpooled.buffer();
+        private HttpExchange exchange;
         private ScheduledFuture<?> timer;
         private int status;
         private boolean isComplete;
@@ -96,9 +98,12 @@
 
         @Override
         public void onBody(ByteBuf part) {
-            if (body.readableBytes() + part.readableBytes() <= MAXIMUM_ANSWER_BYTES) {
-                body.writeBytes(part);
+            if (body.readableBytes() + part.readableBytes() > MAXIMUM_ANSWER_BYTES) {
+                exchange.cancel();
+                complete(new Result.Failed(true, "an answer of more than " + MAXIMUM_ANSWER_BYTES + " bytes"));
+                return;
             }
+            body.writeBytes(part);
         }
 
         @Override
--- a/serving/src/test/java/org/pollenhoist/serving/http/EndlessAnswersTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/EndlessAnswersTest.java
@@ -17,6 +17,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -164,6 +165,28 @@
         }
     }
 
+    @Nested
+    class Calls {
+
+        @Test
+        void should_fail_when_the_answer_has_no_end_and_not_pass_a_part_of_it_on() throws IOException {
+            HttpCalls calls = new HttpCalls(loop, connections);
+            CompletableFuture<HttpCalls.Result> result = new CompletableFuture<>();
+            try (ServerSocket server = serve("HTTP/1.1 200 OK\r\n\r\n", "more and more ")) {
+                Target target = new Target(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), "1");
+                loop.execute(() -> calls.call(
+                        target,
+                        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER),
+                        Duration.ofSeconds(50),
+                        result::complete));
+
+                assertThat(result.orTimeout(60, TimeUnit.SECONDS).join())
+                        .isEqualTo(new HttpCalls.Result.Failed(true, "an answer of more than 8388608 bytes"));
+                assertThat(sent).hasValueLessThan(ALLOWED_BYTES);
+            }
+        }
+    }
+
     @Nested
     class IdleConnections {
 
--- a/serving/src/test/java/org/pollenhoist/serving/request/FleetRetryBudgetTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/request/FleetRetryBudgetTest.java
@@ -59,7 +59,8 @@
             for (long time = 0; time < WINDOW.toMillis(); time += 10) {
                 int vm = (int) (time / 10 % FLEET);
                 if (time % 1_000 == 500 && time / 1_000 < FLEET) {
-                    budgets.set((int) (time / 1_000), new FleetRetryBudget(0, WINDOW, ALLOWANCE, at(time).plus(WINDOW)));
+                    budgets.set(
+                            (int) (time / 1_000), new FleetRetryBudget(0, WINDOW, ALLOWANCE, at(time).plus(WINDOW)));
                 }
                 retries += budgets.get(vm).tryWithdraw(FLEET, at(time)) ? 1 : 0;
             }
