Bound what gathered answers hold in memory all together

Bytes of an answer may come without end, in several answers at once: each was gathered up to 16 MB, three of which are all the direct memory that a process has, and answers of others would have found none. Read in the code, not seen in a run.

Change: 8 MB for one answer, 24 MB for all of a process (AnswerMemory); beyond that the attempt breaks off as no_memory_for_answers, its connection is closed, and it may have run.

--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -32,6 +32,7 @@
 import org.pollenhoist.serving.placement.Leadership;
 import org.pollenhoist.serving.placement.ModelWant;
 import org.pollenhoist.serving.placement.PlacementDriver;
+import org.pollenhoist.serving.request.AnswerMemory;
 import org.pollenhoist.serving.request.RequestEnvironment;
 import org.pollenhoist.serving.request.RequestHandler;
 import org.pollenhoist.serving.request.RequestMetrics;
@@ -66,6 +67,9 @@
     /** The same while a team presses on its limit, when digests come more often. */
     private static final Duration CURRENT_REPORTS_UNDER_PRESSURE = Duration.ofMillis(400);
 
+    /** What answers may hold that are gathered before they are passed on: half of the process's direct memory. */
+    private static final long ANSWER_MEMORY_BYTES = 24L << 20;
+
     /** How often idle connections are looked at. */
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
@@ -180,6 +184,7 @@
                 demand,
                 quarantine,
                 unanswered,
+                new AnswerMemory(ANSWER_MEMORY_BYTES),
                 new RequestMetrics(registry),
                 this::wantBegan);
     }
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
@@ -37,6 +37,7 @@
  * @param demand counts what is asked of models
  * @param quarantine knows requests that crash upstreams
  * @param unanswered remembers attempts that were given up
+ * @param answerMemory bounds answers that are gathered
  * @param metrics counts outcomes
  * @param onWant is told at once when a request begins to wait for a model or adapter
  */
@@ -56,6 +57,7 @@
         DemandMemory demand,
         CrashQuarantine quarantine,
         UnansweredAttempts unanswered,
+        AnswerMemory answerMemory,
         RequestMetrics metrics,
         Runnable onWant) {
 
--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -28,7 +28,7 @@
     private static final String EVENT_STREAM = "text/event-stream";
 
     /** Largest answer that is gathered before it is passed on, in bytes. */
-    private static final int MAXIMUM_WHOLE_BYTES = 16 << 20;
+    private static final int MAXIMUM_WHOLE_BYTES = 8 << 20;
 
     protected final Upstream upstream;
     protected final MonotonicTime startedAt;
@@ -101,6 +101,7 @@
         if (events != null) {
             events.dropPartialEvent();
         }
+        environment.answerMemory().giveBack(whole.readableBytes());
         whole.release();
         whole = Unpooled.EMPTY_BUFFER;
     }
@@ -175,6 +176,10 @@
             breakOff("answer_too_large");
             return;
         }
+        if (!environment.answerMemory().tryTake(part.readableBytes())) {
+            breakOff("no_memory_for_answers");
+            return;
+        }
         if (whole.capacity() == 0) {
             whole = PooledByteBufAllocator.DEFAULT.buffer(part.readableBytes());
         }
