--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -246,7 +246,19 @@
                 "reason",
                 reason,
                 "after_ms",
-                environment.clock().get().since(startedAt).toMillis());
+                environment.clock().get().since(startedAt).toMillis(),
+                "progress",
+                progress(),
+                "segments",
+                request.promptSegments().stream().map(PromptSegment::identifier).toList());
+    }
+
+    /** Returns how much of the response has been received, for the log. */
+    private String progress() {
+        if (isPrefillDone) {
+            return "events";
+        }
+        return head == null ? "none" : "head";
     }
 
     /** Returns the fingerprint that is the same for all repeats of the request. */
