--- a/library/src/main/java/org/pollenhoist/request/CrashCase.java
+++ b/library/src/main/java/org/pollenhoist/request/CrashCase.java
@@ -3,28 +3,20 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.UpstreamName;
-import org.pollenhoist.common.VmName;
 
 /** The crashes, the trial and the verdict of one suspect request. Not thread-safe: guarded by the quarantine's lock. */
 final class CrashCase {
 
-    private static final long NO_TRIAL = 0;
-
     private final Map<UpstreamLifetime, MonotonicTime> crashes = new TreeMap<>();
     private final Set<UpstreamLifetime> refuted = new HashSet<>();
+    private final TrialClaim trial = new TrialClaim();
     private MonotonicTime liveUntil;
-    private VmName claimant;
-    private MonotonicTime claimedUntil;
-    private MonotonicTime trialAllowedFrom;
-    private boolean isAnnounced;
-    private long runningTrial = NO_TRIAL;
     private boolean isVerdict;
 
     void addCrash(UpstreamLifetime lifetime, MonotonicTime now, MonotonicTime until) {
@@ -43,7 +35,7 @@
         refuted.addAll(lifetimes);
         if (crashes.isEmpty()) {
             liveUntil = expiresAt;
-            claimant = null;
+            trial.release();
         }
     }
 
@@ -86,62 +78,8 @@
         return liveUntil.since(now);
     }
 
-    Optional<VmName> claimant(MonotonicTime now) {
-        return isClaimed(now) ? Optional.of(claimant) : Optional.empty();
-    }
-
-    boolean isClaimedByOther(VmName self, MonotonicTime now) {
-        return isClaimed(now) && !claimant.equals(self);
-    }
-
-    /** Claims the trial for this VM. Returns the time to wait before it may start, or empty if it may start now. */
-    Optional<Duration> claim(VmName self, MonotonicTime now, Duration settling, Duration lifetime) {
-        if (!isClaimed(now)) {
-            claimant = self;
-            claimedUntil = now.plus(lifetime);
-            trialAllowedFrom = now.plus(settling);
-            isAnnounced = false;
-        }
-        return now.isBefore(trialAllowedFrom) ? Optional.of(trialAllowedFrom.since(now)) : Optional.empty();
-    }
-
-    /** Returns true if the claim has not been announced to the other VMs yet, and marks it as announced. */
-    boolean takeUnannouncedClaim() {
-        boolean isFirst = !isAnnounced;
-        isAnnounced = true;
-        return isFirst;
-    }
-
-    /** Applies a claim of another VM. The VM with the lower name wins, unless the trial is already running here. */
-    void receiveClaim(VmName other, VmName self, MonotonicTime until) {
-        boolean isOwnClaim = claimant != null && claimant.equals(self);
-        if (isOwnClaim && (isTrialRunning() || self.compareTo(other) < 0)) {
-            return;
-        }
-        claimant = other;
-        claimedUntil = until;
-    }
-
-    /** Starts a trial with the given positive number. Returns false if a trial is already running. */
-    boolean startTrial(long number) {
-        if (isTrialRunning()) {
-            return false;
-        }
-        runningTrial = number;
-        return true;
-    }
-
-    void endTrial(long number) {
-        if (runningTrial == number) {
-            runningTrial = NO_TRIAL;
-        }
-    }
-
-    private boolean isTrialRunning() {
-        return runningTrial != NO_TRIAL;
-    }
-
-    private boolean isClaimed(MonotonicTime now) {
-        return claimant != null && (isTrialRunning() || now.isBefore(claimedUntil));
+    /** Returns the claim of a VM to run the trial. */
+    TrialClaim trial() {
+        return trial;
     }
 }
--- a/library/src/main/java/org/pollenhoist/request/CrashQuarantine.java
+++ b/library/src/main/java/org/pollenhoist/request/CrashQuarantine.java
@@ -94,7 +94,7 @@
         synchronized (lock) {
             CrashCase found = liveCase(fingerprint, now);
             admission = found == null ? new Admission.Unrestricted() : decide(found, copies, now);
-            if (admission instanceof Admission.AskAgain && found.takeUnannouncedClaim()) {
+            if (admission instanceof Admission.AskAgain && found.trial().takeUnannounced()) {
                 notice = notice(fingerprint, found, now);
             }
         }
@@ -203,7 +203,7 @@
         synchronized (lock) {
             CrashCase found = cases.get(fingerprint);
             if (found != null) {
-                found.endTrial(trial.number());
+                found.trial().endTrial(trial.number());
             }
         }
     }
@@ -239,7 +239,7 @@
             }
             MonotonicTime until = now.plus(notice.remaining());
             notice.crashes().forEach(lifetime -> found.addCrash(lifetime, now, until));
-            notice.trialVm().ifPresent(vm -> found.receiveClaim(vm, self, now.plus(CLAIM_LIFETIME)));
+            notice.trialVm().ifPresent(vm -> found.trial().receive(vm, self, now.plus(CLAIM_LIFETIME)));
             judge(notice.fingerprint(), found, notice.isVerdict(), source, now);
         }
     }
@@ -294,17 +294,18 @@
         if (blamedCrashes(found, now) == 0) {
             return new Admission.Unrestricted();
         }
-        if (copies.copies(found.upstreams()) <= 1 || found.isClaimedByOther(self, now)) {
+        if (copies.copies(found.upstreams()) <= 1 || found.trial().isHeldByOther(self, now)) {
             return new Admission.Refused(RETRY_AFTER);
         }
-        return found.claim(self, now, CLAIM_SETTLING, CLAIM_LIFETIME)
+        return found.trial()
+                .claim(self, now, CLAIM_SETTLING, CLAIM_LIFETIME)
                 .<Admission>map(Admission.AskAgain::new)
                 .orElseGet(() -> startTrial(found));
     }
 
     private Admission startTrial(CrashCase found) {
         long number = ++lastTrial;
-        if (!found.startTrial(number)) {
+        if (!found.trial().startTrial(number)) {
             return new Admission.Refused(RETRY_AFTER);
         }
         return new Admission.Trial(number, found.upstreams());
@@ -365,7 +366,12 @@
 
     private CrashNotice notice(RequestFingerprint fingerprint, CrashCase found, MonotonicTime now) {
         return new CrashNotice(
-                fingerprint, found.crashes(), found.claimant(now), false, found.isVerdict(), found.remaining(now));
+                fingerprint,
+                found.crashes(),
+                found.trial().claimant(now),
+                false,
+                found.isVerdict(),
+                found.remaining(now));
     }
 
     private void send(CrashNotice notice) {
--- a/serving/src/main/java/org/pollenhoist/serving/node/CrashReview.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/CrashReview.java
@@ -4,11 +4,13 @@
 import java.util.Optional;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.request.CrashQuarantine;
+import org.pollenhoist.request.UpstreamLifetime;
+import org.pollenhoist.serving.segment.SegmentQuarantine;
 import org.pollenhoist.serving.upstream.UpstreamTable;
 
 /**
  * Distinguishes crashes of upstreams from broken connections: after a crash, the upstream's store entry expires or is
- * replaced by one with a later start time. Confined to the event loop.
+ * replaced by one with a later start time, and until then it sends nothing. Confined to the event loop.
  */
 final class CrashReview {
 
@@ -18,13 +20,21 @@
     /** Maximum time until the expiry of an entry is known on this VM. */
     private static final Duration MAX_PROPAGATION = Duration.ofSeconds(3);
 
+    /** Time after a crash until which data that the upstream sent before may still arrive. */
+    private static final Duration MAX_DATA_DELAY = Duration.ofMillis(100);
+
+    /** Time after a crash in which the upstream can't have restarted, so that data comes from the same lifetime. */
+    private static final Duration MIN_RESTART_TIME = Duration.ofSeconds(1);
+
     private final CrashQuarantine quarantine;
+    private final SegmentQuarantine segments;
     private final UpstreamTable upstreams;
     private final Duration crashVisibleWithin;
     private Optional<MonotonicTime> storeKnownSince = Optional.empty();
 
-    CrashReview(CrashQuarantine quarantine, UpstreamTable upstreams, Duration heartbeat) {
+    CrashReview(CrashQuarantine quarantine, SegmentQuarantine segments, UpstreamTable upstreams, Duration heartbeat) {
         this.quarantine = quarantine;
+        this.segments = segments;
         this.upstreams = upstreams;
         this.crashVisibleWithin = heartbeat.multipliedBy(MISSED_HEARTBEATS).plus(MAX_PROPAGATION);
     }
@@ -37,14 +47,27 @@
      * @param now the current time
      */
     void tick(boolean isStoreKnown, MonotonicTime now) {
-        if (!isStoreKnown) {
-            storeKnownSince = Optional.empty();
-            return;
-        }
-        MonotonicTime since = storeKnownSince.orElse(now);
-        storeKnownSince = Optional.of(since);
-        if (now.since(since).compareTo(crashVisibleWithin) >= 0) {
+        storeKnownSince = isStoreKnown ? Optional.of(storeKnownSince.orElse(now)) : Optional.empty();
+        boolean haveEntriesExpired = storeKnownSince
+                .filter(since -> now.since(since).compareTo(crashVisibleWithin) >= 0)
+                .isPresent();
+        if (haveEntriesExpired) {
             quarantine.review(upstreams::contains, crashVisibleWithin, now);
         }
+        segments.review(
+                (lifetime, endedAt) -> hasSentDataSince(lifetime, endedAt)
+                        || (haveEntriesExpired
+                                && upstreams.contains(lifetime)
+                                && now.since(endedAt).compareTo(crashVisibleWithin) >= 0),
+                now);
+    }
+
+    private boolean hasSentDataSince(UpstreamLifetime lifetime, MonotonicTime endedAt) {
+        return upstreams.contains(lifetime)
+                && upstreams
+                        .find(lifetime.upstream().value())
+                        .filter(upstream -> upstream.hasLastRespondedBetween(
+                                endedAt.plus(MAX_DATA_DELAY), endedAt.plus(MIN_RESTART_TIME)))
+                        .isPresent();
     }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.request.CrashNotice;
 import org.pollenhoist.serving.limit.FleetRateLimiter;
 import org.pollenhoist.serving.placement.Leadership;
 import org.pollenhoist.serving.placement.ModelRequest;
@@ -19,7 +18,6 @@
 import org.pollenhoist.serving.upstream.LoadSnapshot;
 import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamTable;
-import org.pollenhoist.vm.CrashVerdictExchange;
 import org.pollenhoist.vm.generated.DomainSummary;
 import org.pollenhoist.vm.generated.ModelDemand;
 import org.pollenhoist.vm.generated.TeamSpending;
@@ -55,8 +53,8 @@
             boolean isPlacing,
             boolean isStopping,
             Collection<Upstream> announcedEngines,
-            List<CrashNotice> crashNotices,
             Optional<Leadership.Resignation> resignation,
+            CrashTracking crashes,
             MonotonicTime now) {
         VmDigest.Builder digest = VmDigest.newBuilder()
                 .setVmName(vmName)
@@ -72,7 +70,7 @@
         upstreams.forEach(upstream -> addLoad(digest, upstream, now));
         upstreams.stream().filter(Upstream::hasAnnouncedLeaving).forEach(upstream -> addLeaving(digest, upstream));
         addModelRequests(digest, modelRequests);
-        crashNotices.forEach(notice -> digest.addCrashVerdicts(CrashVerdictExchange.toMessage(notice)));
+        crashes.addTo(digest, now);
         resignation.ifPresent(present -> addResignation(digest, present, now));
         if (isPlacing) {
             announcedEngines.forEach(upstream -> addResidentModels(digest, upstream, now));
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.request.CrashQuarantine;
 import org.pollenhoist.serving.limit.FleetRateLimiter;
 import org.pollenhoist.serving.peer.PeerExchange;
 import org.pollenhoist.serving.peer.PeerReport;
@@ -20,7 +19,6 @@
 import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamNoticeHandler;
 import org.pollenhoist.serving.upstream.UpstreamTable;
-import org.pollenhoist.vm.CrashVerdictExchange;
 import org.pollenhoist.vm.generated.DomainSummary;
 import org.pollenhoist.vm.generated.VmDigest;
 
@@ -75,6 +73,9 @@
      */
     private static final Duration MIN_SPENDING_SPACING = Duration.ofMillis(20);
 
+    /** Minimum time between two digests sent because of crashes: one crash breaks many connections at once. */
+    private static final Duration MIN_CRASH_SPACING = Duration.ofMillis(20);
+
     /** Same as {@link #MIN_SPENDING_SPACING}, for a large fleet, where each such digest goes to more peers. */
     private static final Duration LARGE_FLEET_MIN_SPENDING_SPACING = Duration.ofMillis(50);
 
@@ -133,7 +134,7 @@
     private final UpstreamNoticeHandler notices;
     private final FleetRateLimiter limits;
     private final DemandRates demandRates;
-    private final CrashQuarantine quarantine;
+    private final CrashTracking crashes;
     private final LocalVm localVm;
     private final ReportedLoads peerLoads;
     private final ReportedLoads domainLoads;
@@ -156,7 +157,7 @@
             UpstreamNoticeHandler notices,
             FleetRateLimiter limits,
             DemandRates demandRates,
-            CrashQuarantine quarantine,
+            CrashTracking crashes,
             LocalVm localVm) {
         this.timer = timer;
         this.clock = clock;
@@ -165,7 +166,7 @@
         this.notices = notices;
         this.limits = limits;
         this.demandRates = demandRates;
-        this.quarantine = quarantine;
+        this.crashes = crashes;
         this.localVm = localVm;
         this.peerLoads = new ReportedLoads(upstreams, Upstream::updatePeerLoad, Upstream::removePeerLoad);
         this.domainLoads = new ReportedLoads(upstreams, Upstream::updateDomainLoad, Upstream::removeDomainLoad);
@@ -376,6 +377,11 @@
         scheduleSend(MIN_DIGEST_SPACING);
     }
 
+    /** Announces promptly what may have crashed upstreams. */
+    void announceCrashes() {
+        scheduleSend(MIN_CRASH_SPACING);
+    }
+
     /** Announces promptly what teams have spent at this VM. */
     void announceSpending() {
         scheduleSend(isFullMesh() ? MIN_SPENDING_SPACING : LARGE_FLEET_MIN_SPENDING_SPACING);
@@ -419,8 +425,7 @@
         digest.getLeavingUpstreamsList()
                 .forEach(leaving -> notices.handlePeerNotice(
                         leaving.getUpstream(), leaving.getStartedMilliseconds(), digest.getVmName()));
-        digest.getCrashVerdictsList()
-                .forEach(verdict -> quarantine.receive(CrashVerdictExchange.fromMessage(verdict), now));
+        crashes.receive(digest, now);
         DigestCodec.demand(digest).ifPresent(demand -> demandRates.onReport(digest.getVmName(), demand, now));
         boolean isSendingOrders = localVm.isSendingOrders(now);
         if (digest.getHoldingsCount() > 0 && !isSendingOrders) {
--- a/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
@@ -21,8 +21,8 @@
 import org.pollenhoist.serving.upstream.UpstreamTable;
 
 /**
- * Applies changes of the store: the active configuration, the upstreams, the peers, the verdicts, the leadership
- * record, and this VM's registration. Confined to the event loop.
+ * Applies changes of the store: the active configuration, the upstreams, the peers, the verdicts on what
+ * crashes upstreams, the leadership record, and this VM's registration. Confined to the event loop.
  */
 final class FleetState implements StoreMirror.Listener {
 
@@ -39,7 +39,7 @@
     private final Store store;
     private final Consumer<Catalog> onCatalog;
     private final Leadership leadership;
-    private final VerdictRecords verdicts;
+    private final CrashTracking crashes;
     private Optional<Catalog> catalog = Optional.empty();
     private boolean isLoaded;
     private boolean isRegistered;
@@ -54,7 +54,7 @@
             Store store,
             Consumer<Catalog> onCatalog,
             Leadership leadership,
-            VerdictRecords verdicts) {
+            CrashTracking crashes) {
         this.settings = settings;
         this.binding = binding;
         this.clock = clock;
@@ -63,7 +63,7 @@
         this.store = store;
         this.onCatalog = onCatalog;
         this.leadership = leadership;
-        this.verdicts = verdicts;
+        this.crashes = crashes;
     }
 
     Optional<Catalog> catalog() {
@@ -78,10 +78,10 @@
             installUpstream(item);
         } else if (item.key().startsWith(VM_PREFIX)) {
             installPeer(item);
-        } else if (item.key().startsWith(VerdictRecords.PREFIX)) {
-            verdicts.onWritten(item, clock.get());
         } else if (item.key().equals(LEADER_KEY)) {
             leadership.onRecord(Optional.of(item), clock.get());
+        } else {
+            crashes.onWritten(item, clock.get());
         }
     }
 
@@ -90,9 +90,10 @@
         if (key.equals(LEADER_KEY)) {
             leadership.onRecord(Optional.empty(), clock.get());
         }
-        if (key.startsWith(VerdictRecords.PREFIX)) {
-            verdicts.onRemoved(key);
-        } else if (key.startsWith(binding.upstreamPrefix())) {
+        if (crashes.onRemoved(key)) {
+            return;
+        }
+        if (key.startsWith(binding.upstreamPrefix())) {
             upstreams.remove(key.substring(binding.upstreamPrefix().length()), "entry removed");
         } else if (key.startsWith(VM_PREFIX)) {
             String vm = key.substring(VM_PREFIX.length());
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -14,9 +14,6 @@
 import java.util.concurrent.TimeUnit;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.common.VmName;
-import org.pollenhoist.request.CrashNotice;
-import org.pollenhoist.request.CrashQuarantine;
 import org.pollenhoist.serving.catalog.CallerLimits;
 import org.pollenhoist.serving.catalog.Catalog;
 import org.pollenhoist.serving.http.BufferedHttpClient;
@@ -107,11 +104,8 @@
     private final StoreSynchronizer synchronizer;
     private final Leadership leadership;
     private final PlacementDriver placement;
-    private final CrashQuarantine quarantine;
+    private final CrashTracking crashes;
     private final UnansweredAttempts unanswered;
-    private final CrashReview crashReview;
-    private final CrashNotices crashNotices;
-    private final VerdictRecords verdicts;
     private final RequestHandler handler;
     private final CallerServer callers;
     private final PlannedStop stop;
@@ -132,14 +126,18 @@
         demandRates = new DemandRates();
         connections = new HttpConnectionPool(loop, bootClock::read, this::upstreamResponded);
         BufferedHttpClient client = new BufferedHttpClient(loop, connections);
-        quarantine = new CrashQuarantine(VmName.of(settings.vmName()), this::announceCrash);
-        unanswered = new UnansweredAttempts(quarantine);
-        crashNotices = new CrashNotices(quarantine::verdicts);
-        crashReview = new CrashReview(quarantine, upstreams, settings.upstreamHeartbeat());
         datagrams = new DatagramSocket(loop);
         peers = new PeerExchange(datagrams, bootClock::read, settings.vmName(), this::receive);
         Store store = binding.store(client, settings);
-        verdicts = new VerdictRecords(store, quarantine);
+        crashes = new CrashTracking(
+                settings.vmName(),
+                bootClock::read,
+                upstreams,
+                settings.upstreamHeartbeat(),
+                store,
+                registry,
+                this::announceCrashes);
+        unanswered = new UnansweredAttempts(crashes.recorder());
         leadership = new Leadership(
                 store,
                 FleetState.LEADER_KEY,
@@ -148,7 +146,7 @@
                 settings.isFirstStart(),
                 now);
         state = new FleetState(
-                settings, binding, bootClock::read, upstreams, peers, store, this::configure, leadership, verdicts);
+                settings, binding, bootClock::read, upstreams, peers, store, this::configure, leadership, crashes);
         mirror = new StoreMirror(loop, bootClock::read, store, state, this::batchingDelay);
         relay = new StoreRelayExchange(client, peers, mirror, bootClock::read);
         placement = new PlacementDriver(
@@ -167,7 +165,7 @@
                 notices,
                 limits,
                 demandRates,
-                quarantine,
+                crashes,
                 new LocalVmAdapter());
         synchronizer = new StoreSynchronizer(mirror, relay, digests);
         handler = new RequestHandler(environment());
@@ -190,7 +188,7 @@
                 retryBudgets::of,
                 this::fleetSize,
                 demand,
-                quarantine,
+                crashes.recorder(),
                 unanswered,
                 new ResponseBufferBudget(RESPONSE_BUFFER_BYTES),
                 new RequestMetrics(registry),
@@ -217,12 +215,8 @@
         digests.announceLeaving();
     }
 
-    private void announceCrash(CrashNotice notice) {
-        MonotonicTime now = bootClock.read();
-        crashNotices.add(notice, now);
-        if (notice.isVerdict()) {
-            verdicts.write(notice, now);
-        }
+    private void announceCrashes() {
+        digests.announceCrashes();
     }
 
     private void announceSpending() {
@@ -318,8 +312,7 @@
         sweptAt = now;
         callers.closeTimedOut(now);
         connections.closeIdle(now);
-        crashReview.tick(synchronizer.isCurrent(now), now);
-        verdicts.tick(vmIndex(now), now);
+        crashes.tick(synchronizer.isCurrent(now), vmIndex(now), now);
         if (!stop.isStopping()) {
             state.registerIfMissing();
         }
@@ -445,8 +438,8 @@
                     placement.isSendingOrders(now),
                     stop.isStopping(),
                     engines,
-                    crashNotices.next(now),
                     leadership.resignation(),
+                    crashes,
                     now);
         }
 
@@ -458,7 +451,7 @@
         @Override
         public boolean hasUrgentNotices(MonotonicTime now) {
             boolean hasResigned = leadership.resignation().isPresent() && leadership.isVacant();
-            return hasResigned || crashNotices.hasNewNotices(now);
+            return hasResigned || crashes.hasNews(now);
         }
 
         @Override
--- a/serving/src/main/java/org/pollenhoist/serving/node/VerdictRecords.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/VerdictRecords.java
@@ -11,22 +11,33 @@
 import java.util.function.Predicate;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.request.CrashNotice;
-import org.pollenhoist.request.CrashQuarantine;
+import org.pollenhoist.common.PollenhoistException;
 import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreItem;
 import org.pollenhoist.serving.store.StoreResult;
-import org.pollenhoist.vm.CrashVerdictExchange;
-import org.pollenhoist.vm.generated.CrashVerdict;
 
 /**
- * Persists verdicts on requests that crash upstreams in the store, so that they survive a restart of all VMs. The VM
- * that reaches a verdict writes it immediately. Any VM that knows a verdict missing from the store writes it after
- * a delay that differs per VM; lifted verdicts are removed in the same way. Confined to the event loop.
+ * Persists verdicts on what crashes upstreams in the store, so that they survive a restart of all VMs. The VM that
+ * reaches a verdict writes it immediately. Any VM that knows a verdict missing from the store writes it after a delay
+ * that differs per VM; lifted verdicts are removed in the same way. Confined to the event loop.
  */
 final class VerdictRecords {
 
-    static final String PREFIX = "pollenhoist/quarantine/";
+    /** The verdicts of one kind that are in force. */
+    interface Verdicts {
+
+        /** Returns the stored form of each verdict by its name, which is unique among verdicts of this kind. */
+        Map<String, byte[]> active(MonotonicTime now);
+
+        /**
+         * Restores a verdict from its stored form.
+         *
+         * @throws InvalidProtocolBufferException if it can't be decoded
+         * @throws IllegalArgumentException if it has values that can't occur
+         * @throws PollenhoistException if it has a name of a form that can't occur
+         */
+        void restore(byte[] stored, MonotonicTime now) throws InvalidProtocolBufferException;
+    }
 
     /** How long the store keeps a verdict that is not written again. */
     private static final Duration LEASE = Duration.ofMinutes(10);
@@ -45,21 +56,35 @@
 
     private static final DecisionLog LOG = DecisionLog.of("store");
 
+    private final String prefix;
     private final Store store;
-    private final CrashQuarantine quarantine;
+    private final Verdicts verdicts;
     private final Set<String> storedKeys = new HashSet<>();
     private final Map<String, MonotonicTime> nextAttempts = new HashMap<>();
 
-    VerdictRecords(Store store, CrashQuarantine quarantine) {
+    /**
+     * Creates an instance that knows no stored verdicts yet.
+     *
+     * @param prefix the prefix of the verdicts' keys in the store
+     * @param store the store
+     * @param verdicts the verdicts that this VM knows
+     */
+    VerdictRecords(String prefix, Store store, Verdicts verdicts) {
+        this.prefix = prefix;
         this.store = store;
-        this.quarantine = quarantine;
+        this.verdicts = verdicts;
+    }
+
+    /** Returns whether a key of the store holds a verdict of this kind. */
+    boolean isStoredAt(String key) {
+        return key.startsWith(prefix);
     }
 
     void onWritten(StoreItem item, MonotonicTime now) {
         try {
-            quarantine.restore(CrashVerdictExchange.fromMessage(CrashVerdict.parseFrom(item.value())), now);
+            verdicts.restore(item.value(), now);
             storedKeys.add(item.key());
-        } catch (InvalidProtocolBufferException | IllegalArgumentException unreadable) {
+        } catch (InvalidProtocolBufferException | IllegalArgumentException | PollenhoistException unreadable) {
             LOG.event("verdict_unreadable", "key", item.key(), "reason", unreadable.getMessage());
         }
     }
@@ -68,12 +93,19 @@
         storedKeys.remove(key);
     }
 
-    /** Writes a verdict that this VM has reached. */
-    void write(CrashNotice verdict, MonotonicTime now) {
-        String key = key(verdict);
-        if (!storedKeys.contains(key) && isDue(key, Duration.ZERO, now)) {
-            write(key, verdict);
-        }
+    /** Writes verdicts that this VM has just reached. */
+    void writeNew(MonotonicTime now) {
+        activeByKey(now).forEach((key, stored) -> {
+            if (!storedKeys.contains(key) && isDue(key, Duration.ZERO, now)) {
+                write(key, stored);
+            }
+        });
+    }
+
+    private Map<String, byte[]> activeByKey(MonotonicTime now) {
+        Map<String, byte[]> byKey = new HashMap<>();
+        verdicts.active(now).forEach((name, stored) -> byKey.put(prefix + name, stored));
+        return byKey;
     }
 
     /**
@@ -84,23 +116,22 @@
      */
     void tick(int vmIndex, MonotonicTime now) {
         Duration delay = WRITE_STAGGER.multipliedBy(vmIndex + 1L);
-        Map<String, CrashNotice> verdicts = new HashMap<>();
-        quarantine.verdicts(now).forEach(verdict -> verdicts.put(key(verdict), verdict));
-        nextAttempts.keySet().removeIf(isConsistent(verdicts.keySet()));
-        verdicts.forEach((key, verdict) -> {
+        Map<String, byte[]> active = activeByKey(now);
+        nextAttempts.keySet().removeIf(isConsistent(active.keySet()));
+        active.forEach((key, stored) -> {
             if (!storedKeys.contains(key) && isDue(key, delay, now)) {
-                write(key, verdict);
+                write(key, stored);
             }
         });
         for (String key : Set.copyOf(storedKeys)) {
-            if (!verdicts.containsKey(key) && isDue(key, delay.plus(REVIEW_SKEW), now)) {
+            if (!active.containsKey(key) && isDue(key, delay.plus(REVIEW_SKEW), now)) {
                 remove(key);
             }
         }
     }
 
-    private Predicate<String> isConsistent(Set<String> verdicts) {
-        return key -> storedKeys.contains(key) == verdicts.contains(key);
+    private Predicate<String> isConsistent(Set<String> active) {
+        return key -> storedKeys.contains(key) == active.contains(key);
     }
 
     private boolean isDue(String key, Duration delay, MonotonicTime now) {
@@ -112,17 +143,12 @@
         return isDue;
     }
 
-    private static String key(CrashNotice verdict) {
-        return PREFIX + verdict.fingerprint();
-    }
-
-    private void write(String key, CrashNotice verdict) {
+    private void write(String key, byte[] value) {
         store.grantLease(LEASE, granted -> {
             if (!(granted instanceof StoreResult.Success<Long> lease)) {
                 LOG.event("verdict_not_kept", "key", key, "reason", granted);
                 return;
             }
-            byte[] value = CrashVerdictExchange.toMessage(verdict).toByteArray();
             store.commit(
                     List.of(new Store.Condition(key, 0)),
                     List.of(new Store.Write(key, value, OptionalLong.of(lease.value()))),
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
@@ -8,7 +8,6 @@
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.request.CrashQuarantine;
 import org.pollenhoist.serving.catalog.Catalog;
 import org.pollenhoist.serving.catalog.Route;
 import org.pollenhoist.serving.http.HttpConnectionPool;
@@ -35,7 +34,7 @@
  * @param retryBudgets returns the retry budget of a service by name
  * @param fleetSize supplies the number of VMs in the fleet
  * @param demand records the work requested from each model
- * @param quarantine tracks requests that crash upstreams
+ * @param crashes tracks what crashes upstreams
  * @param unansweredAttempts the attempts that were cancelled before they had a response
  * @param responseBufferBudget limits the memory of buffered responses
  * @param metrics the metrics of requests
@@ -55,7 +54,7 @@
         Function<String, FleetRetryBudget> retryBudgets,
         IntSupplier fleetSize,
         DemandTracker demand,
-        CrashQuarantine quarantine,
+        CrashRecorder crashes,
         UnansweredAttempts unansweredAttempts,
         ResponseBufferBudget responseBufferBudget,
         RequestMetrics metrics,
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestLog.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestLog.java
@@ -1,8 +1,10 @@
 package org.pollenhoist.serving.request;
 
 import java.time.Duration;
+import java.util.Set;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.serving.routing.Selection;
+import org.pollenhoist.serving.segment.SegmentKey;
 import org.pollenhoist.serving.upstream.LoadSnapshot;
 
 /** Logs the decisions on a request. {@code docs/OPERATIONS.md} explains how to find causes from these events. */
@@ -25,6 +27,10 @@
                 "suspicion", "request", identifier, "fingerprint", fingerprint, "decision", decision, "reason", reason);
     }
 
+    static void suspectedSegments(String identifier, Set<SegmentKey> segments, String decision) {
+        LOG.event("suspicion", "request", identifier, "segments", segments, "decision", decision);
+    }
+
     private static void route(String identifier, CallerRequest request, String decision, String reason) {
         LOG.event(
                 "route",
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -15,7 +16,7 @@
 import org.pollenhoist.common.ErrorCode;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.UpstreamName;
-import org.pollenhoist.request.RequestFingerprint;
+import org.pollenhoist.serving.catalog.RequestKind;
 import org.pollenhoist.serving.catalog.Route;
 import org.pollenhoist.serving.catalog.Service;
 import org.pollenhoist.serving.catalog.Team;
@@ -27,6 +28,7 @@
 import org.pollenhoist.serving.placement.ModelRequest;
 import org.pollenhoist.serving.routing.Selection;
 import org.pollenhoist.serving.routing.SelectionRequest;
+import org.pollenhoist.serving.segment.SegmentKey;
 import org.pollenhoist.serving.upstream.LoadSnapshot;
 import org.pollenhoist.serving.upstream.Upstream;
 
@@ -61,7 +63,7 @@
     private Route route;
     private Service service;
     private Optional<Team> team = Optional.empty();
-    private long reservedTokens;
+    private TokenReservation reservation;
     private MonotonicTime deadline;
     private Optional<MonotonicTime> latestEnd = Optional.empty();
     private int attemptCount;
@@ -89,6 +91,7 @@
         this.onEnd = onEnd;
         this.arrivedAt = environment.clock().get();
         this.deadline = arrivedAt;
+        this.reservation = new TokenReservation(environment.limits(), Optional.empty(), 0);
     }
 
     @Override
@@ -128,10 +131,11 @@
         route = admitted.route();
         service = admitted.service();
         team = admitted.team();
-        reservedTokens = admitted.tokens();
+        reservation = new TokenReservation(environment.limits(), team, admitted.tokens());
         deadline = admitted.deadline().earlierOf(latestEnd.orElse(admitted.deadline()));
         environment.retryBudgets().apply(service.name()).recordRequest(now);
-        suspicion = new CrashSuspicion(environment, identifier, incoming, teamName(), now);
+        List<SegmentKey> segments = SegmentKey.sharedBy(service.name(), request.promptSegments());
+        suspicion = new CrashSuspicion(environment, identifier, incoming, teamName(), segments, now);
         environment.recordArrival(route, request, now);
         dispatch(now);
     }
@@ -194,15 +198,11 @@
                 deadline,
                 route.latencyObjective(),
                 environment.shortestObjectives(service.name()),
-                callerLeavesAt(),
+                arrivedAt.plus(route.firstEventTimeout()).earlierOf(deadline),
                 triedUpstreams.excluded(now),
                 triedUpstreams.avoided());
     }
 
-    private MonotonicTime callerLeavesAt() {
-        return arrivedAt.plus(route.firstEventTimeout()).earlierOf(deadline);
-    }
-
     private void enqueue(Selection.Wait wait) {
         Optional<ModelRequest> newModelRequest = wait.needsPlacement()
                 ? Optional.of(new ModelRequest(service.name(), request.model(), requestedAdapter()))
@@ -256,6 +256,7 @@
         if (!request.adapter().isEmpty()) {
             upstream.recordAdapterUse(request.model() + "/" + request.adapter(), now);
         }
+        suspicion.recordSent(now);
         attempt = new Attempt(upstream, load.tokensAwaitingPrefill(), now);
         attempt.begin(now);
     }
@@ -286,25 +287,20 @@
     }
 
     private void refuse(Refusal refusal, MonotonicTime now) {
-        refundTokens(refusal, now);
+        if (refusal.isNotRun()) {
+            reservation.refund(now);
+        }
         HttpHeaders headers = Messages.refusal(refusal, identifier, environment.format());
         end(refusal.code().text(), refusal.message(), now);
         response.sendFull(refusal.status(), headers, Unpooled.wrappedBuffer(refusal.body()));
     }
 
-    private void refundTokens(Refusal refusal, MonotonicTime now) {
-        if (refusal.isNotRun() && reservedTokens > 0) {
-            environment.limits().refund(team.orElseThrow(), reservedTokens, now);
-            reservedTokens = 0;
-        }
-    }
-
     /** Ends the request and cancels its attempt, since the caller has closed the connection. */
     void onCallerDisconnected() {
         if (!isEnded) {
             MonotonicTime now = environment.clock().get();
-            if (attempt == null && reservedTokens > 0) {
-                environment.limits().refund(team.orElseThrow(), reservedTokens, now);
+            if (attempt == null) {
+                reservation.refund(now);
             }
             end("caller_gone", "connection closed", now);
         }
@@ -335,7 +331,7 @@
             attempt.cancel();
         }
         if (suspicion != null) {
-            suspicion.endTrial();
+            suspicion.endTrial(now);
         }
         incoming.body().release();
         String routeName = route == null ? "none" : route.name();
@@ -383,13 +379,13 @@
         }
 
         @Override
-        protected RequestFingerprint fingerprint() {
-            return suspicion.fingerprint();
+        protected CrashEvidence evidence() {
+            return suspicion.evidence();
         }
 
         @Override
         protected boolean isStream() {
-            return route.kind() == org.pollenhoist.serving.catalog.RequestKind.STREAM;
+            return route.kind() == RequestKind.STREAM;
         }
 
         @Override
@@ -399,7 +395,9 @@
                 environment
                         .prefillRates()
                         .observe(request.model(), tokensAwaitingPrefill + request.promptTokens(), now.since(startedAt));
-                upstream.addCachedSegments(request.model(), request.promptSegments());
+                upstream.promptCache().add(request.model(), request.promptSegments());
+            } else {
+                suspicion.recordContinuedAnswer(now);
             }
             observeFirstByte(now);
             startResponse(head);
--- a/serving/src/main/java/org/pollenhoist/serving/request/UnansweredAttempts.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UnansweredAttempts.java
@@ -4,8 +4,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.request.CrashQuarantine;
-import org.pollenhoist.request.RequestFingerprint;
 import org.pollenhoist.serving.upstream.Upstream;
 
 /**
@@ -26,36 +24,36 @@
      */
     private static final Duration MAXIMUM_CRASH_DELAY = Duration.ofMillis(500);
 
-    private record Unanswered(RequestFingerprint request, Upstream upstream, MonotonicTime endedAt) {}
+    private record Unanswered(CrashEvidence evidence, Upstream upstream, MonotonicTime endedAt) {}
 
-    private final CrashQuarantine quarantine;
+    private final CrashRecorder recorder;
     private final Deque<Unanswered> attempts = new ArrayDeque<>();
 
     /**
      * Creates an empty record.
      *
-     * @param quarantine receives crashes that these attempts may have caused
+     * @param recorder receives crashes that these attempts may have caused
      */
-    public UnansweredAttempts(CrashQuarantine quarantine) {
-        this.quarantine = quarantine;
+    public UnansweredAttempts(CrashRecorder recorder) {
+        this.recorder = recorder;
     }
 
     /**
      * Adds an attempt that was cancelled.
      *
-     * @param request the request
+     * @param evidence what the attempt proves if the upstream has crashed
      * @param upstream the upstream that it was sent to
      * @param now the present time
      */
-    void add(RequestFingerprint request, Upstream upstream, MonotonicTime now) {
+    void add(CrashEvidence evidence, Upstream upstream, MonotonicTime now) {
         if (upstream.hasEndedUnexpectedly()) {
-            quarantine.recordBreak(request, upstream.lifetime(), now);
+            recorder.record(evidence, upstream.lifetime(), now);
             return;
         }
         while (attempts.size() >= MAXIMUM_ATTEMPTS || isExpired(attempts.peekFirst(), now)) {
             attempts.removeFirst();
         }
-        attempts.addLast(new Unanswered(request, upstream, now));
+        attempts.addLast(new Unanswered(evidence, upstream, now));
     }
 
     private static boolean isExpired(Unanswered oldest, MonotonicTime now) {
@@ -74,7 +72,7 @@
             boolean hasRespondedLater =
                     attempt.endedAt().plus(MAXIMUM_CRASH_DELAY).isBefore(upstream.lastActivityAt());
             if (isAtUpstream && !hasRespondedLater) {
-                quarantine.recordBreak(attempt.request(), upstream.lifetime(), now);
+                recorder.record(attempt.evidence(), upstream.lifetime(), now);
             }
         }
         attempts.removeIf(attempt -> attempt.upstream() == upstream);
--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -9,7 +9,6 @@
 import java.util.OptionalLong;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.request.RequestFingerprint;
 import org.pollenhoist.serving.http.ExchangeFailure;
 import org.pollenhoist.serving.http.HttpExchange;
 import org.pollenhoist.serving.http.ResponseListener;
@@ -75,19 +74,20 @@
         if (!isClosed) {
             close("cancelled");
             MonotonicTime now = environment.clock().get();
+            CrashEvidence evidence = evidence();
             LOG.event(
                     "attempt_cancelled",
                     "request",
                     request.identifier(),
                     "fingerprint",
-                    fingerprint(),
+                    evidence.request(),
                     "upstream",
                     upstream.description().identifier(),
                     "after_ms",
                     now.since(startedAt).toMillis());
             if (exchange != null) {
                 if (exchange.isSent()) {
-                    environment.unansweredAttempts().add(fingerprint(), upstream, now);
+                    environment.unansweredAttempts().add(evidence, upstream, now);
                 }
                 exchange.cancel();
             }
@@ -261,8 +261,8 @@
         return head == null ? "none" : "head";
     }
 
-    /** Returns the fingerprint that is the same for all repeats of the request. */
-    protected abstract RequestFingerprint fingerprint();
+    /** Returns what this attempt proves if its upstream has crashed. */
+    protected abstract CrashEvidence evidence();
 
     /** Returns whether the response is expected to be a stream of events. */
     protected abstract boolean isStream();
--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -235,7 +235,7 @@
     }
 
     private Backlog backlog(Upstream candidate, LoadSnapshot load, SelectionRequest request) {
-        long cached = candidate.cachedTokens(request.model(), request.promptSegments());
+        long cached = candidate.promptCache().cachedTokens(request.model(), request.promptSegments());
         return new Backlog(
                 prefillRates.estimate(request.model(), load.tokensAwaitingPrefill()),
                 prefillRates.estimate(request.model(), request.promptTokens() - cached),
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
@@ -3,14 +3,11 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.UpstreamName;
 import org.pollenhoist.request.UpstreamLifetime;
-import org.pollenhoist.serving.request.PromptSegment;
 
 /**
  * The state of one lifetime of an upstream, as known to this process: its description, the load from this VM and from
@@ -24,22 +21,11 @@
     /** How long an upstream that could not be reached receives no new request, unless there is no other. */
     private static final Duration UNREACHABLE_PERIOD = Duration.ofSeconds(1);
 
-    /** Maximum number of prompt segments that are tracked as cached by an upstream. */
-    private static final int MAXIMUM_CACHED_SEGMENTS = 512;
-
     private final Map<String, Set<String>> adaptersByModel = new HashMap<>();
     private final Map<String, MonotonicTime> adapterUses = new HashMap<>();
     private final Map<String, LoadSnapshot> peerLoads = new HashMap<>();
     private final Map<String, LoadSnapshot> domainLoads = new HashMap<>();
-    private final Map<String, Integer> cachedSegments = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
-            return size() > MAXIMUM_CACHED_SEGMENTS;
-        }
-    };
-
+    private final PromptCache promptCache = new PromptCache();
     private final Map<String, MonotonicTime> loadingModels = new HashMap<>();
     private UpstreamDescription description;
     private boolean hasEnded;
@@ -52,6 +38,7 @@
     private MonotonicTime unreachableUntil;
     private MonotonicTime backOffEnd;
     private MonotonicTime lastActivityAt;
+    private boolean hasResponded;
 
     Upstream(UpstreamDescription description, MonotonicTime now) {
         this.failures = new DecayingFailureRate(now);
@@ -106,6 +93,18 @@
      */
     public void recordActivity(MonotonicTime now) {
         lastActivityAt = now;
+        hasResponded = true;
+    }
+
+    /**
+     * Returns whether this VM last received data from the upstream within a certain time.
+     *
+     * @param from the start of this time
+     * @param until the end of this time
+     * @return false if it received none at all, or none after the start, or some after the end
+     */
+    public boolean hasLastRespondedBetween(MonotonicTime from, MonotonicTime until) {
+        return hasResponded && from.isBefore(lastActivityAt) && lastActivityAt.isBefore(until);
     }
 
     /**
@@ -401,31 +400,12 @@
     }
 
     /**
-     * Records that the upstream has processed the segments of a prompt and is assumed to cache them.
+     * Returns the prompt segments that the upstream is assumed to cache.
      *
-     * @param model the model that processed them
-     * @param segments the segments in order
+     * @return the cache as known to this VM
      */
-    public void addCachedSegments(String model, List<PromptSegment> segments) {
-        segments.forEach(segment -> cachedSegments.put(model + ' ' + segment.identifier(), segment.tokens()));
-    }
-
-    /**
-     * Estimates how many tokens of a prompt the upstream has cached.
-     *
-     * @param model the model
-     * @param segments the segments of the prompt in order
-     * @return tokens of the leading segments that the upstream has processed before
-     */
-    public long cachedTokens(String model, List<PromptSegment> segments) {
-        long cached = 0;
-        for (PromptSegment segment : segments) {
-            if (!cachedSegments.containsKey(model + ' ' + segment.identifier())) {
-                break;
-            }
-            cached += segment.tokens();
-        }
-        return cached;
+    public PromptCache promptCache() {
+        return promptCache;
     }
 
     /**
--- a/serving/src/test/java/org/pollenhoist/serving/node/CrashReviewTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/CrashReviewTest.java
@@ -15,17 +15,22 @@
 import org.pollenhoist.request.CrashQuarantine;
 import org.pollenhoist.request.RequestFingerprint;
 import org.pollenhoist.request.UpstreamLifetime;
+import org.pollenhoist.serving.segment.SegmentAdmission;
+import org.pollenhoist.serving.segment.SegmentKey;
+import org.pollenhoist.serving.segment.SegmentQuarantine;
 import org.pollenhoist.serving.upstream.UpstreamDescription;
 import org.pollenhoist.serving.upstream.UpstreamTable;
 
 class CrashReviewTest {
 
     private static final RequestFingerprint REQUEST = RequestFingerprint.of("POST", "/charge/1", new byte[] {1});
+    private static final SegmentKey SEGMENT = new SegmentKey("app", "dead0001");
     private static final Duration HEARTBEAT = Duration.ofSeconds(1);
 
     private final UpstreamTable upstreams = new UpstreamTable();
     private final CrashQuarantine quarantine = new CrashQuarantine(VmName.of("vm-1"), notice -> {});
-    private final CrashReview review = new CrashReview(quarantine, upstreams, HEARTBEAT);
+    private final SegmentQuarantine segments = new SegmentQuarantine(VmName.of("vm-1"), () -> {});
+    private final CrashReview review = new CrashReview(quarantine, segments, upstreams, HEARTBEAT);
 
     private static MonotonicTime at(long milliseconds) {
         return MonotonicTime.of(Duration.ofMillis(milliseconds));
@@ -89,5 +94,42 @@
             tick(30_500, 35_500, true);
             assertThat(isQuarantined(35_501)).isTrue();
         }
+
+        @Test
+        void should_lift_a_verdict_on_a_segment_when_its_upstreams_have_kept_running() {
+            convictSegment(10_000);
+            tick(0, 10_000, true);
+            tick(10_500, 17_000, true);
+            assertThat(isSegmentRefused(17_001)).isFalse();
+        }
+
+        @Test
+        void should_lift_a_verdict_on_a_segment_when_an_upstream_has_sent_data_after_its_connection_broke() {
+            convictSegment(10_000);
+            upstreams.find("i-1").orElseThrow().recordActivity(at(10_300));
+            review.tick(false, at(10_500));
+            assertThat(isSegmentRefused(10_501)).isFalse();
+        }
+
+        @Test
+        void should_keep_a_verdict_on_a_segment_when_upstreams_sent_data_only_before_they_crashed() {
+            convictSegment(10_000);
+            upstreams.find("i-1").orElseThrow().recordActivity(at(10_000));
+            review.tick(false, at(10_500));
+            assertThat(isSegmentRefused(10_501)).isTrue();
+        }
+    }
+
+    private void convictSegment(long milliseconds) {
+        for (String upstream : List.of("i-1", "i-2", "i-3")) {
+            register(upstream, 1);
+        }
+        segments.recordCrash(List.of(SEGMENT), lifetime("i-1"), at(milliseconds - 900), at(milliseconds));
+        segments.recordCrash(List.of(SEGMENT), lifetime("i-2"), at(milliseconds), at(milliseconds + 100));
+        segments.recordCrash(List.of(SEGMENT), lifetime("i-3"), at(milliseconds + 100), at(milliseconds + 200));
+    }
+
+    private boolean isSegmentRefused(long milliseconds) {
+        return segments.admit(List.of(SEGMENT), at(milliseconds)) instanceof SegmentAdmission.Refused;
     }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/node/DigestCodecTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/DigestCodecTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.within;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
@@ -33,6 +34,15 @@
 
     private static final MonotonicTime NOW = MonotonicTime.of(Duration.ofSeconds(100));
 
+    private static final CrashTracking CRASHES = new CrashTracking(
+            "vm-1",
+            () -> NOW,
+            new UpstreamTable(),
+            Duration.ofSeconds(1),
+            new InMemoryStore(),
+            new PrometheusRegistry(),
+            () -> {});
+
     /** Space for a name of twenty characters and two numbers. */
     private static final int MAX_BYTES_PER_MODEL = 36;
 
@@ -50,8 +60,8 @@
                         false,
                         false,
                         List.of(),
-                        List.of(),
                         resignation,
+                        CRASHES,
                         NOW);
         return VmDigest.parseFrom(written.toByteArray());
     }
@@ -120,8 +130,8 @@
                             false,
                             false,
                             List.of(),
-                            List.of(),
                             Optional.empty(),
+                            CRASHES,
                             NOW);
             return VmDigest.parseFrom(written.toByteArray());
         }
--- /dev/null
+++ b/serving/src/test/java/org/pollenhoist/serving/node/InMemoryStore.java
@@ -0,0 +1,55 @@
+package org.pollenhoist.serving.node;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.pollenhoist.serving.store.Store;
+import org.pollenhoist.serving.store.StorePage;
+import org.pollenhoist.serving.store.StoreResult;
+
+/** A store in memory that applies changes immediately and can be set to be unavailable. */
+final class InMemoryStore implements Store {
+
+    final Map<String, byte[]> items = new HashMap<>();
+    boolean isUnavailable;
+    int commits;
+
+    @Override
+    public void list(String prefix, String afterKey, Consumer<StoreResult<StorePage>> onResult) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void watch(String prefix, long afterRevision, Duration wait, Consumer<StoreResult<StorePage>> onResult) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void commit(
+            List<Condition> conditions,
+            List<Write> writes,
+            List<String> removals,
+            Consumer<StoreResult<Long>> onResult) {
+        commits++;
+        writes.forEach(write -> items.put(write.key(), write.value()));
+        removals.forEach(items::remove);
+        onResult.accept(new StoreResult.Success<>(1L));
+    }
+
+    @Override
+    public void grantLease(Duration duration, Consumer<StoreResult<Long>> onResult) {
+        onResult.accept(isUnavailable ? new StoreResult.Unavailable<>("down") : new StoreResult.Success<>(1L));
+    }
+
+    @Override
+    public void renewLease(long lease, Consumer<StoreResult<Duration>> onResult) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void endLease(long lease) {
+        throw new UnsupportedOperationException();
+    }
+}
--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
@@ -1,5 +1,6 @@
 package org.pollenhoist.serving.node;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -7,18 +8,18 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.common.VmName;
-import org.pollenhoist.request.CrashQuarantine;
 import org.pollenhoist.serving.catalog.Team;
 import org.pollenhoist.serving.limit.FleetRateLimiter;
 import org.pollenhoist.serving.peer.DatagramTransport;
 import org.pollenhoist.serving.peer.PeerExchange;
 import org.pollenhoist.serving.placement.DemandRates;
+import org.pollenhoist.serving.store.StoreItem;
 import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamDescription;
 import org.pollenhoist.serving.upstream.UpstreamNoticeHandler;
@@ -30,7 +31,9 @@
 
     private static final int TICK_MILLISECONDS = 50;
     private static final int LINK_DELAY_MILLISECONDS = 1;
-    private static final double LOSS_RATE = 0.01;
+    private static final double USUAL_LOSS_RATE = 0.01;
+    private static final int SWEEP_MILLISECONDS = 500;
+    private static final Duration UPSTREAM_HEARTBEAT = Duration.ofMillis(1_200);
     private static final Duration REPORT_TIMEOUT = PeerExchange.REPORT_TIMEOUT;
     private static final Duration MAX_CURRENT_REPORT_AGE = Duration.ofMillis(750);
     private static final Duration MAX_CURRENT_REPORT_AGE_NEAR_LIMIT = Duration.ofMillis(400);
@@ -46,18 +49,30 @@
         final FleetRateLimiter limits;
         final PeerExchange peers;
         final DigestExchange digests;
+        final CrashTracking crashes;
+        final int index;
         boolean isAlive = true;
         long datagrams;
         long bytes;
         private final InetSocketAddress address;
         private final DigestCodec codec;
+        private Set<String> storedKeys = Set.of();
 
-        private Vm(int index, String failureDomain) {
+        private Vm(int index, String failureDomain, long incarnation) {
+            this.index = index;
             this.name = "frontend-" + failureDomain + "-" + index;
             this.failureDomain = failureDomain;
             this.address = addressOf(index);
-            this.codec = new DigestCodec(name, failureDomain, index + 1L);
+            this.codec = new DigestCodec(name, failureDomain, incarnation);
             this.limits = new FleetRateLimiter(true, () -> vms.size(), this::announceSpending);
+            this.crashes = new CrashTracking(
+                    name,
+                    SimulatedExchange.this::now,
+                    upstreams,
+                    UPSTREAM_HEARTBEAT,
+                    store,
+                    new PrometheusRegistry(),
+                    this::announceCrashes);
             DatagramTransport transport = this::transmit;
             this.peers = new PeerExchange(transport, SimulatedExchange.this::now, name, report -> receive(report));
             this.digests = new DigestExchange(
@@ -72,7 +87,7 @@
                     new UpstreamNoticeHandler(upstreams, upstream -> announceLeaving()),
                     limits,
                     new DemandRates(),
-                    new CrashQuarantine(VmName.of(name), notice -> {}),
+                    crashes,
                     this);
         }
 
@@ -84,6 +99,10 @@
             digests.announceSpending();
         }
 
+        private void announceCrashes() {
+            digests.announceCrashes();
+        }
+
         private void announceLeaving() {
             digests.announceLeaving();
         }
@@ -93,16 +112,24 @@
             bytes += (long) sent.length * receivers.size();
             for (InetSocketAddress receiver : receivers) {
                 Vm to = vms.get(receiver.getPort() - 1);
-                if (random.nextDouble() >= LOSS_RATE && !isPartitioned(this, to)) {
-                    after(LINK_DELAY_MILLISECONDS, () -> {
-                        if (to.isAlive) {
-                            to.peers.receive(sent, address);
-                        }
-                    });
+                if (random.nextDouble() >= lossRate && !isPartitioned(this, to)) {
+                    deliver(sent, to.index);
+                    if (duplicationRate > 0 && random.nextDouble() < duplicationRate) {
+                        deliver(sent, to.index);
+                    }
                 }
             }
         }
 
+        private void deliver(byte[] sent, int receiver) {
+            int extraDelay = maximumExtraDelayMilliseconds == 0 ? 0 : random.nextInt(maximumExtraDelayMilliseconds);
+            after(LINK_DELAY_MILLISECONDS + extraDelay, () -> {
+                if (vms.get(receiver).isAlive) {
+                    vms.get(receiver).peers.receive(sent, address);
+                }
+            });
+        }
+
         private void tick() {
             if (isAlive) {
                 limits.setReachableFraction(reportingFraction(REPORT_TIMEOUT), now());
@@ -114,6 +141,20 @@
             }
         }
 
+        private void sweep() {
+            if (isAlive) {
+                readStore();
+                crashes.tick(true, index, now());
+            }
+        }
+
+        private void readStore() {
+            Map<String, byte[]> stored = Map.copyOf(store.items);
+            stored.forEach((key, value) -> crashes.onWritten(new StoreItem(key, value, 1, false), now()));
+            storedKeys.stream().filter(key -> !stored.containsKey(key)).forEach(crashes::onRemoved);
+            storedKeys = stored.keySet();
+        }
+
         private double reportingFraction(Duration within) {
             return Math.min(1.0, (double) digests.countReportingVms(within, now()) / vms.size());
         }
@@ -131,8 +172,8 @@
                     false,
                     false,
                     engines,
-                    List.of(),
                     Optional.empty(),
+                    crashes,
                     at);
         }
 
@@ -158,7 +199,7 @@
 
         @Override
         public boolean hasUrgentNotices(MonotonicTime at) {
-            return false;
+            return crashes.hasNews(at);
         }
 
         @Override
@@ -173,26 +214,66 @@
     }
 
     final List<Vm> vms = new ArrayList<>();
+    final InMemoryStore store = new InMemoryStore();
+    private final List<Team> teams;
+    private final List<UpstreamDescription> upstreams = new ArrayList<>();
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(java.util.Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
     private final Random random;
     private Set<String> partitionedDomains = Set.of();
+    private double lossRate = USUAL_LOSS_RATE;
+    private double duplicationRate;
+    private int maximumExtraDelayMilliseconds;
     private long milliseconds = 1_000_000;
     private long nextNumber;
 
-    SimulatedExchange(int size, int domains, int upstreams, List<Team> teams, long seed) {
-        random = new Random(seed);
-        for (int index = 0; index < size; index++) {
-            vms.add(new Vm(index, "domain-" + index % domains));
+    SimulatedExchange(int size, int domains, int upstreamCount, List<Team> teams, long seed) {
+        this.random = new Random(seed);
+        this.teams = teams;
+        for (int index = 0; index < upstreamCount; index++) {
+            upstreams.add(upstream(index, domains));
         }
-        for (Vm vm : vms) {
-            vms.forEach(peer -> vm.peers.putPeer(peer.name, peer.address, peer.failureDomain));
-            vm.limits.configure(teams, now());
-            for (int index = 0; index < upstreams; index++) {
-                vm.upstreams.put(upstream(index, domains), now());
-            }
-            after(random.nextInt(TICK_MILLISECONDS), () -> tickForever(vm));
+        for (int index = 0; index < size; index++) {
+            vms.add(new Vm(index, "domain-" + index % domains, index + 1L));
         }
+        vms.forEach(this::begin);
+    }
+
+    private void begin(Vm vm) {
+        vms.forEach(peer -> vm.peers.putPeer(peer.name, peer.address, peer.failureDomain));
+        vm.limits.configure(teams, now());
+        upstreams.forEach(upstream -> vm.upstreams.put(upstream, now()));
+        after(random.nextInt(TICK_MILLISECONDS), () -> tickForever(vm));
+        after(vm.index % SWEEP_MILLISECONDS, () -> sweepForever(vm));
+    }
+
+    /** Kills a VM; a new process takes its place after the given time and reads the store before anything else. */
+    void restart(int index, long downMilliseconds) {
+        Vm killed = vms.get(index);
+        killed.isAlive = false;
+        after(downMilliseconds, () -> {
+            Vm started = new Vm(index, killed.failureDomain, random.nextLong());
+            vms.set(index, started);
+            started.readStore();
+            begin(started);
+        });
+    }
+
+    /** Sets how unreliable the links are. */
+    void degradeLinks(double loss, double duplication, int extraDelayMilliseconds) {
+        lossRate = loss;
+        duplicationRate = duplication;
+        maximumExtraDelayMilliseconds = extraDelayMilliseconds;
+    }
+
+    /** Replaces a lifetime of an upstream by the next one on all VMs. */
+    void replaceUpstream(UpstreamDescription next) {
+        upstreams.replaceAll(known -> known.identifier().equals(next.identifier()) ? next : known);
+        vms.forEach(vm -> vm.upstreams.put(next, now()));
+    }
+
+    List<UpstreamDescription> upstreams() {
+        return upstreams;
     }
 
     private static InetSocketAddress addressOf(int index) {
@@ -222,6 +303,13 @@
         after(TICK_MILLISECONDS, () -> tickForever(vm));
     }
 
+    private void sweepForever(Vm vm) {
+        vm.sweep();
+        if (vm.isAlive) {
+            after(SWEEP_MILLISECONDS, () -> sweepForever(vm));
+        }
+    }
+
     private boolean isPartitioned(Vm from, Vm to) {
         return !from.failureDomain.equals(to.failureDomain)
                 && (partitionedDomains.contains(from.failureDomain) || partitionedDomains.contains(to.failureDomain));
--- a/serving/src/test/java/org/pollenhoist/serving/node/VerdictRecordsTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/VerdictRecordsTest.java
@@ -4,10 +4,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
@@ -17,15 +14,13 @@
 import org.pollenhoist.request.CrashQuarantine;
 import org.pollenhoist.request.RequestFingerprint;
 import org.pollenhoist.request.UpstreamLifetime;
-import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreItem;
-import org.pollenhoist.serving.store.StorePage;
-import org.pollenhoist.serving.store.StoreResult;
 
 class VerdictRecordsTest {
 
     private static final RequestFingerprint REQUEST = RequestFingerprint.of("POST", "/charge/1", new byte[] {1});
-    private static final String KEY = VerdictRecords.PREFIX + REQUEST;
+    private static final String PREFIX = "pollenhoist/quarantine/";
+    private static final String KEY = PREFIX + REQUEST;
 
     private final InMemoryStore store = new InMemoryStore();
 
@@ -40,14 +35,14 @@
         private Vm(String name) {
             quarantine = new CrashQuarantine(VmName.of(name), notice -> {
                 if (notice.isVerdict()) {
-                    announced.add(() -> writeNow(notice));
+                    announced.add(() -> records().writeNew(at(now)));
                 }
             });
-            records = new VerdictRecords(store, quarantine);
+            records = new VerdictRecords(PREFIX, store, new CrashTracking.RequestVerdicts(quarantine));
         }
 
-        private void writeNow(org.pollenhoist.request.CrashNotice verdict) {
-            records.write(verdict, at(now));
+        private VerdictRecords records() {
+            return records;
         }
 
         private void observeCrash(String upstream, long milliseconds) {
@@ -166,49 +161,4 @@
             assertThat(store.items).containsOnlyKeys(KEY);
         }
     }
-
-    /** A store in memory that applies changes immediately and can be set to be unavailable. */
-    private static final class InMemoryStore implements Store {
-
-        private final Map<String, byte[]> items = new HashMap<>();
-        private boolean isUnavailable;
-        private int commits;
-
-        @Override
-        public void list(String prefix, String afterKey, Consumer<StoreResult<StorePage>> onResult) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void watch(String prefix, long afterRevision, Duration wait, Consumer<StoreResult<StorePage>> onResult) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void commit(
-                List<Condition> conditions,
-                List<Write> writes,
-                List<String> removals,
-                Consumer<StoreResult<Long>> onResult) {
-            commits++;
-            writes.forEach(write -> items.put(write.key(), write.value()));
-            removals.forEach(items::remove);
-            onResult.accept(new StoreResult.Success<>(1L));
-        }
-
-        @Override
-        public void grantLease(Duration duration, Consumer<StoreResult<Long>> onResult) {
-            onResult.accept(isUnavailable ? new StoreResult.Unavailable<>("down") : new StoreResult.Success<>(1L));
-        }
-
-        @Override
-        public void renewLease(long lease, Consumer<StoreResult<Duration>> onResult) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void endLease(long lease) {
-            throw new UnsupportedOperationException();
-        }
-    }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/request/UnansweredAttemptsTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/request/UnansweredAttemptsTest.java
@@ -13,6 +13,7 @@
 import org.pollenhoist.request.Admission;
 import org.pollenhoist.request.CrashQuarantine;
 import org.pollenhoist.request.RequestFingerprint;
+import org.pollenhoist.serving.segment.SegmentQuarantine;
 import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamDescription;
 import org.pollenhoist.serving.upstream.UpstreamTable;
@@ -21,8 +22,11 @@
 
     private static final RequestFingerprint REQUEST = RequestFingerprint.of("GET", "/lookup/1", "crews", new byte[0]);
 
+    private static final CrashEvidence EVIDENCE = new CrashEvidence(REQUEST, List.of(), at(0));
+
     private final CrashQuarantine quarantine = new CrashQuarantine(VmName.of("vm-1"), notice -> {});
-    private final UnansweredAttempts attempts = new UnansweredAttempts(quarantine);
+    private final SegmentQuarantine segments = new SegmentQuarantine(VmName.of("vm-1"), () -> {});
+    private final UnansweredAttempts attempts = new UnansweredAttempts(new CrashRecorder(quarantine, segments));
     private final UpstreamTable upstreams =
             new UpstreamTable(upstream -> attempts.upstreamEnded(upstream, at(milliseconds())));
     private long now;
@@ -52,7 +56,7 @@
 
         @Test
         void should_suspect_a_request_when_it_was_cancelled_before_its_upstream_ended() {
-            attempts.add(REQUEST, register(1, false), at(1_000));
+            attempts.add(EVIDENCE, register(1, false), at(1_000));
             now = 5_000;
             upstreams.remove("i-1", "entry removed");
             assertThat(isSuspected()).isTrue();
@@ -60,7 +64,7 @@
 
         @Test
         void should_suspect_a_request_when_its_upstream_restarts_under_the_same_identifier() {
-            attempts.add(REQUEST, register(1, false), at(1_000));
+            attempts.add(EVIDENCE, register(1, false), at(1_000));
             now = 5_000;
             register(2, false);
             assertThat(isSuspected()).isTrue();
@@ -70,14 +74,14 @@
         void should_suspect_a_request_when_it_is_cancelled_after_its_upstream_ended() {
             Upstream upstream = register(1, false);
             upstreams.remove("i-1", "entry removed");
-            attempts.add(REQUEST, upstream, at(1_000));
+            attempts.add(EVIDENCE, upstream, at(1_000));
             assertThat(isSuspected()).isTrue();
         }
 
         @Test
         void should_not_suspect_a_request_when_its_upstream_has_responded_long_after_it() {
             Upstream upstream = register(1, false);
-            attempts.add(REQUEST, upstream, at(1_000));
+            attempts.add(EVIDENCE, upstream, at(1_000));
             upstream.recordActivity(at(4_000));
             now = 5_000;
             upstreams.remove("i-1", "entry removed");
@@ -86,7 +90,7 @@
 
         @Test
         void should_not_suspect_a_request_when_its_upstream_leaves_as_planned() {
-            attempts.add(REQUEST, register(1, false), at(1_000));
+            attempts.add(EVIDENCE, register(1, false), at(1_000));
             register(1, true);
             now = 5_000;
             upstreams.remove("i-1", "entry removed");
--- a/serving/src/test/java/org/pollenhoist/serving/routing/UpstreamSelectorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/routing/UpstreamSelectorTest.java
@@ -332,7 +332,7 @@
         @Test
         void should_prefer_the_engine_that_has_cached_the_prompt() {
             engine("one");
-            engine("two").addCachedSegments("m", List.of(new PromptSegment("p", 800)));
+            engine("two").promptCache().add("m", List.of(new PromptSegment("p", 800)));
 
             assertThat(upstreamOf(select("m", "", Duration.ofSeconds(5)))).isEqualTo("two");
         }
