Take a stream without a length that ends before its first event for broken

What callers saw: an upstream that sent the head of a stream with neither a length nor chunks and then ended left the caller with status 200 and an empty stream, as if it were complete; the segments of its prompt were cleared as well, though the upstream may have crashed under them.

Cause: the end of the connection counted as the end of the stream unless an event was incomplete, and no event at all leaves none incomplete. Looked for elsewhere: a reset of such a connection, and an end within an event, were handled before (HttpConnectionPoolTest, and the two other tests here, which passed before).

UnframedStreamTest.should_not_look_like_a_complete_stream_when_no_event_was_sent was red before (200, expected 502).

--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.pollenhoist.common.DecisionLog;
@@ -204,6 +205,10 @@
             close("broken");
             logFailure("broken", "stream ended within an event");
             onBroken("ended_within_an_event");
+        } else if (isFirstEvent && !hasExplicitEnd()) {
+            close("broken");
+            logFailure("broken", "stream without a length ended before its first event");
+            onBroken("ended_before_the_first_event");
         } else {
             close("ok");
             upstream.record(false, environment.clock().get());
@@ -211,6 +216,10 @@
         }
     }
 
+    private boolean hasExplicitEnd() {
+        return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+    }
+
     private void abort(String reason) {
         close("broken");
         logFailure("broken", reason);
