--- a/serving/src/main/java/org/pollenhoist/serving/request/ResponseHead.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/ResponseHead.java
@@ -13,6 +13,7 @@
  * @param upstreamIdentifier the upstream that sent it, empty if the response does not name one
  * @param isLeaving whether the upstream announces that it is leaving
  * @param retryAfter the back-off period that the upstream asks this VM for when it rejects the request
+ * @param rateLimit whether the upstream limits the requests that it accepts from all VMs together
  */
 public record ResponseHead(
         int status,
@@ -21,7 +22,8 @@
         boolean isNotRun,
         Optional<String> upstreamIdentifier,
         boolean isLeaving,
-        Optional<Duration> retryAfter) {
+        Optional<Duration> retryAfter,
+        RateLimitNotice rateLimit) {
 
     /**
      * Tells whether the request succeeded.
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamNoticeHandler.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamNoticeHandler.java
@@ -1,14 +1,17 @@
 package org.pollenhoist.serving.upstream;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.request.RateLimitNotice;
 import org.pollenhoist.serving.request.ResponseHead;
 
 /**
- * Processes the notices that upstreams attach to responses of any kind: that they are leaving, or that they ask for a
- * back-off period. Confined to the event loop.
+ * Processes the notices that upstreams attach to responses of any kind: that they are leaving, that they ask for a
+ * back-off period, or that they limit their request rate. Confined to the event loop.
  */
 public final class UpstreamNoticeHandler {
 
@@ -17,6 +20,7 @@
     /** Status with which another process at the upstream's address rejects a request that was not meant for it. */
     private static final int MISDIRECTED = 421;
 
+    private final Map<String, RateLimitNotice> rateLimits = new HashMap<>();
     private final UpstreamTable upstreams;
     private final Consumer<Upstream> onLeaving;
 
@@ -39,6 +43,7 @@
      * @param now the current time
      */
     public void handleResponse(String identifier, ResponseHead response, MonotonicTime now) {
+        logRateLimit(identifier, response);
         boolean isNotice = response.isLeaving() || response.retryAfter().isPresent();
         Optional<Upstream> found = isNotice ? upstreams.find(identifier) : Optional.empty();
         if (found.isEmpty() || isFromOtherProcess(identifier, response)) {
@@ -55,6 +60,22 @@
         });
     }
 
+    private void logRateLimit(String identifier, ResponseHead response) {
+        RateLimitNotice known = rateLimits.getOrDefault(identifier, new RateLimitNotice.Unlimited());
+        if (known.equals(response.rateLimit()) || isFromOtherProcess(identifier, response)) {
+            return;
+        }
+        rateLimits.put(identifier, response.rateLimit());
+        LOG.event(
+                "upstream_rate_limit",
+                "upstream",
+                identifier,
+                "named",
+                response.rateLimit(),
+                "status",
+                response.status());
+    }
+
     /**
      * Processes a peer's notice that an upstream is leaving. It is ignored for other lifetimes of the upstream.
      *
--- a/serving/src/test/java/org/pollenhoist/serving/upstream/UpstreamNoticeHandlerTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/upstream/UpstreamNoticeHandlerTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.request.RateLimitNotice;
 import org.pollenhoist.serving.request.ResponseHead;
 
 class UpstreamNoticeHandlerTest {
@@ -39,11 +40,27 @@
     }
 
     private static ResponseHead leaving(int status, Optional<String> respondingUpstream) {
-        return new ResponseHead(status, Optional.of("r"), true, false, respondingUpstream, true, Optional.empty());
+        return new ResponseHead(
+                status,
+                Optional.of("r"),
+                true,
+                false,
+                respondingUpstream,
+                true,
+                Optional.empty(),
+                new RateLimitNotice.Unlimited());
     }
 
     private static ResponseHead retryAfter(Duration backOff) {
-        return new ResponseHead(503, Optional.of("r"), false, true, Optional.empty(), false, Optional.of(backOff));
+        return new ResponseHead(
+                503,
+                Optional.of("r"),
+                false,
+                true,
+                Optional.empty(),
+                false,
+                Optional.of(backOff),
+                new RateLimitNotice.Unlimited());
     }
 
     @Nested
