Keep to the request rate that an upstream names, all VMs together

Cause: no code read the limit. The class: a bound on the sum over the fleet that each VM could at best have kept for itself.

Change: a response sets the limit of an upstream's lifetime; a response to a request sent later, without one, ends it. Observations are state in the digests, the later one of two applies, and a change is told at once. The VMs divide the limit by rendezvous hashing over those that are alive, without further messages: a share is at least a request in four seconds, so of a low limit a few VMs hold all and the others send elsewhere; each VM sends at most one request ahead. In a large fleet the VMs of the upstream's failure domain divide it. Where every copy is limited, a request waits for its share or is refused at once, with a time to return that spreads the callers. FleetTokenBucket is not reused: it bounds the sum up to a burst of thousands of tokens and lets every VM spend before it reports; a limit of one request a second needs the bound before the first one is sent.

--- a/serving/src/main/java/org/pollenhoist/serving/request/RateLimitNotice.java
+++ b/serving/src/main/java/org/pollenhoist/serving/limit/RateLimitNotice.java
@@ -1,4 +1,4 @@
-package org.pollenhoist.serving.request;
+package org.pollenhoist.serving.limit;
 
 /** What a response states about the requests that its upstream accepts. */
 public sealed interface RateLimitNotice {
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
@@ -11,6 +11,8 @@
 import java.util.stream.Collectors;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.limit.FleetRateLimiter;
+import org.pollenhoist.serving.limit.RateLimitNotice;
+import org.pollenhoist.serving.limit.RequestRateLimit;
 import org.pollenhoist.serving.placement.Leadership;
 import org.pollenhoist.serving.placement.ModelRequest;
 import org.pollenhoist.serving.placement.RecentWork;
@@ -20,6 +22,7 @@
 import org.pollenhoist.serving.upstream.UpstreamTable;
 import org.pollenhoist.vm.generated.DomainSummary;
 import org.pollenhoist.vm.generated.ModelDemand;
+import org.pollenhoist.vm.generated.RateLimitObservation;
 import org.pollenhoist.vm.generated.TeamSpending;
 import org.pollenhoist.vm.generated.UpstreamHolding;
 import org.pollenhoist.vm.generated.UpstreamLifetime;
@@ -69,6 +72,7 @@
         demand.ifPresent(present -> addDemand(digest, present));
         upstreams.forEach(upstream -> addLoad(digest, upstream, now));
         upstreams.stream().filter(Upstream::hasAnnouncedLeaving).forEach(upstream -> addLeaving(digest, upstream));
+        upstreams.forEach(upstream -> addRateLimit(digest, upstream, now));
         addModelRequests(digest, modelRequests);
         crashes.addTo(digest, now);
         resignation.ifPresent(present -> addResignation(digest, present, now));
@@ -199,6 +203,30 @@
                 .setStartedMilliseconds(upstream.description().startedMilliseconds()));
     }
 
+    private static void addRateLimit(VmDigest.Builder digest, Upstream upstream, MonotonicTime now) {
+        upstream.rateLimit().reportable(now).ifPresent(observation -> {
+            RateLimitObservation.Builder message = RateLimitObservation.newBuilder()
+                    .setLifetime(UpstreamLifetime.newBuilder()
+                            .setUpstream(upstream.description().identifier())
+                            .setStartedMilliseconds(upstream.description().startedMilliseconds()))
+                    .setAgeMilliseconds(
+                            (int) now.since(observation.observedAt()).toMillis());
+            if (observation.notice() instanceof RateLimitNotice.Limited limited) {
+                message.setRequestsPerSecond(limited.requestsPerSecond());
+            }
+            digest.addRateLimits(message);
+        });
+    }
+
+    /** Reads what the sender of a digest observed. */
+    static RequestRateLimit.Observation observation(RateLimitObservation message, MonotonicTime receivedAt) {
+        RateLimitNotice notice = message.hasRequestsPerSecond()
+                ? new RateLimitNotice.Limited(Math.max(0, message.getRequestsPerSecond()))
+                : new RateLimitNotice.Unlimited();
+        Duration age = Duration.ofMillis(Integer.toUnsignedLong(message.getAgeMilliseconds()));
+        return new RequestRateLimit.Observation(notice, receivedAt.plus(age.negated()));
+    }
+
     private static void addResidentModels(VmDigest.Builder digest, Upstream upstream, MonotonicTime now) {
         upstream.loadingModels()
                 .forEach((model, expectedAt) -> digest.addHoldings(UpstreamHolding.newBuilder()
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
@@ -177,7 +177,8 @@
         this.broadcastUntil = sentAt;
     }
 
-    private boolean isFullMesh() {
+    /** Returns whether every VM exchanges digests with every other one. */
+    boolean isFullMesh() {
         return peers.peerNames().size() < MAX_FULL_MESH_VMS;
     }
 
@@ -253,10 +254,7 @@
     private void sendSummaryIfDue(MonotonicTime now) {
         Duration interval = limits.isNearLimit(now) ? SUMMARY_INTERVAL_NEAR_LIMIT : OTHER_DOMAIN_INTERVAL;
         List<PeerReport> recentReports = directReports(REPRESENTATIVE_TIMEOUT, now);
-        List<String> others = recentReports.stream()
-                .filter(report -> !report.digest().getIsStopping())
-                .map(report -> report.digest().getVmName())
-                .toList();
+        List<String> others = activePeers(REPRESENTATIVE_TIMEOUT, now);
         boolean isRepresentative =
                 DomainRepresentative.isRepresentative(localVm.failureDomain(), localVm.vmName(), others);
         if (!isRepresentative || now.since(otherDomainsSentAt).compareTo(interval) < 0) {
@@ -299,6 +297,14 @@
         }
     }
 
+    /** Returns the names of the peers that have recently sent a digest themselves and are not stopping. */
+    List<String> activePeers(Duration within, MonotonicTime now) {
+        return directReports(within, now).stream()
+                .filter(report -> !report.digest().getIsStopping())
+                .map(report -> report.digest().getVmName())
+                .toList();
+    }
+
     private List<PeerReport> directReports(Duration within, MonotonicTime now) {
         return peers.recentReports(now).stream()
                 .filter(report -> now.since(report.receivedAt()).compareTo(within) < 0)
@@ -371,8 +377,8 @@
                 .forEach(report -> peers.sendTo(digest, report.digest().getVmName()));
     }
 
-    /** Announces immediately to all peers that an upstream is leaving. */
-    void announceLeaving() {
+    /** Announces immediately to all peers that an upstream is leaving or that its rate limit has changed. */
+    void announceUpstreamNews() {
         broadcastUntil = clock.get().plus(BROADCAST_REPEAT_DURATION);
         scheduleSend(MIN_DIGEST_SPACING);
     }
@@ -425,6 +431,12 @@
         digest.getLeavingUpstreamsList()
                 .forEach(leaving -> notices.handlePeerNotice(
                         leaving.getUpstream(), leaving.getStartedMilliseconds(), digest.getVmName()));
+        digest.getRateLimitsList()
+                .forEach(limit -> notices.handlePeerRateLimit(
+                        limit.getLifetime().getUpstream(),
+                        limit.getLifetime().getStartedMilliseconds(),
+                        DigestCodec.observation(limit, now),
+                        digest.getVmName()));
         crashes.receive(digest, now);
         DigestCodec.demand(digest).ifPresent(demand -> demandRates.onReport(digest.getVmName(), demand, now));
         boolean isSendingOrders = localVm.isSendingOrders(now);
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -86,7 +86,7 @@
     private final BootClock bootClock = new BootClock();
     private final long incarnation = ThreadLocalRandom.current().nextLong();
     private final UpstreamTable upstreams = new UpstreamTable(this::upstreamEnded);
-    private final UpstreamNoticeHandler notices = new UpstreamNoticeHandler(upstreams, this::upstreamLeaving);
+    private final UpstreamNoticeHandler notices = new UpstreamNoticeHandler(upstreams, this::upstreamChanged);
     private final PrefillRateEstimator prefillRates = new PrefillRateEstimator();
     private final RequestQueue queue = new RequestQueue();
     private final DemandTracker demand = new DemandTracker();
@@ -98,6 +98,7 @@
     private final DatagramSocket datagrams;
     private final PeerExchange peers;
     private final DigestExchange digests;
+    private final RateShares rateShares;
     private final FleetState state;
     private final StoreMirror mirror;
     private final StoreRelayExchange relay;
@@ -167,6 +168,8 @@
                 demandRates,
                 crashes,
                 new LocalVmAdapter());
+        rateShares = new RateShares(settings.vmName(), settings.failureDomain(), upstreams, peers, digests);
+        rateShares.register(registry, bootClock::read);
         synchronizer = new StoreSynchronizer(mirror, relay, digests);
         handler = new RequestHandler(environment());
         callers = new CallerServer(loop, bootClock::read, this::callerLimits, handler);
@@ -178,6 +181,7 @@
                 bootClock::read,
                 state::catalog,
                 upstreams,
+                notices,
                 limits,
                 new UpstreamSelector(settings.failureDomain(), prefillRates),
                 prefillRates,
@@ -211,8 +215,8 @@
         unanswered.upstreamEnded(upstream, bootClock.read());
     }
 
-    private void upstreamLeaving(Upstream upstream) {
-        digests.announceLeaving();
+    private void upstreamChanged(Upstream upstream) {
+        digests.announceUpstreamNews();
     }
 
     private void announceCrashes() {
@@ -295,6 +299,7 @@
             limits.setReachableFraction(reportingFraction(PeerExchange.REPORT_TIMEOUT, now), now);
             Duration maxAge = limits.isNearLimit(now) ? MAX_CURRENT_REPORT_AGE_NEAR_LIMIT : MAX_CURRENT_REPORT_AGE;
             limits.setRecentlyReportedFraction(reportingFraction(maxAge, now), now);
+            rateShares.update(stop.isStopping(), now);
             queue.tryStartAll(now);
             updateLeadership(now);
             digests.tick(now);
--- a/serving/src/main/java/org/pollenhoist/serving/peer/PeerExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/peer/PeerExchange.java
@@ -177,6 +177,16 @@
         return (int) peers.values().stream().map(Peer::failureDomain).distinct().count();
     }
 
+    /**
+     * Returns whether no known peer is in a failure domain whose name comes before the given one.
+     *
+     * @param failureDomain the failure domain
+     * @return true for exactly one of the failure domains that have VMs
+     */
+    public boolean isFirstFailureDomain(String failureDomain) {
+        return peers.values().stream().noneMatch(peer -> peer.failureDomain().compareTo(failureDomain) < 0);
+    }
+
     /**
      * Counts the known peers in a failure domain, responsive or not.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
@@ -16,6 +16,7 @@
 import org.pollenhoist.serving.routing.PrefillRateEstimator;
 import org.pollenhoist.serving.routing.PromptLengthTracker;
 import org.pollenhoist.serving.routing.UpstreamSelector;
+import org.pollenhoist.serving.upstream.UpstreamNoticeHandler;
 import org.pollenhoist.serving.upstream.UpstreamTable;
 
 /**
@@ -24,6 +25,7 @@
  * @param clock supplies the present time
  * @param catalog the configuration in force, empty before the first one
  * @param upstreams the upstreams
+ * @param notices processes what upstreams state about themselves in responses
  * @param limits the teams' limits
  * @param selector chooses upstreams
  * @param prefillRates estimates the prefill rates of engines
@@ -44,6 +46,7 @@
         Supplier<MonotonicTime> clock,
         Supplier<Optional<Catalog>> catalog,
         UpstreamTable upstreams,
+        UpstreamNoticeHandler notices,
         FleetRateLimiter limits,
         UpstreamSelector selector,
         PrefillRateEstimator prefillRates,
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestMetrics.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestMetrics.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
+import org.pollenhoist.serving.routing.Selection;
 
 /** Metrics of requests and attempts, under the names that the documentation for operators explains. */
 public final class RequestMetrics {
@@ -13,6 +14,7 @@
     private final Counter requests;
     private final Counter attempts;
     private final Counter suspicions;
+    private final Counter selections;
     private final Histogram queueing;
     private final Histogram timeToFirstByte;
 
@@ -37,6 +39,11 @@
                 .help("Decisions on requests that may have crashed upstreams, by decision.")
                 .labelNames("decision")
                 .register(registry);
+        selections = Counter.builder()
+                .name("pollenhoist_routing_decisions_total")
+                .help("Routing decisions by reason. A request that waits is decided on several times.")
+                .labelNames("decision", "reason")
+                .register(registry);
         queueing = Histogram.builder()
                 .name("pollenhoist_queue_seconds")
                 .help("Time from a request's arrival to its first attempt, in seconds.")
@@ -62,6 +69,17 @@
         suspicions.labelValues(decision).inc();
     }
 
+    void countSelection(Selection selection) {
+        switch (selection) {
+            case Selection.Send send ->
+                selections.labelValues("send", send.reason()).inc();
+            case Selection.Wait wait ->
+                selections.labelValues("wait", wait.reason()).inc();
+            case Selection.Refuse refusal ->
+                selections.labelValues("refuse", refusal.reason()).inc();
+        }
+    }
+
     void observeQueueing(Duration waited) {
         queueing.observe(waited.toMillis() / MILLISECONDS_PER_SECOND);
     }
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -154,6 +154,7 @@
         }
         Selection selection =
                 environment.selector().select(selectionRequest(now), service, environment.upstreams(), now);
+        environment.metrics().countSelection(selection);
         boolean isWaitUseful = triedUpstreams.hasTemporaryExclusion(now);
         switch (selection) {
             case Selection.Send send -> send(send, now);
@@ -252,6 +253,7 @@
         attemptCount++;
         Upstream upstream = send.upstream();
         LoadSnapshot load = upstream.load(now);
+        upstream.rateLimit().recordSent(now);
         RequestLog.sent(identifier, request, send, load, attemptCount, now.since(arrivedAt));
         if (!request.adapter().isEmpty()) {
             upstream.recordAdapterUse(request.model() + "/" + request.adapter(), now);
--- a/serving/src/main/java/org/pollenhoist/serving/request/ResponseHead.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/ResponseHead.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.pollenhoist.serving.limit.RateLimitNotice;
 
 /**
  * Status and metadata from the head of an upstream's response.
--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -129,6 +129,10 @@
         }
         head = responseHead;
         parsedHead = candidate;
+        environment
+                .notices()
+                .handleEndOfRateLimit(
+                        upstream, candidate, startedAt, environment.clock().get());
         boolean isEventStream =
                 responseHead.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM);
         if (isStream() && parsedHead.isSuccess() && isEventStream) {
--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -1,6 +1,7 @@
 package org.pollenhoist.serving.routing;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.pollenhoist.common.MonotonicTime;
@@ -126,27 +127,35 @@
         return selectPlain(request, available, now);
     }
 
-    private static List<Upstream> withoutBackingOff(List<Upstream> upstreams, MonotonicTime now) {
+    private static List<Upstream> acceptingRequests(List<Upstream> upstreams, MonotonicTime now) {
         return upstreams.stream()
-                .filter(upstream -> !upstream.isBackingOff(now))
+                .filter(upstream -> upstream.acceptsRequests(now))
                 .toList();
     }
 
-    /** Decides on a request for which every suitable upstream is in its back-off period. */
-    private static Selection awaitBackOffEnd(SelectionRequest request, List<Upstream> backingOff, MonotonicTime now) {
-        Duration wait = backingOff.stream()
-                .map(upstream -> upstream.backOffEnd().since(now))
-                .min(Duration::compareTo)
-                .orElse(NO_UPSTREAM_RETRY);
+    /** Decides on a request for which no suitable upstream accepts a request from this VM now. */
+    private static Selection awaitAcceptance(
+            SelectionRequest request, List<Upstream> suitable, boolean isPlacementUseful, MonotonicTime now) {
+        Upstream first = suitable.stream()
+                .min(Comparator.comparing(upstream -> upstream.timeUntilNextRequest(now)))
+                .orElseThrow();
+        Duration wait = first.timeUntilNextRequest(now);
+        boolean isLimited = first.rateLimit().isLimited(now);
+        String reason = isLimited ? "upstreams_rate_limited" : "upstreams_paused";
         return isTooLate(request, wait, now)
-                ? new Selection.Refuse("upstreams_paused", wait)
-                : new Selection.Wait("upstreams_paused", false);
+                ? new Selection.Refuse(reason, isLimited ? wait.plus(spread(request, wait)) : wait)
+                : new Selection.Wait(reason, isLimited && isPlacementUseful);
+    }
+
+    /** Spreads the callers that are told to return, since the upstream accepts them one at a time. */
+    private static Duration spread(SelectionRequest request, Duration wait) {
+        return Duration.ofNanos(Math.floorMod(request.arrivedAt().nanoseconds(), Math.max(1, wait.toNanos())));
     }
 
     private Selection selectPlain(SelectionRequest request, List<Upstream> available, MonotonicTime now) {
-        List<Upstream> usable = withoutBackingOff(available, now);
+        List<Upstream> usable = acceptingRequests(available, now);
         if (usable.isEmpty()) {
-            return awaitBackOffEnd(request, available, now);
+            return awaitAcceptance(request, available, false, now);
         }
         Upstream best = null;
         double bestCost = Double.MAX_VALUE;
@@ -182,9 +191,9 @@
         if (allWithModel.isEmpty()) {
             return awaitPlacement(request, engine, available, now);
         }
-        List<Upstream> candidates = withoutBackingOff(allWithModel, now);
+        List<Upstream> candidates = acceptingRequests(allWithModel, now);
         if (candidates.isEmpty()) {
-            return awaitBackOffEnd(request, allWithModel, now);
+            return awaitAcceptance(request, allWithModel, true, now);
         }
         Upstream best = null;
         double bestCost = Double.MAX_VALUE;
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
@@ -8,6 +8,7 @@
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.UpstreamName;
 import org.pollenhoist.request.UpstreamLifetime;
+import org.pollenhoist.serving.limit.RequestRateLimit;
 
 /**
  * The state of one lifetime of an upstream, as known to this process: its description, the load from this VM and from
@@ -37,6 +38,7 @@
     private final DecayingFailureRate failures;
     private MonotonicTime unreachableUntil;
     private MonotonicTime backOffEnd;
+    private final RequestRateLimit rateLimit;
     private MonotonicTime lastActivityAt;
     private boolean hasResponded;
 
@@ -44,6 +46,7 @@
         this.failures = new DecayingFailureRate(now);
         this.unreachableUntil = now;
         this.backOffEnd = now;
+        this.rateLimit = new RequestRateLimit(now);
         this.lastActivityAt = now;
         updateDescription(description);
     }
@@ -197,12 +200,34 @@
     }
 
     /**
-     * Returns when the back-off period ends.
+     * Returns the request rate that the upstream accepts.
      *
-     * @return the end of the latest back-off period; not in the future if there is none
+     * @return the limit as known to this VM, and this VM's share of it
      */
-    public MonotonicTime backOffEnd() {
-        return backOffEnd;
+    public RequestRateLimit rateLimit() {
+        return rateLimit;
+    }
+
+    /**
+     * Returns whether this VM may send the upstream a request now.
+     *
+     * @param now the current time
+     * @return false during a back-off period and while this VM's share of a rate limit is used up
+     */
+    public boolean acceptsRequests(MonotonicTime now) {
+        return !isBackingOff(now) && rateLimit.mayReceive(now);
+    }
+
+    /**
+     * Estimates when this VM may send the upstream a request.
+     *
+     * @param now the current time
+     * @return the time until the back-off period has ended and a rate limit allows a request
+     */
+    public Duration timeUntilNextRequest(MonotonicTime now) {
+        Duration limited = rateLimit.timeUntilNext(now);
+        Duration backingOff = isBackingOff(now) ? backOffEnd.since(now) : Duration.ZERO;
+        return limited.compareTo(backingOff) > 0 ? limited : backingOff;
     }
 
     /**
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamNoticeHandler.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamNoticeHandler.java
@@ -1,12 +1,11 @@
 package org.pollenhoist.serving.upstream;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.serving.request.RateLimitNotice;
+import org.pollenhoist.serving.limit.RateLimitNotice;
+import org.pollenhoist.serving.limit.RequestRateLimit;
 import org.pollenhoist.serving.request.ResponseHead;
 
 /**
@@ -20,19 +19,19 @@
     /** Status with which another process at the upstream's address rejects a request that was not meant for it. */
     private static final int MISDIRECTED = 421;
 
-    private final Map<String, RateLimitNotice> rateLimits = new HashMap<>();
     private final UpstreamTable upstreams;
-    private final Consumer<Upstream> onLeaving;
+    private final Consumer<Upstream> onNews;
 
     /**
      * Creates a handler for the upstreams of a table.
      *
      * @param upstreams the upstreams
-     * @param onLeaving called with an upstream that was not yet known to be leaving, so that peers can be notified
+     * @param onNews called with an upstream that is newly known to be leaving, or whose rate limit has changed, so that
+     *     peers can be notified
      */
-    public UpstreamNoticeHandler(UpstreamTable upstreams, Consumer<Upstream> onLeaving) {
+    public UpstreamNoticeHandler(UpstreamTable upstreams, Consumer<Upstream> onNews) {
         this.upstreams = upstreams;
-        this.onLeaving = onLeaving;
+        this.onNews = onNews;
     }
 
     /**
@@ -43,8 +42,9 @@
      * @param now the current time
      */
     public void handleResponse(String identifier, ResponseHead response, MonotonicTime now) {
-        logRateLimit(identifier, response);
-        boolean isNotice = response.isLeaving() || response.retryAfter().isPresent();
+        boolean isNotice = response.isLeaving()
+                || response.retryAfter().isPresent()
+                || response.rateLimit() instanceof RateLimitNotice.Limited;
         Optional<Upstream> found = isNotice ? upstreams.find(identifier) : Optional.empty();
         if (found.isEmpty() || isFromOtherProcess(identifier, response)) {
             return;
@@ -52,7 +52,10 @@
         Upstream upstream = found.get();
         if (response.isLeaving() && upstream.markLeaving()) {
             LOG.event("upstream_leaving", "upstream", identifier, "source", "answer");
-            onLeaving.accept(upstream);
+            onNews.accept(upstream);
+        }
+        if (response.rateLimit() instanceof RateLimitNotice.Limited limited) {
+            observeRateLimit(upstream, limited, now, now);
         }
         response.retryAfter().ifPresent(backOff -> {
             upstream.backOffUntil(now.plus(backOff));
@@ -60,20 +63,56 @@
         });
     }
 
-    private void logRateLimit(String identifier, ResponseHead response) {
-        RateLimitNotice known = rateLimits.getOrDefault(identifier, new RateLimitNotice.Unlimited());
-        if (known.equals(response.rateLimit()) || isFromOtherProcess(identifier, response)) {
-            return;
+    /**
+     * Processes the response to a caller's request as to whether a rate limit has ended. Other responses, such as those
+     * to status checks, do not show that.
+     *
+     * @param upstream the upstream that the request was sent to
+     * @param response the head of the response
+     * @param sentAt when the request was sent
+     * @param now the current time
+     */
+    public void handleEndOfRateLimit(
+            Upstream upstream, ResponseHead response, MonotonicTime sentAt, MonotonicTime now) {
+        boolean isUnlimited = response.rateLimit() instanceof RateLimitNotice.Unlimited;
+        if (isUnlimited && !isFromOtherProcess(upstream.description().identifier(), response)) {
+            observeRateLimit(upstream, response.rateLimit(), sentAt, now);
         }
-        rateLimits.put(identifier, response.rateLimit());
+    }
+
+    private void observeRateLimit(Upstream upstream, RateLimitNotice notice, MonotonicTime sentAt, MonotonicTime now) {
+        if (upstream.rateLimit().observe(notice, sentAt, now)) {
+            logRateLimit(upstream, notice, "answer");
+            onNews.accept(upstream);
+        }
+    }
+
+    /**
+     * Processes a peer's observation of a rate limit. It is ignored for other lifetimes of the upstream.
+     *
+     * @param identifier the upstream
+     * @param startedMilliseconds when the observed upstream's process started, in Unix milliseconds
+     * @param observation the observation
+     * @param peer the name of the peer, for the log
+     */
+    public void handlePeerRateLimit(
+            String identifier, long startedMilliseconds, RequestRateLimit.Observation observation, String peer) {
+        upstreams
+                .find(identifier)
+                .filter(upstream -> upstream.description().startedMilliseconds() == startedMilliseconds)
+                .filter(upstream -> upstream.rateLimit().receive(observation))
+                .ifPresent(upstream -> logRateLimit(upstream, observation.notice(), peer));
+    }
+
+    private static void logRateLimit(Upstream upstream, RateLimitNotice notice, String source) {
         LOG.event(
                 "upstream_rate_limit",
                 "upstream",
-                identifier,
-                "named",
-                response.rateLimit(),
-                "status",
-                response.status());
+                upstream.description().identifier(),
+                "stated",
+                notice,
+                "source",
+                source);
     }
 
     /**
--- a/serving/src/test/java/org/pollenhoist/serving/node/DigestExchangeTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/DigestExchangeTest.java
@@ -232,7 +232,7 @@
             SimulatedExchange.Vm first = fleet.vms.get(0);
             first.upstreams.find("i-%08x".formatted(7)).orElseThrow().markLeaving();
 
-            first.digests.announceLeaving();
+            first.digests.announceUpstreamNews();
             fleet.run(Duration.ofMillis(700).toMillis());
 
             assertThat(fleet.vms)
--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
@@ -48,8 +48,10 @@
         final UpstreamTable upstreams = new UpstreamTable();
         final FleetRateLimiter limits;
         final PeerExchange peers;
+        final UpstreamNoticeHandler notices;
         final DigestExchange digests;
         final CrashTracking crashes;
+        final RateShares rateShares;
         final int index;
         boolean isAlive = true;
         long datagrams;
@@ -73,6 +75,7 @@
                     store,
                     new PrometheusRegistry(),
                     this::announceCrashes);
+            this.notices = new UpstreamNoticeHandler(upstreams, upstream -> announceUpstreamNews());
             DatagramTransport transport = this::transmit;
             this.peers = new PeerExchange(transport, SimulatedExchange.this::now, name, report -> receive(report));
             this.digests = new DigestExchange(
@@ -84,11 +87,12 @@
                     SimulatedExchange.this::now,
                     peers,
                     upstreams,
-                    new UpstreamNoticeHandler(upstreams, upstream -> announceLeaving()),
+                    notices,
                     limits,
                     new DemandRates(),
                     crashes,
                     this);
+            this.rateShares = new RateShares(name, failureDomain, upstreams, peers, digests);
         }
 
         private void receive(org.pollenhoist.serving.peer.PeerReport report) {
@@ -103,8 +107,8 @@
             digests.announceCrashes();
         }
 
-        private void announceLeaving() {
-            digests.announceLeaving();
+        private void announceUpstreamNews() {
+            digests.announceUpstreamNews();
         }
 
         private void transmit(byte[] sent, List<InetSocketAddress> receivers) {
@@ -137,6 +141,7 @@
                         reportingFraction(
                                 limits.isNearLimit(now()) ? MAX_CURRENT_REPORT_AGE_NEAR_LIMIT : MAX_CURRENT_REPORT_AGE),
                         now());
+                rateShares.update(false, now());
                 digests.tick(now());
             }
         }
--- a/serving/src/test/java/org/pollenhoist/serving/upstream/UpstreamNoticeHandlerTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/upstream/UpstreamNoticeHandlerTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.serving.request.RateLimitNotice;
+import org.pollenhoist.serving.limit.RateLimitNotice;
 import org.pollenhoist.serving.request.ResponseHead;
 
 class UpstreamNoticeHandlerTest {
