Load another copy of models in demand whose copies are rate-limited

What callers saw (by a test): while the only copy of a model stands on an engine that limits its requests, nearly all requests for the model are refused, since the plan takes that copy for a whole one.

Change: a copy on a rate-limited engine does not count for a model with demand, and such an engine gets no further models. A model without demand keeps its copy there. Another copy costs a load; a limit that lasts shorter than a load leaves one copy too many, which gives way to later demand.

ModelPlanTest.RateLimitedEngines: two of four tests were red without the change (should_get_another_copy_of_a_model_in_demand_elsewhere, should_not_load_models).

--- a/serving/src/main/java/org/pollenhoist/serving/placement/EngineView.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/EngineView.java
@@ -15,6 +15,7 @@
  * @param localCopies models whose weights are in its memory or on its disk
  * @param isOrderPossible whether an order may be sent now
  * @param isOccupied whether it is loading or unloading a model
+ * @param isRateLimited whether it limits its requests, so that its copies serve little
  */
 public record EngineView(
         String identifier,
@@ -24,7 +25,8 @@
         Set<String> readyModels,
         Set<String> localCopies,
         boolean isOrderPossible,
-        boolean isOccupied) {
+        boolean isOccupied,
+        boolean isRateLimited) {
 
     /** Makes defensive copies of the collections. */
     public EngineView {
--- a/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
@@ -81,9 +81,13 @@
         enginesWithOrder.addAll(reservedModels.keySet());
         for (EngineView view : views) {
             engines.put(view.identifier(), view);
-            view.readyOrLoadingModels().forEach(model -> copies.merge(model, 1, Integer::sum));
+            view.readyOrLoadingModels().stream()
+                    .filter(model -> countsAsCopy(view, model))
+                    .forEach(model -> copies.merge(model, 1, Integer::sum));
             occupiedEngines += view.isOccupied() ? 1 : 0;
-            view.readyModels().forEach(model -> readyCopies.merge(model, 1, Integer::sum));
+            view.readyModels().stream()
+                    .filter(model -> countsAsCopy(view, model))
+                    .forEach(model -> readyCopies.merge(model, 1, Integer::sum));
             String reservedModel = reservedModels.get(view.identifier());
             if (reservedModel != null && !view.readyOrLoadingModels().contains(reservedModel)) {
                 copies.merge(reservedModel, 1, Integer::sum);
@@ -91,6 +95,11 @@
         }
     }
 
+    /** The copy of an engine that limits its requests does not count if the model has demand. */
+    private boolean countsAsCopy(EngineView view, String model) {
+        return !view.isRateLimited() || value.work(model) == 0;
+    }
+
     /**
      * Plans orders, at most one for each engine. A model that needs memory to be freed first is loaded by a later plan.
      *
@@ -142,6 +151,7 @@
         }
         return engines.values().stream()
                 .filter(view -> view.isOrderPossible()
+                        && !view.isRateLimited()
                         && !enginesWithOrder.contains(view.identifier())
                         && !view.possibleResidents().containsKey(model)
                         && isLoadAllowed(view, model, maximumStoreLoads))
@@ -169,7 +179,7 @@
 
     private double unloadCost(String victim) {
         double factor = value.work(victim) > 0 ? UNLOAD_FACTOR : 1;
-        return factor * value.ofLastCopy(victim, readyCopies.get(victim)) + UNLOAD_COST;
+        return factor * value.ofLastCopy(victim, readyCopies.getOrDefault(victim, 1)) + UNLOAD_COST;
     }
 
     /** The last ready copy is unloaded only if it has no demand and requests are queued for the model replacing it. */
--- a/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
@@ -246,7 +246,8 @@
                 upstream.residentModels().keySet(),
                 upstream.description().localCopies(),
                 isFree,
-                tracker.isModelOrderRunning());
+                tracker.isModelOrderRunning(),
+                upstream.rateLimit().isLimited(now));
     }
 
     private void planAdapters(
--- a/serving/src/test/java/org/pollenhoist/serving/placement/AdapterPlanTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/placement/AdapterPlanTest.java
@@ -22,7 +22,7 @@
 
     private static EngineView engine(String name, String... adapters) {
         return new EngineView(
-                name, "north", Map.of("m", Set.of(adapters)), Set.of("m"), Set.of("m"), Set.of(), true, false);
+                name, "north", Map.of("m", Set.of(adapters)), Set.of("m"), Set.of("m"), Set.of(), true, false, false);
     }
 
     @Nested
--- a/serving/src/test/java/org/pollenhoist/serving/placement/ModelPlanTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/placement/ModelPlanTest.java
@@ -29,7 +29,8 @@
     private static EngineView engine(String name, boolean isFree, Set<String> localCopies, String... models) {
         Map<String, Set<String>> residents = new HashMap<>();
         List.of(models).forEach(model -> residents.put(model, Set.of()));
-        return new EngineView(name, "north", residents, Set.of(models), Set.of(models), localCopies, isFree, false);
+        return new EngineView(
+                name, "north", residents, Set.of(models), Set.of(models), localCopies, isFree, false, false);
     }
 
     private static List<PlannedOrder> plan(
@@ -178,8 +179,8 @@
 
         @Test
         void should_not_unload_the_only_ready_copy_while_another_is_being_loaded() {
-            EngineView loading =
-                    new EngineView("one", "north", Map.of("c", Set.of()), Set.of("c"), Set.of(), Set.of(), false, true);
+            EngineView loading = new EngineView(
+                    "one", "north", Map.of("c", Set.of()), Set.of("c"), Set.of(), Set.of(), false, true, false);
             List<EngineView> engines = List.of(loading, engine("two", "a", "b", "c"), engine("three", "a", "b", "d"));
 
             assertThat(orders(Map.of("a", 9.0), engines, Set.of(), 9)).doesNotContain(new EngineOrder.UnloadModel("c"));
@@ -264,6 +265,59 @@
                 Set.of("a", "b"),
                 Set.of(),
                 false,
+                true,
+                false);
+    }
+
+    private static EngineView rateLimited(String name, String... models) {
+        EngineView view = engine(name, models);
+        return new EngineView(
+                name,
+                view.failureDomain(),
+                view.possibleResidents(),
+                view.readyOrLoadingModels(),
+                view.readyModels(),
+                view.localCopies(),
+                true,
+                false,
                 true);
     }
+
+    @Nested
+    class RateLimitedEngines {
+
+        @Test
+        void should_get_another_copy_of_a_model_in_demand_elsewhere() {
+            List<EngineView> engines =
+                    List.of(rateLimited("one", "a", "b"), engine("two", "b", "c", "d"), engine("three"));
+
+            assertThat(plan(Map.of("a", 0.2), engines, Set.of(), 1))
+                    .containsExactly(new PlannedOrder("three", new EngineOrder.LoadModel("a"), "no_copy"));
+        }
+
+        @Test
+        void should_keep_the_only_copy_of_a_model_without_demand() {
+            List<EngineView> engines = List.of(rateLimited("one", "a", "b", "c", "d"), engine("two"));
+
+            assertThat(plan(Map.of(), engines, Set.of(), 4))
+                    .filteredOn(order -> order.reason().equals("no_copy"))
+                    .isEmpty();
+        }
+
+        @Test
+        void should_not_load_models() {
+            List<EngineView> engines = List.of(rateLimited("one", "a"), rateLimited("two"));
+
+            assertThat(plan(Map.of("a", 0.5, "b", 0.5), engines, Set.of("b"), 4))
+                    .isEmpty();
+        }
+
+        @Test
+        void should_not_be_left_with_the_last_copies_of_models_in_demand() {
+            List<EngineView> engines = List.of(rateLimited("one", "a", "b"), engine("two", "a", "b", "c"));
+
+            assertThat(orders(Map.of("a", 0.3, "b", 0.3, "c", 0.3), engines, Set.of("d"), 4))
+                    .noneMatch(order -> order instanceof EngineOrder.UnloadModel);
+        }
+    }
 }
