Tell other VMs less about segments that may crash upstreams

Cause: every VM announced every segment of each crash at once, repeated it for two seconds and listed lifetimes by name; each digest held four of the segments under suspicion; all VMs with a waiting request claimed a trial at the same moment.

Change: a crash is announced after 30 to 200 ms, which differ between VMs, and only if no answer has refuted it and no peer has told it; refuted lifetimes are told as numbers; one suspect segment is repeated a second; claims are staggered. Ruled out by trials: larger spacing of the digests (more bytes, since what others tell is known later).

The bounds on crashes hold as before (CrashingSegmentFleetTest).

--- a/library/src/main/java/org/pollenhoist/request/UpstreamLifetime.java
+++ b/library/src/main/java/org/pollenhoist/request/UpstreamLifetime.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import org.pollenhoist.common.UpstreamName;
+import org.pollenhoist.routing.Rendezvous;
 
 /**
  * One lifetime of an upstream: the run of its process from start to end.
@@ -25,6 +26,15 @@
         return new UpstreamLifetime(upstream, 0);
     }
 
+    /**
+     * Returns a number that represents this lifetime in messages between VMs. Collisions are very unlikely.
+     *
+     * @return the number, which is the same on all VMs
+     */
+    public long tag() {
+        return Rendezvous.hash(upstream.value() + '/' + startedMilliseconds);
+    }
+
     boolean isStartKnown() {
         return startedMilliseconds != 0;
     }
--- a/serving/src/main/java/org/pollenhoist/serving/node/CrashTracking.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/CrashTracking.java
@@ -92,6 +92,11 @@
         }
     }
 
+    /** Announces what other VMs should know by now. */
+    void announceDue(MonotonicTime now) {
+        recorder.segments().announceDue(now);
+    }
+
     /** Returns whether the other VMs should receive this VM's digest regardless of their failure domain. */
     boolean hasNews(MonotonicTime now) {
         return notices.hasNewNotices(now) || recorder.segments().hasNews(now);
--- a/serving/src/main/java/org/pollenhoist/serving/node/SegmentStatementCodec.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/SegmentStatementCodec.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.UpstreamName;
 import org.pollenhoist.request.UpstreamLifetime;
@@ -23,7 +22,7 @@
                         .setService(statement.key().service())
                         .setSegment(statement.key().segment());
         statement.crashes().forEach(crash -> message.addCrashes(toMessage(crash, now)));
-        statement.refuted().forEach(lifetime -> message.addRefuted(toMessage(lifetime)));
+        message.addAllRefutedTags(statement.refutedTags());
         statement.claimedUntil().ifPresent(until -> message.setClaimMilliseconds(milliseconds(until.since(now))));
         return message.build();
     }
@@ -60,15 +59,15 @@
                         ago(receivedAt, crash.getSentAgeMilliseconds()),
                         ago(receivedAt, crash.getEndedAgeMilliseconds())))
                 .toList();
-        Set<UpstreamLifetime> refuted = message.getRefutedList().stream()
-                .map(SegmentStatementCodec::fromMessage)
-                .collect(Collectors.toUnmodifiableSet());
         Optional<MonotonicTime> claimedUntil = message.hasClaimMilliseconds()
                 ? Optional.of(
                         receivedAt.plus(Duration.ofMillis(Integer.toUnsignedLong(message.getClaimMilliseconds()))))
                 : Optional.empty();
         return new SegmentStatement(
-                new SegmentKey(message.getService(), message.getSegment()), crashes, refuted, claimedUntil);
+                new SegmentKey(message.getService(), message.getSegment()),
+                crashes,
+                Set.copyOf(message.getRefutedTagsList()),
+                claimedUntil);
     }
 
     private static UpstreamLifetime fromMessage(org.pollenhoist.vm.generated.UpstreamLifetime lifetime) {
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -302,6 +302,7 @@
             rateShares.update(stop.isStopping(), now);
             queue.tryStartAll(now);
             updateLeadership(now);
+            crashes.announceDue(now);
             digests.tick(now);
             if (now.since(sweptAt).compareTo(SWEEP_INTERVAL) >= 0) {
                 sweep(now);
--- a/serving/src/main/java/org/pollenhoist/serving/segment/SegmentCase.java
+++ b/serving/src/main/java/org/pollenhoist/serving/segment/SegmentCase.java
@@ -32,7 +32,7 @@
     /** Twice the longest delay of a statement between two VMs. */
     static final Duration SETTLING = Duration.ofMillis(200);
 
-    private static final int MAXIMUM_CRASHES = 8;
+    private static final int MAXIMUM_CRASHES = 6;
     private static final int MAXIMUM_REFUTED = 64;
 
     /** Time after the last crash until a convicted segment is tried again; grows with each trial that fails. */
@@ -42,9 +42,10 @@
     private static final int MAXIMUM_FAILED_RETRIALS = 4;
 
     private final Map<UpstreamLifetime, SegmentCrash> crashes = new TreeMap<>();
-    private final Map<UpstreamLifetime, MonotonicTime> refuted = new LinkedHashMap<>();
+    private final Map<Long, MonotonicTime> refuted = new LinkedHashMap<>();
     private final TrialClaim claim = new TrialClaim();
     private MonotonicTime lastEvidenceAt;
+    private boolean isShared;
 
     SegmentCase(MonotonicTime now) {
         lastEvidenceAt = now;
@@ -57,7 +58,7 @@
      * @return whether the crash was added
      */
     boolean addCrash(SegmentCrash crash, MonotonicTime now) {
-        if (refuted.containsKey(crash.lifetime())) {
+        if (refuted.containsKey(crash.lifetime().tag())) {
             return false;
         }
         if (crashes.containsKey(crash.lifetime())) {
@@ -99,29 +100,41 @@
      *
      * @return whether this was not known before
      */
-    boolean refute(Set<UpstreamLifetime> lifetimes, MonotonicTime now) {
-        boolean isNew = !refuted.keySet().containsAll(lifetimes);
-        lifetimes.forEach(lifetime -> refuted.putIfAbsent(lifetime, now));
-        crashes.keySet().removeAll(lifetimes);
+    boolean refute(Set<Long> lifetimeTags, MonotonicTime now) {
+        boolean isNew = !refuted.keySet().containsAll(lifetimeTags);
+        lifetimeTags.forEach(tag -> refuted.putIfAbsent(tag, now));
+        crashes.keySet().removeIf(lifetime -> lifetimeTags.contains(lifetime.tag()));
         while (refuted.size() > MAXIMUM_REFUTED) {
             refuted.remove(refuted.keySet().iterator().next());
         }
         return isNew;
     }
 
+    /** Records that other VMs know of crashes, from this VM or from each other. */
+    void markShared() {
+        isShared = true;
+    }
+
+    /** Returns whether other VMs know of crashes that have now been refuted. */
+    boolean takeShared() {
+        boolean wasShared = isShared;
+        isShared = false;
+        return wasShared;
+    }
+
     /** Returns whether the segment is known not to have caused the end of a lifetime. */
     boolean isRefuted(UpstreamLifetime lifetime) {
-        return refuted.containsKey(lifetime);
+        return refuted.containsKey(lifetime.tag());
     }
 
     /** Makes the refutation of a crash recent again, since another VM does not know of it. */
     void renewRefutation(UpstreamLifetime lifetime, MonotonicTime now) {
-        refuted.remove(lifetime);
-        refuted.put(lifetime, now);
+        refuted.remove(lifetime.tag());
+        refuted.put(lifetime.tag(), now);
     }
 
-    /** Returns the lifetimes whose crashes were refuted at or after the given time. */
-    Set<UpstreamLifetime> refutedSince(MonotonicTime time) {
+    /** Returns the tags of lifetimes whose crashes were refuted at or after the given time. */
+    Set<Long> refutedSince(MonotonicTime time) {
         return refuted.entrySet().stream()
                 .filter(entry -> !entry.getValue().isBefore(time))
                 .map(Map.Entry::getKey)
@@ -132,6 +145,10 @@
         return crashes;
     }
 
+    Set<Long> crashTags() {
+        return crashes.keySet().stream().map(UpstreamLifetime::tag).collect(Collectors.toUnmodifiableSet());
+    }
+
     Set<UpstreamName> crashedUpstreams() {
         return crashes.keySet().stream().map(UpstreamLifetime::upstream).collect(Collectors.toUnmodifiableSet());
     }
--- a/serving/src/main/java/org/pollenhoist/serving/segment/SegmentQuarantine.java
+++ b/serving/src/main/java/org/pollenhoist/serving/segment/SegmentQuarantine.java
@@ -18,6 +18,7 @@
 import org.pollenhoist.common.UpstreamName;
 import org.pollenhoist.common.VmName;
 import org.pollenhoist.request.UpstreamLifetime;
+import org.pollenhoist.routing.Rendezvous;
 
 /**
  * Detects prompt segments that crash every upstream which begins to answer a request with them, and stops such requests
@@ -40,20 +41,28 @@
     /** Maximum number of changed cases in one digest; the most recently changed ones go first. */
     private static final int MAXIMUM_NEWS = 48;
 
-    /** Number of suspect or convicted segments in each digest, in rotation, for VMs that start or reconnect. */
-    private static final int REPEATED_STATEMENTS = 4;
+    /** Interval at which this VM repeats one suspect segment, in rotation, for VMs that start or reconnect. */
+    private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(1);
 
     /** How long a change is included in every digest, since single datagrams may be lost. */
-    private static final Duration NEWS_DURATION = Duration.ofSeconds(2);
+    private static final Duration NEWS_DURATION = Duration.ofMillis(800);
 
-    /** How long a refutation is part of the statements about its segment. */
-    private static final Duration RECENT_REFUTATION = Duration.ofSeconds(4);
+    /**
+     * Shortest and longest delay before a crash is announced. Within it, answers that begin here clear many of the
+     * segments that were part of the crash, and other VMs announce the rest.
+     */
+    private static final Duration MINIMUM_ANNOUNCEMENT_DELAY = Duration.ofMillis(30);
+
+    private static final Duration MAXIMUM_ANNOUNCEMENT_DELAY = Duration.ofMillis(200);
 
     /** How long evidence counts that does not suffice for a verdict. */
     private static final Duration EVIDENCE_LIFETIME = Duration.ofMinutes(10);
 
     private static final Duration VERDICT_LIFETIME = Duration.ofHours(24);
 
+    /** Longest time for which a VM waits for another one's claim before it claims a trial itself. */
+    private static final Duration MAXIMUM_CLAIM_STAGGER = Duration.ofMillis(400);
+
     /** How long a claim outlives its VM; a VM that waits for its trial or runs it renews it with each digest. */
     private static final Duration CLAIM_LIFETIME = Duration.ofSeconds(2);
 
@@ -61,9 +70,11 @@
     private final Runnable onNews;
     private final Map<SegmentKey, SegmentCase> cases = new LinkedHashMap<>();
     private final Map<SegmentKey, MonotonicTime> news = new LinkedHashMap<>();
+    private final Map<SegmentKey, MonotonicTime> announcementTimes = new LinkedHashMap<>();
     private final Set<SegmentKey> suspects = new LinkedHashSet<>();
     private final Set<SegmentKey> verdicts = new LinkedHashSet<>();
     private long lastTrial;
+    private Optional<MonotonicTime> repeatedAt = Optional.empty();
     private int nextRepeated;
 
     /**
@@ -75,6 +86,7 @@
     public SegmentQuarantine(VmName self, Runnable onNews) {
         this.self = self;
         this.onNews = onNews;
+        this.nextRepeated = self.hashCode();
     }
 
     /**
@@ -122,7 +134,8 @@
             SegmentCase found = suspect.getValue();
             if (found.isSettling(now)
                     || found.claim().isHeldByOther(self, now)
-                    || found.claim().isTrialRunning()) {
+                    || found.claim().isTrialRunning()
+                    || isClaimStaggered(suspect.getKey(), found, now)) {
                 return new SegmentAdmission.Wait(suspect.getKey());
             }
         }
@@ -130,6 +143,16 @@
         return unsettled.<SegmentAdmission>map(SegmentAdmission.Wait::new).orElseGet(() -> startTrial(onTrial));
     }
 
+    /** Whether this VM still leaves the trial to others, so that not all VMs with such requests claim it together. */
+    private boolean isClaimStaggered(SegmentKey key, SegmentCase found, MonotonicTime now) {
+        long draw = Rendezvous.weight(
+                Rendezvous.hash(key.toString()) + found.crashes().size(), self);
+        Duration stagger = Duration.ofMillis(Math.floorMod(draw, MAXIMUM_CLAIM_STAGGER.toMillis()));
+        MonotonicTime allowedFrom =
+                found.lastEvidenceAt().plus(SegmentCase.SETTLING).plus(stagger);
+        return found.claim().claimant(now).isEmpty() && now.isBefore(allowedFrom);
+    }
+
     private Optional<SegmentKey> claimAll(Map<SegmentKey, SegmentCase> onTrial, MonotonicTime now) {
         Optional<SegmentKey> unsettled = Optional.empty();
         for (Map.Entry<SegmentKey, SegmentCase> suspect : onTrial.entrySet()) {
@@ -188,11 +211,17 @@
         for (SegmentKey key : segments) {
             if (caseOf(key, now).addCrash(crash, now)) {
                 update(key, "crash");
-                announce(key, now);
+                announcementTimes.putIfAbsent(key, now.plus(announcementDelay(key)));
             }
         }
     }
 
+    private Duration announcementDelay(SegmentKey key) {
+        Duration spread = MAXIMUM_ANNOUNCEMENT_DELAY.minus(MINIMUM_ANNOUNCEMENT_DELAY);
+        long draw = Rendezvous.weight(Rendezvous.hash(key.toString()), self);
+        return MINIMUM_ANNOUNCEMENT_DELAY.plus(Duration.ofMillis(Math.floorMod(draw, spread.toMillis())));
+    }
+
     /**
      * Records that an upstream has begun to answer a request and continued: the segments did not cause the crashes that
      * are known until now.
@@ -204,13 +233,30 @@
         for (SegmentKey key : segments) {
             SegmentCase found = cases.get(key);
             if (found != null && !found.crashes().isEmpty()) {
-                found.refute(Set.copyOf(found.crashes().keySet()), now);
+                found.refute(found.crashTags(), now);
                 update(key, "answer_begun");
-                announce(key, now);
+                announcementTimes.remove(key);
+                if (found.takeShared()) {
+                    announce(key, now);
+                }
             }
         }
     }
 
+    /**
+     * Announces crashes that have not been refuted here for a short time.
+     *
+     * @param now the current time
+     */
+    public void announceDue(MonotonicTime now) {
+        List<SegmentKey> due = announcementTimes.entrySet().stream()
+                .filter(entry -> !now.isBefore(entry.getValue()))
+                .map(Map.Entry::getKey)
+                .toList();
+        announcementTimes.keySet().removeAll(due);
+        due.stream().filter(cases::containsKey).forEach(key -> announce(key, now));
+    }
+
     /**
      * Refutes crashes of upstreams that have kept running, and drops evidence that has expired.
      *
@@ -219,10 +265,10 @@
      */
     public void review(BiPredicate<UpstreamLifetime, MonotonicTime> isLive, MonotonicTime now) {
         cases.forEach((key, reviewed) -> {
-            Set<UpstreamLifetime> live = new HashSet<>();
+            Set<Long> live = new HashSet<>();
             reviewed.crashes().values().stream()
                     .filter(crash -> isLive.test(crash.lifetime(), crash.endedAt()))
-                    .forEach(crash -> live.add(crash.lifetime()));
+                    .forEach(crash -> live.add(crash.lifetime().tag()));
             if (!live.isEmpty()) {
                 reviewed.refute(live, now);
                 update(key, "upstream_live");
@@ -267,7 +313,7 @@
 
     private SegmentCase merge(SegmentStatement statement, String source, MonotonicTime now) {
         SegmentCase found = caseOf(statement.key(), now);
-        boolean isChanged = found.refute(statement.refuted(), now);
+        boolean isChanged = found.refute(statement.refutedTags(), now);
         boolean isSenderBehind = false;
         for (SegmentCrash crash : statement.crashes()) {
             if (found.isRefuted(crash.lifetime())) {
@@ -277,8 +323,12 @@
             isChanged |= found.addCrash(crash, now);
         }
         if (isChanged) {
+            found.markShared();
             update(statement.key(), source);
         }
+        if (found.crashes().size() <= statement.crashes().size()) {
+            announcementTimes.remove(statement.key());
+        }
         if (isSenderBehind) {
             announce(statement.key(), now);
         }
@@ -299,16 +349,24 @@
             selected.addAll(changed.subList(Math.max(0, changed.size() - MAXIMUM_NEWS), changed.size()));
         }
         suspects.stream().filter(key -> isClaimedHere(key, now)).forEach(selected::add);
-        List<SegmentKey> repeated = List.copyOf(suspects);
-        for (int count = 0; count < Math.min(REPEATED_STATEMENTS, repeated.size()); count++) {
-            selected.add(repeated.get(Math.floorMod(nextRepeated++, repeated.size())));
-        }
+        nextRepeated(now).ifPresent(selected::add);
         return selected.stream()
                 .filter(cases::containsKey)
                 .map(key -> statement(key, now))
                 .toList();
     }
 
+    private Optional<SegmentKey> nextRepeated(MonotonicTime now) {
+        boolean isDue = repeatedAt.isEmpty() || now.since(repeatedAt.get()).compareTo(REPEAT_INTERVAL) >= 0;
+        if (suspects.isEmpty() || !isDue) {
+            return Optional.empty();
+        }
+        repeatedAt = Optional.of(now);
+        return suspects.stream()
+                .skip(Math.floorMod(nextRepeated++, suspects.size()))
+                .findFirst();
+    }
+
     /**
      * Returns whether this VM knows something new that the other VMs may not know yet.
      *
@@ -337,7 +395,7 @@
         SegmentCase stated = cases.get(key);
         Optional<MonotonicTime> claimedUntil =
                 isClaimedHere(key, now) ? Optional.of(stated.claim().end(now, CLAIM_LIFETIME)) : Optional.empty();
-        Set<UpstreamLifetime> refuted = stated.refutedSince(now.plus(RECENT_REFUTATION.negated()));
+        Set<Long> refuted = stated.refutedSince(now.plus(NEWS_DURATION.negated()));
         return new SegmentStatement(key, List.copyOf(stated.crashes().values()), refuted, claimedUntil);
     }
 
@@ -371,6 +429,7 @@
     }
 
     private void announce(SegmentKey key, MonotonicTime now) {
+        cases.get(key).markShared();
         news.remove(key);
         news.put(key, now.plus(NEWS_DURATION));
         onNews.run();
--- a/serving/src/test/java/org/pollenhoist/serving/node/CrashingSegmentFleet.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/CrashingSegmentFleet.java
@@ -244,6 +244,11 @@
                         .add(exchange.vms.get(vm)));
     }
 
+    /** Returns the bytes of digests that a VM has sent on average. */
+    long bytesSentPerVm() {
+        return exchange.vms.stream().mapToLong(vm -> vm.bytes).sum() / exchange.vms.size();
+    }
+
     int crashCount() {
         return crashTimes.size();
     }
--- a/serving/src/test/java/org/pollenhoist/serving/node/CrashingSegmentFleetTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/CrashingSegmentFleetTest.java
@@ -139,4 +139,25 @@
             assertThat(fleet.shareOfSoundRequestsBegun(settled)).isGreaterThan(0.99);
         }
     }
+
+    @Nested
+    class Cost {
+
+        /** The budget of a node for control, of which digests are a part. */
+        private static final long MAXIMUM_BYTES_PER_SECOND = 16 * 1_024;
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.node.CrashingSegmentFleetTest#scenarios")
+        void should_stay_within_the_budget_of_a_node_while_upstreams_crash(Scenario scenario) {
+            CrashingSegmentFleet fleet = scenario.fleet();
+            fleet.send(scenario.requestsPerSecond(), 0, 10_000);
+            long before = fleet.bytesSentPerVm();
+            fleet.send(scenario.requestsPerSecond(), scenario.share(), 10_000);
+            long during = fleet.bytesSentPerVm() - before;
+
+            System.out.println("crashing_segment_cost scenario=\"" + scenario + "\" crashes=" + fleet.crashCount()
+                    + " bytes_per_second_before=" + before / 10 + " during=" + during / 10);
+            assertThat(during / 10).isLessThanOrEqualTo(MAXIMUM_BYTES_PER_SECOND);
+        }
+    }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
@@ -142,6 +142,7 @@
                                 limits.isNearLimit(now()) ? MAX_CURRENT_REPORT_AGE_NEAR_LIMIT : MAX_CURRENT_REPORT_AGE),
                         now());
                 rateShares.update(false, now());
+                crashes.announceDue(now());
                 digests.tick(now());
             }
         }
