--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
@@ -219,7 +219,7 @@
         if (isFirst) {
             upstream.recordFirstToken(asked.promptTokens());
             vm.pace.observe(asked.model(), unreadAhead + asked.promptTokens(), Duration.ofMillis(at - sentAt));
-            upstream.addCachedSegments(asked.model(), asked.parts());
+            upstream.promptCache().add(asked.model(), asked.parts());
             isLate = at - asked.firstAskedAt() > asked.kind().goalMilliseconds();
         } else if (at - lastTokenAt > GAP_GOAL_MILLISECONDS) {
             isLate = true;
