--- a/library/src/test/java/org/pollenhoist/configuration/ConfigurationTableLincheckTest.java
+++ b/library/src/test/java/org/pollenhoist/configuration/ConfigurationTableLincheckTest.java
@@ -8,8 +8,10 @@
 import org.jetbrains.lincheck.datastructures.Param;
 import org.jetbrains.lincheck.datastructures.StressOptions;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
+@Tag("lincheck")
 class ConfigurationTableLincheckTest {
 
     private static final InstalledConfiguration[] REVISIONS = {
--- a/library/src/test/java/org/pollenhoist/limit/ShareTableLincheckTest.java
+++ b/library/src/test/java/org/pollenhoist/limit/ShareTableLincheckTest.java
@@ -5,12 +5,14 @@
 import org.jetbrains.lincheck.datastructures.ModelCheckingOptions;
 import org.jetbrains.lincheck.datastructures.Operation;
 import org.jetbrains.lincheck.datastructures.StressOptions;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.TeamName;
 import org.pollenhoist.common.VmName;
 
 /** Checks that concurrent callers and peers of one table see the outcomes of some sequence of calls. */
+@Tag("lincheck")
 public class ShareTableLincheckTest {
 
     private static final TeamName TEAM = TeamName.of("harbour-crews");
--- a/library/src/test/java/org/pollenhoist/request/IdempotencyTableConcurrencyTest.java
+++ b/library/src/test/java/org/pollenhoist/request/IdempotencyTableConcurrencyTest.java
@@ -6,11 +6,13 @@
 import org.jetbrains.lincheck.datastructures.ModelCheckingOptions;
 import org.jetbrains.lincheck.datastructures.Operation;
 import org.jetbrains.lincheck.datastructures.StressOptions;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.TeamName;
 
 /** Checks that the operations of the table are linearizable. */
+@Tag("lincheck")
 public class IdempotencyTableConcurrencyTest {
 
     private static final MonotonicTime START = MonotonicTime.of(Duration.ZERO);
--- a/library/src/test/java/org/pollenhoist/routing/InFlightConcurrencyTest.java
+++ b/library/src/test/java/org/pollenhoist/routing/InFlightConcurrencyTest.java
@@ -9,11 +9,13 @@
 import org.jetbrains.lincheck.datastructures.ModelCheckingOptions;
 import org.jetbrains.lincheck.datastructures.Operation;
 import org.jetbrains.lincheck.datastructures.StressOptions;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.UpstreamName;
 
 /** Counts stay exact: a handle counts once however often and by whomever it is released. */
+@Tag("lincheck")
 public class InFlightConcurrencyTest {
 
     private static final MonotonicTime TIME = at(0);
