Serve on Java's own sockets when the native transport can't be loaded

Callers saw: nobody answered, since a process that could not load the native library ended before it listened. The same error follows where the folder for temporary files is full, read-only or mounted without execution, on either kind of machine.

Cause: ServingNode created its event loop on native epoll without asking whether it is there, and ServingDaemon catches exceptions only, so that the error passed with a stack trace and no line on the exit.

Change: Transport chooses native epoll or Java's own sockets and logs the choice with its reason and what is lost: the limit on unacknowledged bytes, so that requests to an upstream that falls silent last until their deadline. Calls to the store and to peers have time-outs of their own.

--- a/serving/src/main/java/org/pollenhoist/serving/http/CallerServer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/CallerServer.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
@@ -16,6 +15,7 @@
 import org.pollenhoist.caller.StrictRequestDecoder;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.catalog.CallerLimits;
+import org.pollenhoist.serving.transport.Transport;
 
 /** The HTTP server that accepts callers' connections. Confined to the event loop. */
 public final class CallerServer {
@@ -58,7 +58,7 @@
     public ChannelFuture listen(InetSocketAddress address) {
         return new ServerBootstrap()
                 .group(loop)
-                .channel(EpollServerSocketChannel.class)
+                .channel(Transport.of(loop).serverChannel())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnectionPool.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnectionPool.java
@@ -7,8 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
-import io.netty.channel.epoll.EpollChannelOption;
-import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpResponse;
@@ -22,6 +20,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.transport.Transport;
 
 /**
  * A pool of client connections to upstreams, the store and peers, which are kept open between exchanges. A connection
@@ -153,14 +152,13 @@
 
     private ChannelFuture connect(Target target, ConnectionOptions options) {
         openedConnections++;
+        Transport transport = Transport.of(loop);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
-                .channel(EpollSocketChannel.class)
+                .channel(transport.clientChannel())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
                         options.connectTimeout().toMillis())
-                .option(EpollChannelOption.TCP_USER_TIMEOUT, (int)
-                        options.unacknowledgedTimeout().toMillis())
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -170,6 +168,7 @@
                                 .addLast(new HttpConnection(HttpConnectionPool.this, target));
                     }
                 });
+        transport.limitUnacknowledgedTime(bootstrap, options.unacknowledgedTimeout());
         return bootstrap.connect(target.address());
     }
 
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import io.netty.channel.epoll.EpollEventLoopGroup;
 import io.netty.handler.codec.http.HttpResponse;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
@@ -38,6 +37,7 @@
 import org.pollenhoist.serving.routing.UpstreamSelector;
 import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreMirror;
+import org.pollenhoist.serving.transport.Transport;
 import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamNoticeHandler;
 import org.pollenhoist.serving.upstream.UpstreamTable;
@@ -305,7 +305,7 @@
      * @return the running process
      */
     public static ServingNode start(ServingSettings settings, PlatformBinding binding) {
-        EventLoop loop = new EpollEventLoopGroup(1).next();
+        EventLoop loop = Transport.newEventLoop();
         List<ChannelFuture> listening = new ArrayList<>();
         ServingNode node = loop.submit(() -> {
                     ServingNode created = new ServingNode(settings, binding, loop);
--- a/serving/src/main/java/org/pollenhoist/serving/peer/DatagramSocket.java
+++ b/serving/src/main/java/org/pollenhoist/serving/peer/DatagramSocket.java
@@ -10,12 +10,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.epoll.EpollDatagramChannel;
 import io.netty.channel.socket.DatagramPacket;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.function.BiConsumer;
 import org.pollenhoist.common.DecisionLog;
+import org.pollenhoist.serving.transport.Transport;
 
 /** A UDP socket on an event loop. */
 public final class DatagramSocket implements DatagramTransport {
@@ -50,7 +50,7 @@
     public ChannelFuture listen(InetSocketAddress address, BiConsumer<byte[], InetSocketAddress> onDatagram) {
         ChannelFuture bound = new Bootstrap()
                 .group(loop)
-                .channel(EpollDatagramChannel.class)
+                .channel(Transport.of(loop).datagramChannel())
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAXIMUM_DATAGRAM_BYTES))
                 .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                     @Override
--- /dev/null
+++ b/serving/src/main/java/org/pollenhoist/serving/transport/package-info.java
@@ -0,0 +1,2 @@
+/** The implementation of sockets that the process runs on. */
+package org.pollenhoist.serving.transport;
