Count the age of what a VM knows of the store from when it asked

Callers saw (in a report from a system like ours): streams that began at a new software version through other VMs, were resumed at a VM that had stood still, and went on at an upstream of the old version.

Cause: a VM that lists one version and knows the store lets an unknown stream go on there. It counted as knowing the store for 2.5 s after it had read a response, however long that had waited in its socket; where it does not watch the store, always; and where a majority of VMs told of no later revision, though their datagrams may have waited too.

StoreMirrorTest plays the response that is read late: current before, not current now.

Change: StoreMirror.knownAsOf is the time at which the last answered call was sent. Where that is older than 2.5 s (streams begin at a version 3 s after its listing), or the VM does not watch the store, StreamRegistry reads the listings from the store, at most once a second and VM, and asks the peers as before; if neither answers, the resumption is refused as not run. The majority no longer stands in for the store. A VM that does not watch the store and stood still counts as current again for what it reviews only once it has run for a second.

MixedVersionFleetTest, 9 and 95 VMs, VMs that watch the store and VMs that don't, standing still and cut off at six moments around the coming of a version: none joined.

--- a/serving/src/main/java/org/pollenhoist/serving/node/FleetPresence.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/FleetPresence.java
@@ -17,8 +17,6 @@
     /** Same as {@link #MAX_CURRENT_REPORT_AGE}, while a team is close to its limit and digests are sent more often. */
     private static final Duration MAX_CURRENT_REPORT_AGE_NEAR_LIMIT = Duration.ofMillis(400);
 
-    private static final double HALF = 0.5;
-
     private final PeerExchange peers;
     private final DigestExchange digests;
     private final FleetRateLimiter limits;
@@ -36,11 +34,6 @@
         limits.setRecentlyReportedFraction(reportingFraction(maxAge, now), now);
     }
 
-    /** Returns whether this VM hears at least half of the fleet, itself included. */
-    boolean isMajorityHeard(MonotonicTime now) {
-        return reportingFraction(PeerExchange.REPORT_TIMEOUT, now) >= HALF;
-    }
-
     private double reportingFraction(Duration within, MonotonicTime now) {
         int fleetSize = peers.peerNames().size() + 1;
         return Math.min(1.0, (double) digests.countReportingVms(within, now) / fleetSize);
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.pollenhoist.common.DecisionLog;
@@ -159,7 +160,7 @@
         presence = new FleetPresence(peers, digests, limits);
         rateShares = new RateShares(settings.vmName(), settings.failureDomain(), upstreams, peers, digests);
         rateShares.register(registry, bootClock::read);
-        synchronizer = new StoreSynchronizer(mirror, relay, digests);
+        synchronizer = new StoreSynchronizer(mirror, relay, digests, now);
         forwarding = requestForwarding();
         forwarding.register(registry);
         handler = new RequestHandler(environment());
@@ -211,7 +212,7 @@
                 upstreams,
                 peers,
                 store,
-                this::isStoreKnown,
+                this::storeKnownAsOf,
                 this::streamsLearned);
     }
 
@@ -264,9 +265,8 @@
         notices.handleResponse(target.lifetime(), binding.requestFormat().readResponse(head), bootClock.read());
     }
 
-    /** Returns whether this VM knows the store, or no VM that it reaches can know a later state of it. */
-    private boolean isStoreKnown(MonotonicTime now) {
-        return synchronizer.isCurrent(now) || (presence.isMajorityHeard(now) && !relay.isBehind(now));
+    private Optional<MonotonicTime> storeKnownAsOf() {
+        return mirror.knownAsOf();
     }
 
     private void streamsLearned() {
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
@@ -136,11 +136,6 @@
                 .max(Comparator.comparingLong(report -> report.digest().getStoreRevision()));
     }
 
-    /** Returns whether a peer knows a newer revision of the store. */
-    boolean isBehind(MonotonicTime now) {
-        return furthestAhead(now).isPresent();
-    }
-
     /** Returns whether peers have had a newer revision for longer than a relay may take. */
     boolean isLagging(MonotonicTime now) {
         return now.since(behindSince).compareTo(MAX_LAG) >= 0;
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreSynchronizer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreSynchronizer.java
@@ -14,16 +14,19 @@
     private final StoreMirror mirror;
     private final StoreRelayExchange relay;
     private final DigestExchange digests;
+    private final StandstillDetector standstill;
     private long announcedRevision;
     private boolean isFollowing = true;
 
-    StoreSynchronizer(StoreMirror mirror, StoreRelayExchange relay, DigestExchange digests) {
+    StoreSynchronizer(StoreMirror mirror, StoreRelayExchange relay, DigestExchange digests, MonotonicTime now) {
+        this.standstill = new StandstillDetector(now);
         this.mirror = mirror;
         this.relay = relay;
         this.digests = digests;
     }
 
     void tick(MonotonicTime now) {
+        standstill.tick(now);
         isFollowing = digests.mustFollowStore(now) || relay.isLagging(now);
         mirror.setFollowing(isFollowing);
         relay.tick(isFollowing, now);
@@ -40,7 +43,7 @@
      * domain that watch it.
      */
     boolean isCurrent(MonotonicTime now) {
-        return !isFollowing || mirror.isCurrent(now);
+        return isFollowing ? mirror.isCurrent(now) : standstill.isSettled(now);
     }
 
     /** Returns how long changes may be batched in the store before this VM requests them. */
--- a/serving/src/main/java/org/pollenhoist/serving/node/StreamTracking.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StreamTracking.java
@@ -10,9 +10,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
@@ -20,6 +20,8 @@
 import org.pollenhoist.serving.placement.Timer;
 import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreItem;
+import org.pollenhoist.serving.store.StorePage;
+import org.pollenhoist.serving.store.StoreResult;
 import org.pollenhoist.serving.stream.ServiceVersions;
 import org.pollenhoist.serving.stream.StreamKey;
 import org.pollenhoist.serving.stream.StreamOrigin;
@@ -78,8 +80,8 @@
      * @param upstreams all registered upstreams
      * @param peers the peers
      * @param store the store
-     * @param isStoreKnown whether this VM knows the contents of the store at a given time
-     * @param onAnswer called when a peer has answered a question
+     * @param storeKnownAsOf the time at which the store held nothing later than what this VM knows of it
+     * @param onAnswer called when a peer or the store has answered a question
      */
     StreamTracking(
             String vm,
@@ -89,7 +91,7 @@
             UpstreamTable upstreams,
             PeerExchange peers,
             Store store,
-            Predicate<MonotonicTime> isStoreKnown,
+            Supplier<Optional<MonotonicTime>> storeKnownAsOf,
             Runnable onAnswer) {
         this.vm = vm;
         this.incarnation = incarnation;
@@ -99,7 +101,7 @@
         this.store = store;
         this.onAnswer = onAnswer;
         versions = new ServiceVersions(upstreams);
-        registry = new StreamRegistry(versions, isStoreKnown, this);
+        registry = new StreamRegistry(versions, storeKnownAsOf, this);
     }
 
     StreamRegistry registry() {
@@ -161,6 +163,32 @@
         }
     }
 
+    @Override
+    public void onReading() {
+        MonotonicTime sentAt = clock.get();
+        store.list(PREFIX, "", result -> {
+            boolean isConfirmed = registry.endReading(sentAt, revisions(result));
+            LOG.event(
+                    "versions_read",
+                    "confirmed",
+                    isConfirmed,
+                    "after_ms",
+                    clock.get().since(sentAt).toMillis(),
+                    "failure",
+                    result instanceof StoreResult.Success<StorePage> ? "none" : result);
+            onAnswer.run();
+        });
+    }
+
+    private static Optional<Map<String, Long>> revisions(StoreResult<StorePage> result) {
+        if (!(result instanceof StoreResult.Success<StorePage>(StorePage page)) || page.hasMore()) {
+            return Optional.empty();
+        }
+        Map<String, Long> revisions = new HashMap<>();
+        page.items().forEach(item -> revisions.put(item.key().substring(PREFIX.length()), item.revision()));
+        return Optional.of(revisions);
+    }
+
     /** Repeats open questions, and announces streams of services that have got a further version. */
     void tick(MonotonicTime now) {
         ask(now);
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestLog.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestLog.java
@@ -57,8 +57,17 @@
                 request.lastEventIdentifier().orElseThrow());
     }
 
-    static void resumptionDecided(CallerRequest request, String source, String version) {
-        LOG.event("resumption", "request", request.identifier(), "version", version, "source", source);
+    static void resumptionDecided(CallerRequest request, String source, String version, Duration age) {
+        LOG.event(
+                "resumption",
+                "request",
+                request.identifier(),
+                "version",
+                version,
+                "source",
+                source,
+                "listings_age_ms",
+                age.toMillis());
     }
 
     static void sent(
--- a/serving/src/main/java/org/pollenhoist/serving/request/StreamContinuity.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/StreamContinuity.java
@@ -74,20 +74,20 @@
         return switch (environment.streams().resume(key, service, now)) {
             case StreamRegistry.Resumption.Bound bound -> {
                 softwareVersion = Optional.of(bound.softwareVersion());
-                recordDecision(bound.source(), bound.softwareVersion());
+                recordDecision(bound.source(), bound.softwareVersion(), bound.age());
                 yield new Verdict.Proceed(Set.of(bound.softwareVersion()));
             }
             case StreamRegistry.Resumption.Pending pending -> new Verdict.Wait();
             case StreamRegistry.Resumption.Refused refused -> {
-                recordDecision(refused.reason(), "unknown");
+                recordDecision(refused.reason(), "unknown", Duration.ZERO);
                 yield new Verdict.Refuse(refused.reason());
             }
         };
     }
 
-    private void recordDecision(String source, String version) {
+    private void recordDecision(String source, String version, Duration age) {
         environment.metrics().countResumption(source);
-        RequestLog.resumptionDecided(request, source, version);
+        RequestLog.resumptionDecided(request, source, version, age);
     }
 
     /** Records that events were passed on to the caller. */
--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
@@ -67,6 +67,12 @@
     /** How much later than the watch time-out a response may arrive, including the delay before the watch. */
     private static final Duration RESPONSE_MARGIN = Duration.ofSeconds(1);
 
+    /**
+     * Maximum age of what a mirror in contact with the store knows, counted from the sending of a watch: the watch may
+     * end with a change at its time-out, and the next one without.
+     */
+    private static final Duration MAXIMUM_AGE = WATCH_TIMEOUT.multipliedBy(2).plus(RESPONSE_MARGIN);
+
     /** How long after an outage owners may still write their items again. */
     private static final Duration REWRITE_PERIOD = Duration.ofMillis(1_900);
 
@@ -101,6 +107,8 @@
     private boolean isLoaded;
     private boolean isAvailable = true;
     private MonotonicTime lastResponseAt;
+    private MonotonicTime listingSentAt;
+    private Optional<MonotonicTime> knownAsOf = Optional.empty();
     private MonotonicTime recoveredAt;
 
     /**
@@ -125,12 +133,14 @@
         this.listener = listener;
         this.batchingDelay = batchingDelay;
         this.lastResponseAt = clock.get();
+        this.listingSentAt = lastResponseAt;
         this.recoveredAt = lastResponseAt.plus(REWRITE_PERIOD.negated());
     }
 
     /** Starts to list the items, after which the mirror watches for changes. */
     public void start() {
         listedKeys.clear();
+        listingSentAt = clock.get();
         list("");
     }
 
@@ -162,6 +172,7 @@
         missing.removeAll(listedKeys);
         revision = Math.max(revision, listingRevision);
         missing.forEach(key -> remove(key, revision));
+        knownAsOf = Optional.of(listingSentAt);
         if (!isLoaded) {
             isLoaded = true;
             removalsCompleteFrom = revision;
@@ -176,12 +187,14 @@
             isWatchSuspended = true;
             return;
         }
+        MonotonicTime sentAt = clock.get();
         store.watch("", revision, WATCH_TIMEOUT, result -> {
             switch (result) {
                 case StoreResult.Success<StorePage> page -> {
                     markAvailable();
                     page.value().items().forEach(this::apply);
                     revision = Math.max(revision, page.value().revision());
+                    knownAsOf = Optional.of(sentAt);
                     watchAgain(page.value().items().isEmpty());
                 }
                 case StoreResult.Rejected<StorePage> rejected -> {
@@ -268,7 +281,7 @@
     }
 
     /**
-     * Returns whether this process watches the store and has recently received a response from it.
+     * Returns whether this process watches the store and has recently received a response to a recent call.
      *
      * @param now the current time
      * @return false while it doesn't watch the store, or the store doesn't respond
@@ -278,7 +291,21 @@
         return isFollowing
                 && isLoaded
                 && isAvailable
-                && now.since(lastResponseAt).compareTo(longest) < 0;
+                && now.since(lastResponseAt).compareTo(longest) < 0
+                && knownAsOf
+                        .filter(at -> now.since(at).compareTo(MAXIMUM_AGE) < 0)
+                        .isPresent();
+    }
+
+    /**
+     * Returns a time at which the store held nothing later than what this process knows. It is the time at which the
+     * last answered call was sent, since a process that stands still may read the response long after the store wrote
+     * it. Changes that peers report don't count.
+     *
+     * @return the time, empty if the store has not been listed yet
+     */
+    public Optional<MonotonicTime> knownAsOf() {
+        return knownAsOf;
     }
 
     /**
--- a/serving/src/main/java/org/pollenhoist/serving/stream/ServiceVersions.java
+++ b/serving/src/main/java/org/pollenhoist/serving/stream/ServiceVersions.java
@@ -22,10 +22,10 @@
 public final class ServiceVersions {
 
     /**
-     * Time from the listing of a further version until streams begin at it: longer than a VM counts as in contact with
-     * the store without hearing from it.
+     * Time from the listing of a further version until streams begin at it. A VM whose knowledge of the listings is
+     * younger knows every version at which a stream can have begun.
      */
-    private static final Duration ADOPTION_DELAY = Duration.ofSeconds(3);
+    static final Duration ADOPTION_DELAY = Duration.ofSeconds(3);
 
     /** How long a version stays listed after its last upstream has gone; no caller resumes a stream for so long. */
     private static final Duration RETENTION = Duration.ofSeconds(60);
@@ -165,6 +165,18 @@
         return listed.size() == 1 ? Optional.of(listed.get(0)) : Optional.empty();
     }
 
+    /**
+     * Returns whether the listings are those that the store holds.
+     *
+     * @param revisions the revisions of the store's listings, by service
+     * @return false if one was added, changed or removed
+     */
+    public boolean matches(Map<String, Long> revisions) {
+        return revisions.equals(listings.entrySet().stream()
+                .collect(Collectors.toMap(
+                        Map.Entry::getKey, listing -> listing.getValue().revision())));
+    }
+
     /**
      * Returns whether several versions of a service are listed or have upstreams.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/stream/StreamRegistry.java
+++ b/serving/src/main/java/org/pollenhoist/serving/stream/StreamRegistry.java
@@ -1,10 +1,11 @@
 package org.pollenhoist.serving.stream;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
 
 /**
@@ -21,10 +22,11 @@
          *
          * @param softwareVersion the version
          * @param source how the version is known, for the log
+         * @param age how old the knowledge of the listed versions is, zero if the stream itself is known
          */
-        record Bound(String softwareVersion, String source) implements Resumption {}
+        record Bound(String softwareVersion, String source, Duration age) implements Resumption {}
 
-        /** Peers are being asked. */
+        /** Peers or the store are being asked. */
         record Pending() implements Resumption {}
 
         /**
@@ -43,10 +45,15 @@
 
         /** Called when a stream has begun that peers should know of. */
         void onBeginning();
+
+        /**
+         * Called when the listed versions are to be read from the store, to call {@link #endReading} with the result.
+         */
+        void onReading();
     }
 
     private final ServiceVersions versions;
-    private final Predicate<MonotonicTime> isStoreKnown;
+    private final ListingConfirmation confirmation;
     private final Announcer announcer;
     private final StreamDirectory directory = new StreamDirectory();
     private final StreamLookups lookups = new StreamLookups();
@@ -55,12 +62,13 @@
      * Creates a registry that knows of no streams.
      *
      * @param versions the versions at which streams may have begun
-     * @param isStoreKnown whether this VM knows the contents of the store at a given time
-     * @param announcer asks and tells peers
+     * @param storeKnownAsOf the time at which the store held nothing later than what this VM knows of it
+     * @param announcer asks and tells peers, and reads the store
      */
-    public StreamRegistry(ServiceVersions versions, Predicate<MonotonicTime> isStoreKnown, Announcer announcer) {
+    public StreamRegistry(
+            ServiceVersions versions, Supplier<Optional<MonotonicTime>> storeKnownAsOf, Announcer announcer) {
         this.versions = versions;
-        this.isStoreKnown = isStoreKnown;
+        this.confirmation = new ListingConfirmation(storeKnownAsOf);
         this.announcer = announcer;
     }
 
@@ -87,20 +95,49 @@
         Optional<StreamOrigin> origin = key.flatMap(present -> directory.find(present, now));
         if (origin.isPresent()) {
             return origin.get().service().equals(service)
-                    ? new Resumption.Bound(origin.get().softwareVersion(), "known")
+                    ? new Resumption.Bound(origin.get().softwareVersion(), "known", Duration.ZERO)
                     : new Resumption.Refused("stream_of_other_service");
         }
-        Optional<String> only = versions.only(service).filter(version -> isStoreKnown.test(now));
-        if (only.isPresent()) {
-            return new Resumption.Bound(only.get(), "only_version");
+        Optional<String> only = versions.only(service);
+        Optional<Duration> age = confirmation.age(now);
+        if (only.isPresent() && age.isPresent()) {
+            return new Resumption.Bound(only.get(), "only_version", age.get());
         }
-        if (key.isEmpty() || lookups.hasFailed(key.get(), now)) {
-            return new Resumption.Refused("stream_version_unknown");
+        boolean isReading = only.isPresent() && isReading(now);
+        boolean isAsking = key.isPresent() && isAsking(key.get(), now);
+        return isReading || isAsking ? new Resumption.Pending() : new Resumption.Refused("stream_version_unknown");
+    }
+
+    /** Returns whether the listed versions are being read, after starting it if it is time. */
+    private boolean isReading(MonotonicTime now) {
+        if (confirmation.startReading(now)) {
+            announcer.onReading();
         }
-        if (lookups.start(key.get(), now)) {
+        return confirmation.isReading(now);
+    }
+
+    /** Returns whether peers are being asked for a stream, after starting it unless they had no answer. */
+    private boolean isAsking(StreamKey key, MonotonicTime now) {
+        if (lookups.hasFailed(key, now)) {
+            return false;
+        }
+        if (lookups.start(key, now)) {
             announcer.onQuestion();
         }
-        return new Resumption.Pending();
+        return true;
+    }
+
+    /**
+     * Records what the store holds of the listed versions.
+     *
+     * @param sentAt when it was asked
+     * @param revisions the revisions of its listings by service, empty if it did not respond
+     * @return whether they are the listings that this VM knows
+     */
+    public boolean endReading(MonotonicTime sentAt, Optional<Map<String, Long>> revisions) {
+        boolean isConfirmed = revisions.filter(versions::matches).isPresent();
+        confirmation.endReading(sentAt, isConfirmed);
+        return isConfirmed;
     }
 
     /**
--- a/serving/src/test/java/org/pollenhoist/serving/node/InMemoryStore.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/InMemoryStore.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.pollenhoist.serving.store.Store;
+import org.pollenhoist.serving.store.StoreItem;
 import org.pollenhoist.serving.store.StorePage;
 import org.pollenhoist.serving.store.StoreResult;
 
@@ -20,7 +21,11 @@
 
     @Override
     public void list(String prefix, String afterKey, Consumer<StoreResult<StorePage>> onResult) {
-        throw new UnsupportedOperationException();
+        List<StoreItem> page = items.entrySet().stream()
+                .filter(item -> item.getKey().startsWith(prefix))
+                .map(item -> new StoreItem(item.getKey(), item.getValue(), revisionOf(item.getKey()), false))
+                .toList();
+        onResult.accept(new StoreResult.Success<>(new StorePage(page, revision, false)));
     }
 
     @Override
--- a/serving/src/test/java/org/pollenhoist/serving/node/MixedVersionFleet.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/MixedVersionFleet.java
@@ -43,7 +43,7 @@
         }
 
         private void begin() {
-            vm = anyLiveVm();
+            vm = anyRunningVm();
             List<String> candidates = livingVersions();
             Set<String> admissible = vm.streams.registry().admissibleVersions(SERVICE, exchange.now());
             List<String> possible = candidates.stream()
@@ -77,7 +77,16 @@
         /** Resumes the stream at another VM, within the time in which callers return. */
         private void comeBack() {
             isEnded = true;
-            exchange.after(random.nextInt(MAXIMUM_RETURN_MILLISECONDS), () -> resume(anyLiveVm()));
+            exchange.after(random.nextInt(MAXIMUM_RETURN_MILLISECONDS), () -> sendTo(anyReachableVm()));
+        }
+
+        /** Lets the request wait in the VM's socket while the VM stands still. */
+        private void sendTo(SimulatedExchange.Vm other) {
+            if (other.isFrozen) {
+                other.runWhenAwake(() -> resume(other));
+            } else {
+                resume(other);
+            }
         }
 
         private void resume(SimulatedExchange.Vm other) {
@@ -89,7 +98,7 @@
                     other.streams.registry().resume(Optional.of(key()), SERVICE, exchange.now());
             switch (resumption) {
                 case StreamRegistry.Resumption.Pending pending ->
-                    exchange.after(POLL_MILLISECONDS, () -> resume(other));
+                    exchange.after(POLL_MILLISECONDS, () -> sendTo(other));
                 case StreamRegistry.Resumption.Refused refusal -> refused++;
                 case StreamRegistry.Resumption.Bound bound
                 when !livingVersions().contains(bound.softwareVersion()) -> refused++;
@@ -103,6 +112,7 @@
     private final SimulatedExchange exchange;
     private final Random random;
     private final List<Caller> begun = new ArrayList<>();
+    private Optional<SimulatedExchange.Vm> favoured = Optional.empty();
     private double breakingShare;
     private int lastIdentifier;
     private int lastUpstream;
@@ -164,6 +174,22 @@
         return chosenFrom.get(random.nextInt(chosenFrom.size()));
     }
 
+    private SimulatedExchange.Vm anyRunningVm() {
+        List<SimulatedExchange.Vm> running =
+                exchange.vms.stream().filter(vm -> vm.isAlive && !vm.isFrozen).toList();
+        return running.isEmpty() ? anyLiveVm() : running.get(random.nextInt(running.size()));
+    }
+
+    /** Returns the VM that callers are sent to: the one that is out of step, if one is, since all fail there. */
+    private SimulatedExchange.Vm anyReachableVm() {
+        return favoured.orElseGet(this::anyLiveVm);
+    }
+
+    /** Sends all callers that resume streams to one VM. */
+    void favour(int index) {
+        favoured = Optional.of(exchange.vms.get(index));
+    }
+
     /** Lets callers begin streams at a steady rate, of which a share breaks off and is resumed at another VM. */
     void send(int streamsPerSecond, double share, long durationMilliseconds) {
         breakingShare = share;
--- a/serving/src/test/java/org/pollenhoist/serving/node/MixedVersionFleetTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/MixedVersionFleetTest.java
@@ -39,6 +39,14 @@
                 .map(Arguments::of);
     }
 
+    /** VMs of both kinds: in the fleet of 95, the first two of each domain watch the store and the others don't. */
+    private static Stream<Arguments> outOfStepVms() {
+        Fleet small = new Fleet(9, 4, 40, 5);
+        Fleet large = new Fleet(95, 5, 100, 6);
+        return Stream.of(
+                Arguments.of(small, 0), Arguments.of(small, 8), Arguments.of(large, 0), Arguments.of(large, 90));
+    }
+
     private static void assertNoneJoined(String scenario, Fleet played, MixedVersionFleet fleet) {
         System.out.println(
                 "mixed_version_fleet scenario=\"" + scenario + "\" fleet=\"" + played + "\" " + fleet.resumed());
@@ -144,6 +152,55 @@
             assertNoneJoined("old version left", played, fleet);
         }
 
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.node.MixedVersionFleetTest#outOfStepVms")
+        void should_not_occur_at_a_vm_that_stands_still_while_a_version_comes(Fleet played, int vm) {
+            for (long frozenAt = 1_000; frozenAt < 4_000; frozenAt += 500) {
+                MixedVersionFleet fleet = played.start(OLD);
+                fleet.favour(vm);
+                fleet.exchange().after(2_000, () -> fleet.addVersion(NEW));
+                fleet.exchange()
+                        .after(frozenAt, () -> fleet.exchange().vms.get(vm).freeze());
+                fleet.exchange()
+                        .after(
+                                frozenAt + 6_000,
+                                () -> fleet.exchange().vms.get(vm).thaw());
+
+                fleet.send(played.streamsPerSecond(), 0.5, 11_000);
+                fleet.exchange().run(3_000);
+
+                assertNoneJoined("VM " + vm + " stands still from " + frozenAt, played, fleet);
+                assertThat(fleet.countBegunAt(NEW)).isPositive();
+            }
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.node.MixedVersionFleetTest#outOfStepVms")
+        void should_not_occur_at_a_vm_that_is_cut_off_while_a_version_comes(Fleet played, int vm) {
+            for (long cutAt = 1_000; cutAt < 4_000; cutAt += 500) {
+                MixedVersionFleet fleet = played.start(OLD);
+                fleet.favour(vm);
+                fleet.exchange().after(2_000, () -> fleet.addVersion(NEW));
+                fleet.exchange()
+                        .after(cutAt, () -> setCutOff(fleet.exchange().vms.get(vm), true));
+                fleet.exchange()
+                        .after(
+                                cutAt + 6_000,
+                                () -> setCutOff(fleet.exchange().vms.get(vm), false));
+
+                fleet.send(played.streamsPerSecond(), 0.5, 11_000);
+                fleet.exchange().run(3_000);
+
+                assertNoneJoined("VM " + vm + " cut off from " + cutAt, played, fleet);
+                assertThat(fleet.countBegunAt(NEW)).isPositive();
+            }
+        }
+
+        private void setCutOff(SimulatedExchange.Vm vm, boolean isCutOff) {
+            vm.isCutFromPeers = isCutOff;
+            vm.isCutFromStore = isCutOff;
+        }
+
         @ParameterizedTest
         @MethodSource("org.pollenhoist.serving.node.MixedVersionFleetTest#fleets")
         void should_not_occur_when_a_failure_domain_is_partitioned(Fleet played) {
--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,6 +31,7 @@
 final class SimulatedExchange {
 
     private static final int TICK_MILLISECONDS = 50;
+    private static final int FULL_MESH_VMS = 24;
     private static final int LINK_DELAY_MILLISECONDS = 1;
     private static final double USUAL_LOSS_RATE = 0.01;
     private static final int SWEEP_MILLISECONDS = 500;
@@ -55,6 +57,11 @@
         final RateShares rateShares;
         final int index;
         boolean isAlive = true;
+        boolean isFrozen;
+        boolean isCutFromStore;
+        boolean isCutFromPeers;
+        private final List<Runnable> waitingWhileFrozen = new ArrayList<>();
+        private Optional<MonotonicTime> storeKnownAsOf = Optional.empty();
         long datagrams;
         long bytes;
         private final InetSocketAddress address;
@@ -81,11 +88,7 @@
             this.peers = new PeerExchange(
                     transport, SimulatedExchange.this::now, name, report -> receive(report), this::receiveStreams);
             this.digests = new DigestExchange(
-                    (delay, action) -> after(delay.toMillis(), () -> {
-                        if (isAlive) {
-                            action.run();
-                        }
-                    }),
+                    (delay, action) -> after(delay.toMillis(), () -> runWhenAwake(action)),
                     SimulatedExchange.this::now,
                     peers,
                     upstreams,
@@ -97,20 +100,43 @@
             this.streams = new StreamTracking(
                     name,
                     incarnation,
-                    (delay, action) -> after(delay.toMillis(), () -> {
-                        if (isAlive) {
-                            action.run();
-                        }
-                    }),
+                    (delay, action) -> after(delay.toMillis(), () -> runWhenAwake(action)),
                     SimulatedExchange.this::now,
                     upstreams,
                     peers,
-                    store,
-                    at -> true,
+                    new SimulatedStoreAccess(
+                            store, () -> isCutFromStore, (delay, action) -> after(delay, () -> runWhenAwake(action))),
+                    () -> storeKnownAsOf,
                     () -> {});
             this.rateShares = new RateShares(name, failureDomain, upstreams, peers, digests);
         }
 
+        /** Runs an action on this VM: at once, or when it wakes up. */
+        void runWhenAwake(Runnable action) {
+            if (isFrozen) {
+                waitingWhileFrozen.add(action);
+            } else if (isAlive) {
+                action.run();
+            }
+        }
+
+        /** Stops the VM while a response of the store is on its way. */
+        void freeze() {
+            isFrozen = true;
+            MonotonicTime sentAt = now();
+            Map<String, StoreItem> response = storedItems();
+            waitingWhileFrozen.add(() -> applyStore(response, sentAt));
+        }
+
+        /** Lets the VM go on; what has waited in its sockets meanwhile is read in any order. */
+        void thaw() {
+            isFrozen = false;
+            List<Runnable> waiting = new ArrayList<>(waitingWhileFrozen);
+            waitingWhileFrozen.clear();
+            java.util.Collections.shuffle(waiting, random);
+            waiting.forEach(this::runWhenAwake);
+        }
+
         private void receive(org.pollenhoist.serving.peer.PeerReport report) {
             digests.receive(report);
         }
@@ -136,7 +162,8 @@
             bytes += (long) sent.length * receivers.size();
             for (InetSocketAddress receiver : receivers) {
                 Vm to = vms.get(receiver.getPort() - 1);
-                if (random.nextDouble() >= lossRate && !isPartitioned(this, to)) {
+                boolean isCut = isCutFromPeers || to.isCutFromPeers || isPartitioned(this, to);
+                if (random.nextDouble() >= lossRate && !isCut) {
                     deliver(sent, to.index);
                     if (duplicationRate > 0 && random.nextDouble() < duplicationRate) {
                         deliver(sent, to.index);
@@ -148,14 +175,13 @@
         private void deliver(byte[] sent, int receiver) {
             int extraDelay = maximumExtraDelayMilliseconds == 0 ? 0 : random.nextInt(maximumExtraDelayMilliseconds);
             after(LINK_DELAY_MILLISECONDS + extraDelay, () -> {
-                if (vms.get(receiver).isAlive) {
-                    vms.get(receiver).peers.receive(sent, address);
-                }
+                Vm to = vms.get(receiver);
+                to.runWhenAwake(() -> to.peers.receive(sent, address));
             });
         }
 
         private void tick() {
-            if (isAlive) {
+            if (isAlive && !isFrozen) {
                 limits.setReachableFraction(reportingFraction(REPORT_TIMEOUT), now());
                 limits.setRecentlyReportedFraction(
                         reportingFraction(
@@ -169,18 +195,41 @@
         }
 
         private void sweep() {
-            if (isAlive) {
-                readStore();
-                crashes.tick(true, index, now());
-                streams.sweep(true, index, now());
+            if (isAlive && !isFrozen) {
+                if (!isCutFromStore) {
+                    readStore();
+                }
+                crashes.tick(!isCutFromStore, index, now());
+                streams.sweep(!isCutFromStore, index, now());
             }
         }
 
         private void readStore() {
-            Map<String, byte[]> stored = Map.copyOf(store.items);
-            stored.forEach((key, value) -> apply(new StoreItem(key, value, store.revisionOf(key), false)));
+            applyStore(storedItems(), now());
+        }
+
+        private Map<String, StoreItem> storedItems() {
+            Map<String, StoreItem> stored = new HashMap<>();
+            store.items.forEach(
+                    (key, value) -> stored.put(key, new StoreItem(key, value, store.revisionOf(key), false)));
+            return stored;
+        }
+
+        private void applyStore(Map<String, StoreItem> stored, MonotonicTime sentAt) {
+            stored.values().forEach(this::apply);
             storedKeys.stream().filter(key -> !stored.containsKey(key)).forEach(this::remove);
-            storedKeys = stored.keySet();
+            storedKeys = Set.copyOf(stored.keySet());
+            if (isFollower()) {
+                storeKnownAsOf = Optional.of(sentAt);
+            }
+        }
+
+        /** Returns whether this VM watches the store itself; the others hear of its contents from their domain. */
+        private boolean isFollower() {
+            long before = vms.stream()
+                    .filter(vm -> vm.failureDomain.equals(failureDomain) && vm.index < index)
+                    .count();
+            return vms.size() <= FULL_MESH_VMS || before < StoreFollowers.FOLLOWERS_PER_DOMAIN;
         }
 
         private void apply(StoreItem item) {
--- a/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
@@ -295,6 +295,29 @@
             assertThat(mirror.isCurrent(now)).isFalse();
         }
 
+        @Test
+        void should_not_be_current_when_a_response_is_read_long_after_its_call() {
+            load();
+            MonotonicTime sentAt = now;
+
+            now = now.plus(Duration.ofSeconds(5));
+            store.complete(page(6, item("c", 6)));
+
+            assertThat(mirror.isCurrent(now)).isFalse();
+            assertThat(mirror.knownAsOf()).contains(sentAt);
+        }
+
+        @Test
+        void should_not_know_the_store_of_later_when_a_peer_reports_changes() {
+            load();
+            MonotonicTime sentAt = now;
+
+            now = now.plus(Duration.ofSeconds(1));
+            mirror.applyPeerChanges(new StoreChanges(9, List.of(), List.of(), false, LONG_AGO));
+
+            assertThat(mirror.knownAsOf()).contains(sentAt);
+        }
+
         @Test
         void should_not_be_current_when_it_is_disabled() {
             load();
