Let an odd item of the store cost no other item, no watch and no process

Callers saw (in a report from a system like ours): after another writer had left one odd entry among those of the upstreams, processes ended again and again, or no longer followed the list. Here they neither became ready nor followed: 503 for all.

Cause: exceptions left the decoders. A value that is not Base64 took its whole page along, and the callback of the watch with it, so that the watch was never sent again; so did a VM's registration with a port out of range.

StoreMirrorTest plays a listener that throws.

Ruled out: deep nesting and numbers of thousands of digits (Jackson's limits hold: the entry is rejected), a port out of range in an upstream's entry (it was rejected before).

--- a/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
@@ -1,12 +1,17 @@
 package org.pollenhoist.serving.node;
 
+import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.PollenhoistException;
@@ -30,6 +35,9 @@
 
     private static final DecisionLog LOG = DecisionLog.of("node");
     private static final String VM_PREFIX = "pollenhoist/vms/";
+    private static final Pattern REGISTRATION =
+            Pattern.compile("(?<host>[0-9.]{7,15}):(?<port>[0-9]{1,5}) (?<domain>.+)");
+    private static final int MAXIMUM_PORT = 65_535;
 
     private final ServingSettings settings;
     private final PlatformBinding binding;
@@ -42,6 +50,7 @@
     private final CrashTracking crashes;
     private final StreamTracking streams;
     private Optional<Catalog> catalog = Optional.empty();
+    private final Set<String> unreadableUpstreams = new HashSet<>();
     private boolean isLoaded;
     private boolean isRegistered;
     private boolean isRegistering;
@@ -97,7 +106,9 @@
             return;
         }
         if (key.startsWith(binding.upstreamPrefix())) {
-            upstreams.remove(key.substring(binding.upstreamPrefix().length()), "entry removed");
+            String identifier = key.substring(binding.upstreamPrefix().length());
+            unreadableUpstreams.remove(identifier);
+            upstreams.remove(identifier, "entry removed");
         } else if (key.startsWith(VM_PREFIX)) {
             String vm = key.substring(VM_PREFIX.length());
             peers.removePeer(vm);
@@ -151,8 +162,12 @@
         Optional<UpstreamDescription> description = binding.readUpstream(identifier, item.value());
         if (description.isPresent()) {
             upstreams.put(description.get(), clock.get());
+            unreadableUpstreams.remove(identifier);
         } else {
             upstreams.remove(identifier, "unreadable entry at revision " + item.revision());
+            if (unreadableUpstreams.add(identifier)) {
+                LOG.event("upstream_unreadable", "upstream", identifier, "revision", item.revision());
+            }
         }
     }
 
@@ -163,14 +178,18 @@
             isRegistered = entry.equals(ownRegistration());
             return;
         }
-        int colon = entry.indexOf(':');
-        int space = entry.indexOf(' ', colon);
-        if (colon < 0 || space < 0) {
-            LOG.event("registration_unreadable", "vm", vm, "entry", entry);
+        Matcher registration = REGISTRATION.matcher(entry);
+        if (!registration.matches() || !isUsable(registration.group("host"), registration.group("port"))) {
+            LOG.event("registration_unreadable", "vm", vm, "revision", item.revision(), "bytes", item.value().length);
             return;
         }
-        int port = Integer.parseInt(entry.substring(colon + 1, space));
-        peers.putPeer(vm, new InetSocketAddress(entry.substring(0, colon), port), entry.substring(space + 1));
+        InetSocketAddress address =
+                new InetSocketAddress(registration.group("host"), Integer.parseInt(registration.group("port")));
+        peers.putPeer(vm, address, registration.group("domain"));
+    }
+
+    private static boolean isUsable(String host, String port) {
+        return NetUtil.isValidIpV4Address(host) && Integer.parseInt(port) > 0 && Integer.parseInt(port) <= MAXIMUM_PORT;
     }
 
     /** Returns this VM's registration: the address at which it receives digests, and its failure domain. */
--- a/serving/src/main/java/org/pollenhoist/serving/peer/PeerExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/peer/PeerExchange.java
@@ -94,7 +94,11 @@
         }
         PeerReport report = new PeerReport(sender, digest, now);
         reports.put(digest.getVmName(), report);
-        onReport.accept(report);
+        try {
+            onReport.accept(report);
+        } catch (RuntimeException invalid) {
+            LOG.event("digest_rejected", "vm", digest.getVmName(), "from", sender, "reason", invalid);
+        }
     }
 
     /**
--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
@@ -243,7 +243,12 @@
         delayedRemovals.remove(item.key());
         removalRevisions.remove(item.key());
         items.put(item.key(), item);
-        listener.onWritten(item);
+        try {
+            listener.onWritten(item);
+        } catch (RuntimeException failure) {
+            // One item must cost neither the others of its page nor the watch.
+            LOG.event("item_rejected", "key", item.key(), "revision", item.revision(), "reason", failure);
+        }
     }
 
     private void remove(String key, long removalRevision) {
--- a/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
@@ -21,6 +21,7 @@
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final ScriptedStore store = new ScriptedStore();
     private final List<String> events = new ArrayList<>();
+    private String rejectedKey = "";
     private MonotonicTime now = MonotonicTime.of(Duration.ofSeconds(100));
     private final StoreMirror mirror =
             new StoreMirror(loop, () -> now, store, new Listener(), () -> ChangeBatchingDelay.MINIMUM);
@@ -63,6 +64,17 @@
     @Nested
     class Listing {
 
+        @Test
+        void should_apply_the_other_items_and_watch_on_when_one_is_rejected() {
+            rejectedKey = "b";
+
+            mirror.start();
+            store.complete(page(5, item("a", 3), item("b", 4), item("c", 5)));
+
+            assertThat(events).contains("a=3", "c=5");
+            assertThat(store.calls.peekLast()).isEqualTo("watch 5");
+        }
+
         @Test
         void should_report_all_items_and_watch_from_their_revision_when_started() {
             mirror.start();
@@ -331,6 +343,9 @@
 
         @Override
         public void onWritten(StoreItem item) {
+            if (item.key().equals(rejectedKey)) {
+                throw new IllegalArgumentException("odd item");
+            }
             events.add(item.key() + "=" + item.revision());
         }
 
