Never take an earlier refusal for the response to a later attempt

Callers saw (in a report from a system like ours): 'not run, try again' for requests that an upstream had run or was running, or such a request ran at a second upstream. A faulty upstream had written an earlier refusal once more on a kept connection.

An attempt that was refused left its connection in the pool, where the next attempt of the same request, under the same identifier, was the first to take it; a copy of the refusal then names the right request. And a failure that names no request was taken for the response to whichever was under way.

Ruled out: copies that name another request (dropped before and now) and copies on an idle connection (it is closed).

Change: a connection remembers the requests that it answered without success and is not used for these again; after 16 it is closed, so that it remembers few. A failure without an identifier is taken only on a connection that has carried no other request. A VM that sends requests for a peer names the request in what it passes on, since the connection between the VMs has carried others.

--- a/serving/src/main/java/org/pollenhoist/serving/forwarding/ForwardingServer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/forwarding/ForwardingServer.java
@@ -20,6 +20,7 @@
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.http.CallerListener;
 import org.pollenhoist.serving.http.CallerResponse;
+import org.pollenhoist.serving.http.ConnectionUse;
 import org.pollenhoist.serving.http.ExchangeFailure;
 import org.pollenhoist.serving.http.HopByHopHeaders;
 import org.pollenhoist.serving.http.HttpConnectionPool;
@@ -111,6 +112,7 @@
         Passing passing = new Passing(identifier, upstream.get(), response);
         HttpExchange started = pool.send(
                 UpstreamConnections.target(upstream.get()),
+                identifier,
                 toUpstream(request),
                 UpstreamConnections.options(isRepeatable),
                 passing);
@@ -184,15 +186,17 @@
         }
 
         @Override
-        public boolean onHead(HttpResponse head) {
+        public boolean onHead(HttpResponse head, ConnectionUse use) {
             ResponseHead parsed = format.readResponse(head);
-            if (!parsed.belongsTo(identifier)) {
+            if (!parsed.belongsTo(identifier, use)) {
                 return false;
             }
             upstream.recordActivity(clock.get());
             HttpHeaders headers = new DefaultHttpHeaders();
             HopByHopHeaders.copyEndToEnd(head.headers(), headers, ForwardingHeaders.ALL);
             headers.set(ForwardingHeaders.OUTCOME, ForwardingOutcome.ANSWERED.text());
+            // The connection to the peer carried other requests, so the response has to name this one.
+            format.addRequestIdentifier(headers, identifier);
             boolean hasExplicitEnd = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
             headers.set(ForwardingHeaders.EXPLICIT_END, hasExplicitEnd);
             isBegun = true;
--- a/serving/src/main/java/org/pollenhoist/serving/forwarding/UpstreamConnections.java
+++ b/serving/src/main/java/org/pollenhoist/serving/forwarding/UpstreamConnections.java
@@ -14,6 +14,7 @@
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.request.UpstreamLifetime;
 import org.pollenhoist.serving.http.ConnectionOptions;
+import org.pollenhoist.serving.http.ConnectionUse;
 import org.pollenhoist.serving.http.ExchangeFailure;
 import org.pollenhoist.serving.http.HttpConnectionPool;
 import org.pollenhoist.serving.http.ResponseListener;
@@ -155,7 +156,8 @@
 
         private void start(MonotonicTime now) {
             boolean hasOpenConnection = !paths.isHanging()
-                    && pool.hasReusable(target(upstream), options(isRepeatable).maximumIdle());
+                    && pool.hasReusable(
+                            target(upstream), identifier, options(isRepeatable).maximumIdle());
             boolean isDirect = hasOpenConnection || !paths.isDoubtful(lifetime);
             if (isDirect || !tryForward("path_doubtful", now)) {
                 sendDirectly(now);
@@ -164,8 +166,8 @@
 
         private void sendDirectly(MonotonicTime now) {
             paths.recordSent(lifetime, now);
-            exchange.attach(
-                    pool.send(target(upstream), request.get(), options(isRepeatable), new DirectListener(this)));
+            exchange.attach(pool.send(
+                    target(upstream), identifier, request.get(), options(isRepeatable), new DirectListener(this)));
         }
 
         /** Asks a peer to send the request, if one can be asked; returns whether it does. */
@@ -220,9 +222,9 @@
         }
 
         @Override
-        public boolean onHead(HttpResponse head) {
+        public boolean onHead(HttpResponse head, ConnectionUse use) {
             paths.recordHeard(sending.lifetime, clock.get());
-            return sending.listener.onHead(head);
+            return sending.listener.onHead(head, use);
         }
 
         @Override
@@ -263,7 +265,7 @@
         }
 
         @Override
-        public boolean onHead(HttpResponse head) {
+        public boolean onHead(HttpResponse head, ConnectionUse use) {
             // A process without this function answers without an outcome, and has not sent the request.
             outcome = ForwardingOutcome.of(head.headers().get(ForwardingHeaders.OUTCOME, ""))
                     .orElse(ForwardingOutcome.DECLINED);
@@ -275,7 +277,7 @@
             }
             ForwardingHeaders.ALL.forEach(head.headers()::remove);
             onForwardedResponse.accept(sending.upstream, head);
-            return sending.listener.onHead(head);
+            return sending.listener.onHead(head, use);
         }
 
         @Override
--- a/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
@@ -91,7 +91,7 @@
         }
 
         @Override
-        public boolean onHead(HttpResponse head) {
+        public boolean onHead(HttpResponse head, ConnectionUse use) {
             status = head.status().code();
             return true;
         }
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnectionPool.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnectionPool.java
@@ -12,9 +12,12 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -64,7 +67,7 @@
     }
 
     /**
-     * Sends a request.
+     * Sends a request that is not repeated.
      *
      * @param target the process to which it is sent
      * @param request the request, which is released
@@ -74,8 +77,28 @@
      */
     public HttpExchange send(
             Target target, FullHttpRequest request, ConnectionOptions options, ResponseListener listener) {
-        HttpExchange exchange = new HttpExchange(request, listener);
-        HttpConnection reused = takeIdle(target, options.maximumIdle());
+        return send(target, "", request, options, listener);
+    }
+
+    /**
+     * Sends a request that may be sent again under the same identifier. A connection that brought a response without
+     * success to one attempt is not used for a further one.
+     *
+     * @param target the process to which it is sent
+     * @param identifier identifies the request and all its attempts
+     * @param request the request, which is released
+     * @param options how connections are opened and reused
+     * @param listener receives the response
+     * @return the exchange, by which the request can be cancelled
+     */
+    public HttpExchange send(
+            Target target,
+            String identifier,
+            FullHttpRequest request,
+            ConnectionOptions options,
+            ResponseListener listener) {
+        HttpExchange exchange = new HttpExchange(identifier, request, listener);
+        HttpConnection reused = takeIdle(target, identifier, options.maximumIdle());
         if (reused == null) {
             connect(target, options, exchange);
         } else {
@@ -84,22 +107,28 @@
         return exchange;
     }
 
-    private HttpConnection takeIdle(Target target, Duration maximumIdle) {
-        Deque<HttpConnection> connections = idle.get(target);
-        if (connections == null) {
-            return null;
-        }
+    private HttpConnection takeIdle(Target target, String identifier, Duration maximumIdle) {
         MonotonicTime now = clock.get();
-        for (HttpConnection found = connections.pollLast(); found != null; found = connections.pollLast()) {
-            if (found.isOpen() && isFresh(found, maximumIdle, now)) {
+        for (HttpConnection found : lastUsedFirst(target)) {
+            boolean isUsable = found.isOpen() && isFresh(found, maximumIdle, now);
+            if (!isUsable || found.mayCarry(identifier)) {
+                remove(found);
+            }
+            if (!isUsable) {
+                found.close();
+            } else if (found.mayCarry(identifier)) {
                 return found;
             }
-            found.close();
         }
-        idle.remove(target);
         return null;
     }
 
+    private List<HttpConnection> lastUsedFirst(Target target) {
+        List<HttpConnection> connections = new ArrayList<>(idle.getOrDefault(target, EMPTY));
+        Collections.reverse(connections);
+        return connections;
+    }
+
     private static Duration maximumReusableIdle(HttpConnection connection) {
         return connection.keepAlive().minus(KEEP_ALIVE_MARGIN);
     }
@@ -112,13 +141,16 @@
      * Returns whether a request to a target would be sent on an open connection.
      *
      * @param target the process to which it is sent
+     * @param identifier identifies the request
      * @param maximumIdle longest time that the connection may have been idle
      * @return false if a connection has to be opened
      */
-    public boolean hasReusable(Target target, Duration maximumIdle) {
+    public boolean hasReusable(Target target, String identifier, Duration maximumIdle) {
         MonotonicTime now = clock.get();
         return idle.getOrDefault(target, EMPTY).stream()
-                .anyMatch(connection -> connection.isOpen() && isFresh(connection, maximumIdle, now));
+                .anyMatch(connection -> connection.isOpen()
+                        && isFresh(connection, maximumIdle, now)
+                        && connection.mayCarry(identifier));
     }
 
     private static boolean isFresh(HttpConnection connection, Duration maximumIdle, MonotonicTime now) {
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpExchange.java
@@ -6,17 +6,23 @@
 /** A request and its response. Confined to the event loop. */
 public final class HttpExchange {
 
+    private final String identifier;
     private final FullHttpRequest request;
     private final ResponseListener listener;
     private HttpConnection connection;
     private boolean isSent;
     private boolean isEnded;
 
-    HttpExchange(FullHttpRequest request, ResponseListener listener) {
+    HttpExchange(String identifier, FullHttpRequest request, ResponseListener listener) {
+        this.identifier = identifier;
         this.request = request;
         this.listener = listener;
     }
 
+    String identifier() {
+        return identifier;
+    }
+
     FullHttpRequest begin(HttpConnection usedConnection) {
         connection = usedConnection;
         isSent = true;
--- a/serving/src/main/java/org/pollenhoist/serving/http/ResponseListener.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/ResponseListener.java
@@ -10,9 +10,10 @@
      * The head of a response was received.
      *
      * @param head status and headers
+     * @param use whether the connection carried other exchanges before
      * @return false if the response belongs to another request; it is then discarded, and the next one is awaited
      */
-    boolean onHead(HttpResponse head);
+    boolean onHead(HttpResponse head, ConnectionUse use);
 
     /**
      * A chunk of the body was received.
--- a/serving/src/main/java/org/pollenhoist/serving/request/ResponseHead.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/ResponseHead.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.pollenhoist.serving.http.ConnectionUse;
 import org.pollenhoist.serving.limit.RateLimitNotice;
 
 /**
@@ -35,10 +36,11 @@
      * Tells whether the response belongs to a request.
      *
      * @param request the identifier of the request
-     * @return true if it names the request, or is a failure that names none
+     * @param use whether the connection carried other requests before
+     * @return true if it names the request, or is a failure that names none on a connection that carried no other
      */
-    public boolean belongsTo(String request) {
-        return requestIdentifier.map(request::equals).orElse(!isSuccess());
+    public boolean belongsTo(String request, ConnectionUse use) {
+        return requestIdentifier.map(request::equals).orElse(!isSuccess() && use == ConnectionUse.NEW);
     }
 
     /**
--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -12,6 +12,7 @@
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.forwarding.UpstreamExchange;
+import org.pollenhoist.serving.http.ConnectionUse;
 import org.pollenhoist.serving.http.ExchangeFailure;
 import org.pollenhoist.serving.http.ResponseListener;
 import org.pollenhoist.serving.upstream.Upstream;
@@ -109,10 +110,10 @@
     }
 
     @Override
-    public final boolean onHead(HttpResponse responseHead) {
+    public final boolean onHead(HttpResponse responseHead, ConnectionUse use) {
         upstream.recordActivity(environment.clock().get());
         ResponseHead candidate = environment.format().readResponse(responseHead);
-        if (!candidate.belongsTo(request.identifier())) {
+        if (!candidate.belongsTo(request.identifier(), use)) {
             LOG.event(
                     "foreign_answer",
                     "request",
--- a/serving/src/test/java/org/pollenhoist/serving/http/EndlessResponsesTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/EndlessResponsesTest.java
@@ -106,7 +106,7 @@
         }
 
         @Override
-        public boolean onHead(HttpResponse head) {
+        public boolean onHead(HttpResponse head, ConnectionUse use) {
             return "a".equals(head.headers().get("X-Id"));
         }
 
--- a/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
@@ -109,8 +109,8 @@
         FullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER);
         Target target = new Target(new InetSocketAddress(server.getInetAddress(), port), "1");
-        loop.execute(
-                () -> connections.send(target, request, ConnectionOptions.ANY_IDLE, new Collector(identifier, result)));
+        loop.execute(() -> connections.send(
+                target, identifier, request, ConnectionOptions.ANY_IDLE, new Collector(identifier, result)));
         return result.orTimeout(10, TimeUnit.SECONDS).join();
     }
 
@@ -126,7 +126,7 @@
         }
 
         @Override
-        public boolean onHead(HttpResponse head) {
+        public boolean onHead(HttpResponse head, ConnectionUse use) {
             return identifier.equals(head.headers().get("X-Id"));
         }
 
@@ -169,6 +169,35 @@
         }
     }
 
+    @Nested
+    class Refusals {
+
+        private static final String REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nX-Id: %s\r\n"
+                + "Keep-Alive: timeout=60\r\nContent-Length: 4\r\n\r\nfull";
+
+        @Test
+        void should_not_be_taken_for_the_response_to_the_next_attempt_when_they_are_written_once_more() {
+            responses.addAll(
+                    List.of(REFUSAL.formatted("a"), LONG_KEEP_ALIVE.formatted("a"), LONG_KEEP_ALIVE.formatted("b")));
+
+            assertThat(send("a")).isEqualTo("full");
+            assertThat(send("a")).isEqualTo("ok");
+            assertThat(accepted).hasValue(2);
+            assertThat(send("b")).isEqualTo("ok");
+            assertThat(accepted).hasValue(2);
+        }
+
+        @Test
+        void should_close_a_connection_that_can_not_know_more_of_them() {
+            for (int number = 0; number < 17; number++) {
+                responses.add(REFUSAL.formatted("r" + number));
+                assertThat(send("r" + number)).isEqualTo("full");
+            }
+
+            assertThat(accepted).hasValue(2);
+        }
+    }
+
     @Nested
     class UnexpectedBytes {
 
