--- a/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
@@ -12,7 +12,9 @@
 import java.util.Random;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
 
@@ -135,6 +137,37 @@
         }
     }
 
+    /** The store has come back from a copy of revision 3: "b" is lost, revisions from 4 on are given out again. */
+    @Nested
+    class OlderCopy {
+
+        @BeforeEach
+        void comeBack() {
+            load();
+            store.complete(new StoreResult.Rejected<>("410"));
+        }
+
+        @Tag("known-red")
+        @Test
+        void should_watch_from_the_revision_that_the_store_has() {
+            store.complete(page(4, item("a", 3), item("c", 4)));
+
+            assertThat(events).containsExactly("c=4", "-b", "listed");
+            assertThat(store.calls.peekLast()).isEqualTo("watch 4");
+        }
+
+        @Tag("known-red")
+        @Test
+        void should_apply_an_item_that_was_written_again_at_a_lower_revision() {
+            mirror.applyPeerChanges(new StoreChanges(9, List.of(item("a", 9)), List.of(), false, LONG_AGO));
+            events.clear();
+
+            store.complete(page(4, item("a", 4)));
+
+            assertThat(events).contains("a=4");
+        }
+    }
+
     @Nested
     class Outage {
 
