--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.DatagramSocket;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -9,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -114,12 +116,18 @@
         return machine;
     }
 
+    /** Returns a port that is free for TCP and UDP, below the range from which the system takes ports of callers. */
     static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
-        } catch (IOException failure) {
-            throw new IllegalStateException(failure);
+        for (int attempt = 0; attempt < 1_000; attempt++) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"));
+                    DatagramSocket datagrams = new DatagramSocket(port, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (IOException taken) {
+                // another process has it
+            }
         }
+        throw new IllegalStateException("no free port");
     }
 
     private List<String> command() throws IOException {
--- a/review/standins/PlatformStore.java
+++ b/review/standins/PlatformStore.java
@@ -81,6 +81,7 @@
         private final HttpServer view;
         private volatile boolean isRefusing;
         private volatile double lastRenewalAt;
+        private volatile double lastWatchAt;
 
         private Gate() throws IOException {
             view = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 256);
@@ -95,6 +96,9 @@
                 if (exchange.getRequestURI().getPath().startsWith("/api/kv-keep/")) {
                     lastRenewalAt = record.seconds();
                 }
+                if (exchange.getRequestURI().getPath().equals("/api/kv-watch")) {
+                    lastWatchAt = record.seconds();
+                }
                 handle(exchange);
             });
             view.setExecutor(Executors.newCachedThreadPool(Fleet.DAEMON));
@@ -112,6 +116,10 @@
         double lastRenewalAt() {
             return lastRenewalAt;
         }
+
+        double lastWatchAt() {
+            return lastWatchAt;
+        }
     }
 
     Gate addGate() throws IOException {
