--- a/review/standins/Plain.java
+++ b/review/standins/Plain.java
@@ -18,6 +18,7 @@
     private final long born = System.currentTimeMillis();
     private volatile int bodyBytes = 800;
     private volatile long workMs = 60;
+    private volatile String lastTenant = "";
 
     Plain(String id, String zone, PlatformStore store, Recorder record) throws IOException {
         this.id = id;
@@ -35,6 +36,11 @@
         workMs = milliseconds;
     }
 
+    /** Returns the tenant for which the last request ran. */
+    String lastTenant() {
+        return lastTenant;
+    }
+
     void register(String service) {
         store.put("servers/" + id, """
                 {"service":"%s","address":"127.0.0.1:%d","zone":"%s","version":"v1","slots":6,"state":"ready",\
@@ -55,6 +61,7 @@
             return;
         }
         runs.incrementAndGet();
+        lastTenant = String.valueOf(exchange.getRequestHeaders().getFirst("X-Tenant"));
         record.note(
                 "replica %s: runs %s for tenant %s",
                 id, requestId, exchange.getRequestHeaders().getFirst("X-Tenant"));
