--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 JAVA_HOME=$(bin/java-home) || exit 2
-exec "$JAVA_HOME/bin/java" -Dsun.net.http.allowRestrictedHeaders=true -cp target/review OrdersAtRoll "$PWD" "$PWD/review/3/record.txt"
+exec "$JAVA_HOME/bin/java" -Dsun.net.http.allowRestrictedHeaders=true -cp target/review ConfigurationAfterDrill "$PWD" "$PWD/review/3/record.txt"
