--- a/review/standins/AnswerAtStop.java
+++ b/review/standins/AnswerAtStop.java
@@ -33,9 +33,9 @@
         Path folder = Files.createTempDirectory("review");
         int result = 2;
         try (Recorder record = new Recorder(Path.of(arguments[1]));
-                PlatformStore store = new PlatformStore(record);
-                Plain plain = new Plain("i-1", "north", store, record);
-                Fleet fleet = new Fleet(root, folder, record)) {
+                StoreModel store = new StoreModel(record);
+                PlainModel plain = new PlainModel("i-1", "north", store, record);
+                MachineFleet fleet = new MachineFleet(root, folder, record)) {
             result = play(store, plain, fleet, record, isTrouble, bytes);
             record.note("result %d", result);
         }
@@ -44,12 +44,12 @@
     }
 
     private static int play(
-            PlatformStore store, Plain plain, Fleet fleet, Recorder record, boolean isTrouble, int bytes)
+            StoreModel store, PlainModel plain, MachineFleet fleet, Recorder record, boolean isTrouble, int bytes)
             throws Exception {
         store.put("op/config", CONFIGURATION);
         plain.register("berth");
-        Fleet.Machine one = fleet.add("front-1", "north", store.address());
-        Fleet.Machine two = fleet.add("front-2", "south", store.address());
+        MachineFleet.Machine one = fleet.add("front-1", "north", store.address());
+        MachineFleet.Machine two = fleet.add("front-2", "south", store.address());
         one.start(true);
         two.start(true);
         if (!fleet.awaitReady(20_000)) {
--- a/review/standins/BodiesAtOnce.java
+++ b/review/standins/BodiesAtOnce.java
@@ -53,8 +53,8 @@
         Path folder = Files.createTempDirectory("review");
         int result = 2;
         try (Recorder record = new Recorder(Path.of(arguments[1]));
-                PlatformStore store = new PlatformStore(record);
-                Fleet fleet = new Fleet(root, folder, record)) {
+                StoreModel store = new StoreModel(record);
+                MachineFleet fleet = new MachineFleet(root, folder, record)) {
             result = play(store, fleet, record, isTrouble, senders);
             record.note("result %d", result);
         }
@@ -62,22 +62,22 @@
         System.exit(result);
     }
 
-    private static int play(PlatformStore store, Fleet fleet, Recorder record, boolean isTrouble, int senders)
+    private static int play(StoreModel store, MachineFleet fleet, Recorder record, boolean isTrouble, int senders)
             throws Exception {
         store.put("op/config", CONFIGURATION);
         for (int number = 1; number <= 3; number++) {
-            Plain plain = new Plain("i-" + number, "north", store, record);
+            PlainModel plain = new PlainModel("i-" + number, "north", store, record);
             plain.register("berth");
         }
-        Fleet.Machine one = fleet.add("front-1", "north", store.address());
-        Fleet.Machine two = fleet.add("front-2", "south", store.address());
+        MachineFleet.Machine one = fleet.add("front-1", "north", store.address());
+        MachineFleet.Machine two = fleet.add("front-2", "south", store.address());
         one.start(true);
         two.start(true);
         if (!fleet.awaitReady(20_000)) {
             return 2;
         }
         Thread.sleep(4_000);
-        ExecutorService pool = Executors.newCachedThreadPool(Fleet.DAEMON);
+        ExecutorService pool = Executors.newCachedThreadPool(MachineFleet.DAEMON);
         List<Outcome> small = Collections.synchronizedList(new ArrayList<>());
         List<Outcome> large = Collections.synchronizedList(new ArrayList<>());
         double begin = record.seconds();
--- a/review/standins/ConfigurationAfterDrill.java
+++ b/review/standins/ConfigurationAfterDrill.java
@@ -28,9 +28,9 @@
         Path folder = Files.createTempDirectory("review");
         int result = 2;
         try (Recorder record = new Recorder(Path.of(arguments[1]));
-                PlatformStore store = new PlatformStore(record);
-                Plain plain = new Plain("i-1", "north", store, record);
-                Fleet fleet = new Fleet(root, folder, record)) {
+                StoreModel store = new StoreModel(record);
+                PlainModel plain = new PlainModel("i-1", "north", store, record);
+                MachineFleet fleet = new MachineFleet(root, folder, record)) {
             result = play(store, plain, fleet, record, isTrouble);
             record.note("result %d", result);
         }
@@ -39,7 +39,7 @@
     }
 
     private static void configure(
-            PlatformStore store, long version, boolean isOfCrews, int rate, Recorder record) {
+            StoreModel store, long version, boolean isOfCrews, int rate, Recorder record) {
         String key = ",\"k2\"";
         long revision = store.put(
                 "op/config", CONFIGURATION.formatted(version, isOfCrews ? key : "", rate, isOfCrews ? "" : key));
@@ -48,19 +48,19 @@
                 version, isOfCrews ? "crews" : "agency", revision);
     }
 
-    private static int play(PlatformStore store, Plain plain, Fleet fleet, Recorder record, boolean isTrouble)
+    private static int play(StoreModel store, PlainModel plain, MachineFleet fleet, Recorder record, boolean isTrouble)
             throws Exception {
         configure(store, 7, true, 60_000, record);
         plain.register("berth");
-        Fleet.Machine one = fleet.add("front-1", "north", store.address());
-        Fleet.Machine two = fleet.add("front-2", "south", store.address());
+        MachineFleet.Machine one = fleet.add("front-1", "north", store.address());
+        MachineFleet.Machine two = fleet.add("front-2", "south", store.address());
         one.start(true);
         two.start(true);
         if (!fleet.awaitReady(20_000)) {
             return 2;
         }
         Thread.sleep(8_000);
-        PlatformStore.Copy copy = store.copy();
+        StoreModel.Copy copy = store.copy();
         // Ordinary work of the operator in the seconds before the drill: two changes of a rate.
         configure(store, 12, true, 61_000, record);
         Thread.sleep(2_000);
@@ -84,7 +84,7 @@
         Thread.sleep(14_000);
         boolean isBroken = false;
         for (int number = 2; number < 12; number++) {
-            Fleet.Machine machine = number % 2 == 0 ? one : two;
+            MachineFleet.Machine machine = number % 2 == 0 ? one : two;
             double sentAt = record.seconds();
             int status = ask(machine, number, "k2", record);
             if (status == 200 && plain.lastTenant().equals("crews")) {
@@ -101,7 +101,7 @@
         return isBroken ? 1 : 0;
     }
 
-    private static int ask(Fleet.Machine machine, int number, String key, Recorder record) {
+    private static int ask(MachineFleet.Machine machine, int number, String key, Recorder record) {
         String id = "charge-" + number;
         int status = Caller.send(
                 machine.callers,
--- a/review/standins/Json.java
+++ b/review/standins/JsonReader.java
@@ -4,17 +4,17 @@
 import java.util.Map;
 
 /** Reads JSON into maps, lists, strings, numbers and booleans. */
-final class Json {
+final class JsonReader {
 
     private final String text;
     private int at;
 
-    private Json(String text) {
+    private JsonReader(String text) {
         this.text = text;
     }
 
     static Object read(String text) {
-        return new Json(text).value();
+        return new JsonReader(text).value();
     }
 
     @SuppressWarnings("unchecked")
--- a/review/standins/Fleet.java
+++ b/review/standins/MachineFleet.java
@@ -17,7 +17,7 @@
 import java.util.stream.Stream;
 
 /** Starts the processes of a small deployment with the command of the deploy file and rendered settings. */
-final class Fleet implements AutoCloseable {
+final class MachineFleet implements AutoCloseable {
 
     static final ThreadFactory DAEMON = task -> {
         Thread thread = new Thread(task);
@@ -104,7 +104,7 @@
     private final Recorder record;
     private final List<Machine> machines = new ArrayList<>();
 
-    Fleet(Path root, Path folder, Recorder record) {
+    MachineFleet(Path root, Path folder, Recorder record) {
         this.root = root;
         this.folder = folder;
         this.record = record;
--- a/review/standins/OrdersAfterDrill.java
+++ b/review/standins/OrdersAfterDrill.java
@@ -31,8 +31,8 @@
         Path folder = Files.createTempDirectory("review");
         int result = 2;
         try (Recorder record = new Recorder(Path.of(arguments[1]));
-                PlatformStore store = new PlatformStore(record);
-                Fleet fleet = new Fleet(root, folder, record)) {
+                StoreModel store = new StoreModel(record);
+                MachineFleet fleet = new MachineFleet(root, folder, record)) {
             result = play(store, fleet, record, isTrouble);
             record.note("result %d", result);
         }
@@ -40,17 +40,17 @@
         System.exit(result);
     }
 
-    private static int play(PlatformStore store, Fleet fleet, Recorder record, boolean isTrouble) throws Exception {
+    private static int play(StoreModel store, MachineFleet fleet, Recorder record, boolean isTrouble) throws Exception {
         store.put("op/config", CONFIGURATION.formatted(7, "\"k1\""));
-        List<Engine> engines = new ArrayList<>();
+        List<ReplicaModel> engines = new ArrayList<>();
         for (int number = 0; number < 10; number++) {
-            engines.add(new Engine("i-" + number, "scribe", number % 2 == 0 ? "north" : "south", store, record));
+            engines.add(new ReplicaModel("i-" + number, "scribe", number % 2 == 0 ? "north" : "south", store, record));
         }
         // A new replica stays slow for some seconds; each of its reports then changes its entry.
         Thread reports = new Thread(() -> {
             try {
                 for (long coldLeftMs = 6_000; coldLeftMs >= 0; coldLeftMs -= 1_200) {
-                    for (Engine engine : engines) {
+                    for (ReplicaModel engine : engines) {
                         engine.register(coldLeftMs);
                     }
                     Thread.sleep(1_200);
@@ -62,10 +62,10 @@
         reports.setDaemon(true);
         reports.start();
         Thread.sleep(100);
-        PlatformStore.Copy copy = store.copy();
+        StoreModel.Copy copy = store.copy();
         Thread.sleep(1_500);
-        Fleet.Machine one = fleet.add("front-1", "north", store.address());
-        Fleet.Machine two = fleet.add("front-2", "south", store.address());
+        MachineFleet.Machine one = fleet.add("front-1", "north", store.address());
+        MachineFleet.Machine two = fleet.add("front-2", "south", store.address());
         one.start(true);
         two.start(true);
         if (!fleet.awaitReady(20_000)) {
@@ -97,9 +97,9 @@
         }
         record.note("reading calls since then: %.0f a second", (store.reads() - readsBefore) / (end - drillAt));
         boolean isBroken = false;
-        for (Engine engine : engines) {
-            Engine.Order highest = null;
-            for (Engine.Order order : engine.orders()) {
+        for (ReplicaModel engine : engines) {
+            ReplicaModel.Order highest = null;
+            for (ReplicaModel.Order order : engine.orders()) {
                 if (highest != null && order.token() < highest.token()) {
                     record.note(
                             "BROKEN: replica %s got generation number %d from %s at %.3f after %d from %s at %.3f",
@@ -132,7 +132,7 @@
         return isBroken ? 1 : 0;
     }
 
-    private static void ask(Fleet.Machine machine, int number, String adapter, Recorder record) {
+    private static void ask(MachineFleet.Machine machine, int number, String adapter, Recorder record) {
         String id = "chat-" + number;
         int status = Caller.send(
                 machine.callers,
--- a/review/standins/Plain.java
+++ b/review/standins/PlainModel.java
@@ -7,12 +7,12 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /** A replica of a plain service, which answers each request after a while with a body of a given size. */
-final class Plain implements AutoCloseable {
+final class PlainModel implements AutoCloseable {
 
     final String id;
     final AtomicLong runs = new AtomicLong();
     private final Recorder record;
-    private final PlatformStore store;
+    private final StoreModel store;
     private final String zone;
     private final HttpServer server;
     private final long born = System.currentTimeMillis();
@@ -20,14 +20,14 @@
     private volatile long workMs = 60;
     private volatile String lastTenant = "";
 
-    Plain(String id, String zone, PlatformStore store, Recorder record) throws IOException {
+    PlainModel(String id, String zone, StoreModel store, Recorder record) throws IOException {
         this.id = id;
         this.zone = zone;
         this.store = store;
         this.record = record;
         server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 256);
         server.createContext("/", this::serve);
-        server.setExecutor(Executors.newCachedThreadPool(Fleet.DAEMON));
+        server.setExecutor(Executors.newCachedThreadPool(MachineFleet.DAEMON));
         server.start();
     }
 
--- a/review/standins/Engine.java
+++ b/review/standins/ReplicaModel.java
@@ -12,14 +12,14 @@
 import java.util.concurrent.Executors;
 
 /** A model replica: takes orders on adapters of its one resident model, answers requests with short streams. */
-final class Engine implements AutoCloseable {
+final class ReplicaModel implements AutoCloseable {
 
     /** An order that arrived, with the time and the holder and generation number that it bears. */
     record Order(double at, String holder, long token, String what, int status) {}
 
     final String id;
     private final Recorder record;
-    private final PlatformStore store;
+    private final StoreModel store;
     private final String service;
     private final String zone;
     private final HttpServer server;
@@ -29,7 +29,7 @@
     private long sequence;
     private long runs;
 
-    Engine(String id, String service, String zone, PlatformStore store, Recorder record) throws IOException {
+    ReplicaModel(String id, String service, String zone, StoreModel store, Recorder record) throws IOException {
         this.id = id;
         this.service = service;
         this.zone = zone;
@@ -39,7 +39,7 @@
         server.createContext("/api/order", this::order);
         server.createContext("/api/report", this::report);
         server.createContext("/", this::serve);
-        server.setExecutor(Executors.newCachedThreadPool(Fleet.DAEMON));
+        server.setExecutor(Executors.newCachedThreadPool(MachineFleet.DAEMON));
         server.start();
     }
 
@@ -84,7 +84,7 @@
         if (isForOther(exchange)) {
             return;
         }
-        Map<String, Object> order = Json.object(body);
+        Map<String, Object> order = JsonReader.object(body);
         int status;
         synchronized (this) {
             String adapter = (String) order.get("adapter");
--- a/review/standins/PlatformStore.java
+++ b/review/standins/StoreModel.java
@@ -19,7 +19,7 @@
  * The platform's store as PROTOCOL.md and the news describe it: items, pages, watches, transactions, leases, and the
  * drill in which it comes back from a copy some seconds old with a higher Store-Era.
  */
-final class PlatformStore implements AutoCloseable {
+final class StoreModel implements AutoCloseable {
 
     private record Item(String key, String value, long revision, long created, long lease) {}
 
@@ -61,11 +61,11 @@
     private double readsThisSecond;
     private double writesThisSecond;
 
-    PlatformStore(Recorder record) throws IOException {
+    StoreModel(Recorder record) throws IOException {
         this.record = record;
         server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 256);
         server.createContext("/", this::handle);
-        server.setExecutor(Executors.newCachedThreadPool(Fleet.DAEMON));
+        server.setExecutor(Executors.newCachedThreadPool(MachineFleet.DAEMON));
         server.start();
         Thread expiry = new Thread(this::expireLeases);
         expiry.setDaemon(true);
@@ -101,7 +101,7 @@
                 }
                 handle(exchange);
             });
-            view.setExecutor(Executors.newCachedThreadPool(Fleet.DAEMON));
+            view.setExecutor(Executors.newCachedThreadPool(MachineFleet.DAEMON));
             view.start();
         }
 
@@ -288,10 +288,10 @@
             return watch(query, out);
         }
         if (path.equals("/api/kv-txn")) {
-            return transact(Json.object(new String(body, StandardCharsets.UTF_8)), out);
+            return transact(JsonReader.object(new String(body, StandardCharsets.UTF_8)), out);
         }
         if (path.equals("/api/kv-lease")) {
-            long ttl = (Long) Json.object(new String(body, StandardCharsets.UTF_8)).get("ttlMs");
+            long ttl = (Long) JsonReader.object(new String(body, StandardCharsets.UTF_8)).get("ttlMs");
             leases.put(++lastLease, new Lease(ttl, System.nanoTime() + ttl * 1_000_000));
             out.append("{\"lease\":" + lastLease + ",\"ttlMs\":" + ttl + "}");
             return 200;
