--- a/review/standins/MachineFleet.java
+++ b/review/standins/MachineFleet.java
@@ -108,6 +108,8 @@
         this.root = root;
         this.folder = folder;
         this.record = record;
+        // Also if this program is ended from outside, none of the processes that it started stays.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
     Machine add(String name, String zone, String store) {
--- a/review/standins/PlainModel.java
+++ b/review/standins/PlainModel.java
@@ -3,14 +3,15 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
-import java.util.concurrent.atomic.AtomicLong;
 
 /** A replica of a plain service, which answers each request after a while with a body of a given size. */
 final class PlainModel implements AutoCloseable {
 
     final String id;
-    final AtomicLong runs = new AtomicLong();
+    private final Set<String> runs = ConcurrentHashMap.newKeySet();
     private final Recorder record;
     private final StoreModel store;
     private final String zone;
@@ -36,6 +37,10 @@
         workMs = milliseconds;
     }
 
+    boolean hasRun(String requestId) {
+        return runs.contains(requestId);
+    }
+
     /** Returns the tenant for which the last request ran. */
     String lastTenant() {
         return lastTenant;
@@ -60,7 +65,7 @@
             exchange.close();
             return;
         }
-        runs.incrementAndGet();
+        runs.add(requestId);
         lastTenant = String.valueOf(exchange.getRequestHeaders().getFirst("X-Tenant"));
         record.note(
                 "replica %s: runs %s for tenant %s",
