Keep fencing tokens from sinking when the store comes back from an older copy

Cause: a leader took the revision of its claim as its fencing token. Revisions go back with the copy, and nothing kept the highest token that was used.

A claim is now written again until its revision is above the highest token that is known to this VM: from its own leadership, from each claim that it has seen in the store, and from its peers, whose digests tell the highest one. A leader that hears of a higher token than its own sends no orders until its claim is above it.

Weighed: tokens that leave the revision (an era in the upper bits, or the highest known plus one). What it costs is one write for each revision that was lost, at most 160 a second.

--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
@@ -59,6 +59,7 @@
             boolean isForwarding,
             Collection<Upstream> announcedEngines,
             Optional<Leadership.Resignation> resignation,
+            long highestFencingToken,
             CrashTracking crashes,
             MonotonicTime now) {
         VmDigest.Builder digest = VmDigest.newBuilder()
@@ -70,7 +71,8 @@
                 .setFollowsStore(followsStore)
                 .setIsPlacing(isPlacing)
                 .setIsStopping(isStopping)
-                .setIsForwarding(isForwarding);
+                .setIsForwarding(isForwarding)
+                .setHighestFencingToken(highestFencingToken);
         spending.forEach(entry -> digest.addSpending(toTeamSpending(entry)));
         demand.ifPresent(present -> addDemand(digest, present));
         upstreams.forEach(upstream -> addLoad(digest, upstream, now));
--- a/serving/src/main/java/org/pollenhoist/serving/node/LocalVmState.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/LocalVmState.java
@@ -76,6 +76,7 @@
                 isForwarding.getAsBoolean(),
                 engines,
                 leadership.resignation(),
+                leadership.highestKnownToken(),
                 crashes,
                 now);
     }
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -454,6 +454,7 @@
     }
 
     private void receive(PeerReport report) {
+        leadership.onTokenUsed(report.digest().getHighestFencingToken());
         DigestCodec.resignation(report.digest(), report.receivedAt()).ifPresent(leadership::onResignation);
         digests.receive(report);
     }
--- a/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
@@ -55,6 +55,12 @@
     /** Time without a successful renewal after which the holder resigns: a renewal and a retry have failed by then. */
     private static final Duration RENEWAL_TIMEOUT = Duration.ofMillis(1_200);
 
+    /**
+     * How often a claim is rewritten in one tick while its revision is too low. With a tick every 50 ms, this is less
+     * than half of the writes that a store accepts from the whole fleet.
+     */
+    private static final int MAXIMUM_RAISES_PER_TICK = 8;
+
     private static final DecisionLog LOG = DecisionLog.of("placement");
 
     private final Store store;
@@ -68,6 +74,9 @@
     private OptionalLong lease = OptionalLong.empty();
     private byte[] claim = {};
     private long fencingToken;
+    private long highestKnownToken;
+    private OptionalLong claimToRaise = OptionalLong.empty();
+    private int raisesInTick;
     private MonotonicTime renewedAt;
     private MonotonicTime maySendOrdersUntil;
     private MonotonicTime latestOrderByOthers;
@@ -131,7 +140,8 @@
     }
 
     /**
-     * Returns the fencing token that each order carries, greater than that of every previous leader.
+     * Returns the fencing token that each order carries: the revision of the claim, greater than every token that this
+     * VM or its peers know to have been used.
      *
      * @return the fencing token
      */
@@ -139,6 +149,31 @@
         return fencingToken;
     }
 
+    /**
+     * Returns the highest fencing token that is known to have been used, for the peers: after the store has come back
+     * from an older copy, a claim may get a lower revision.
+     *
+     * @return the token, 0 if none is known
+     */
+    public long highestKnownToken() {
+        return isHolder ? Math.max(highestKnownToken, fencingToken) : highestKnownToken;
+    }
+
+    /**
+     * Records that a fencing token has been used. A leader with a lower one sends no orders until the revision of its
+     * claim is higher.
+     *
+     * @param token the token that a peer reports, 0 if the peer knows none
+     */
+    public void onTokenUsed(long token) {
+        highestKnownToken = Math.max(highestKnownToken, token);
+        if (isHolder && highestKnownToken > fencingToken) {
+            isHolder = false;
+            claimToRaise = OptionalLong.of(fencingToken);
+            LOG.event("placement_suspended", "fencing_token", fencingToken, "highest_known", highestKnownToken);
+        }
+    }
+
     /**
      * Records that an order is sent.
      *
@@ -193,11 +228,14 @@
             isClaimConfirmed = true;
             return;
         }
+        claimToRaise = OptionalLong.empty();
+        changed.ifPresent(item -> highestKnownToken = Math.max(highestKnownToken, item.revision()));
         if (isClaimOfOther()) {
             latestOrderByOthersBeforeRecord = latestOrderByOthers;
             latestOrderByOthers = now;
         }
-        if (isHolder && isClaimConfirmed) {
+        boolean isReplaced = changed.isPresent() && highestKnownToken > fencingToken;
+        if (isHolder && (isClaimConfirmed || isReplaced)) {
             loseLeadership("the claim is no longer in the store");
         }
     }
@@ -269,12 +307,17 @@
         if (isCallPending || isStopping || now.isBefore(nextCallAt)) {
             return;
         }
+        raisesInTick = 0;
         if (isHolder) {
             renew(now);
+        } else if (claimToRaise.isPresent() && lease.isPresent()) {
+            raiseOrRenew(now);
         } else if (isOwnClaim() && lease.isPresent()) {
             // The claim took effect, but the response to it was lost.
-            takeLeadership(record.get().revision());
-            renew(now);
+            onClaimed(record.get().revision(), now);
+            if (isHolder) {
+                renew(now);
+            }
         } else if (isVacant() && mayApply) {
             applyForLease(now);
         }
@@ -288,7 +331,7 @@
                 case StoreResult.Success<Duration> success -> {
                     renewedAt = now;
                     maySendOrdersUntil = now.plus(orderingTime(success.value()));
-                    nextCallAt = now.plus(success.value().dividedBy(RENEWALS_PER_LEASE));
+                    nextCallAt = isHolder ? now.plus(renewalInterval(success.value())) : now;
                 }
                 case StoreResult.Rejected<Duration> rejected -> loseLeadership(rejected.reason());
                 case StoreResult.Unavailable<Duration> unavailable -> {
@@ -322,7 +365,10 @@
         // The identifier of the lease distinguishes this claim from an earlier one whose response was lost.
         claim = (name + ' ' + grantedLease).getBytes(StandardCharsets.UTF_8);
         isClaimConfirmed = false;
-        long replacedRevision = record.map(StoreItem::revision).orElse(0L);
+        commitClaim(record.map(StoreItem::revision).orElse(0L), appliedAt);
+    }
+
+    private void commitClaim(long replacedRevision, MonotonicTime appliedAt) {
         store.commit(
                 List.of(new Store.Condition(key, replacedRevision)),
                 List.of(new Store.Write(key, claim, lease)),
@@ -334,11 +380,12 @@
                         case StoreResult.Success<Long> success -> {
                             renewedAt = appliedAt;
                             maySendOrdersUntil = appliedAt.plus(orderingTime(handoverInterval));
-                            takeLeadership(success.value());
+                            onClaimed(success.value(), appliedAt);
                         }
                         case StoreResult.Rejected<Long> rejected -> {
                             lease.ifPresent(store::endLease);
                             lease = OptionalLong.empty();
+                            claimToRaise = OptionalLong.empty();
                             nextCallAt = appliedAt.plus(RETRY_DELAY);
                         }
                         case StoreResult.Unavailable<Long> unavailable -> nextCallAt = appliedAt.plus(RETRY_DELAY);
@@ -346,9 +393,44 @@
                 });
     }
 
+    private void onClaimed(long revision, MonotonicTime now) {
+        if (revision > highestKnownToken) {
+            takeLeadership(revision);
+            return;
+        }
+        if (claimToRaise.isEmpty()) {
+            LOG.event("placement_claim_too_low", "revision", revision, "highest_known", highestKnownToken);
+        }
+        claimToRaise = OptionalLong.of(revision);
+        if (raisesInTick < MAXIMUM_RAISES_PER_TICK) {
+            raise(now);
+        }
+    }
+
+    /** Writes the claim again, so that it gets a higher revision. */
+    private void raise(MonotonicTime now) {
+        raisesInTick++;
+        isCallPending = true;
+        isClaimConfirmed = false;
+        commitClaim(claimToRaise.orElseThrow(), now);
+    }
+
+    private void raiseOrRenew(MonotonicTime now) {
+        if (now.since(renewedAt).compareTo(renewalInterval(handoverInterval)) >= 0) {
+            renew(now);
+        } else {
+            raise(now);
+        }
+    }
+
+    private static Duration renewalInterval(Duration leaseTime) {
+        return leaseTime.dividedBy(RENEWALS_PER_LEASE);
+    }
+
     private void takeLeadership(long revision) {
         isHolder = true;
         fencingToken = revision;
+        claimToRaise = OptionalLong.empty();
         lastOrderAt = Optional.empty();
         ownResignation = Optional.empty();
         LOG.event("placement_lease_taken", "fencing_token", revision);
@@ -357,7 +439,13 @@
     /** Ends the leadership because the lease or the claim has ended in the store. */
     private void loseLeadership(String reason) {
         LOG.event("placement_lease_lost", "fencing_token", fencingToken, "reason", reason);
+        endLeadership();
+    }
+
+    private void endLeadership() {
+        highestKnownToken = highestKnownToken();
         isHolder = false;
+        claimToRaise = OptionalLong.empty();
         lease = OptionalLong.empty();
     }
 
@@ -367,8 +455,7 @@
         }
         LOG.event("placement_resigned", "fencing_token", fencingToken, "reason", reason);
         ownResignation = Optional.of(new Resignation(fencingToken, lastOrderAt));
-        isHolder = false;
-        lease = OptionalLong.empty();
+        endLeadership();
     }
 
     /** Stops sending orders and resigns. */
--- a/serving/src/test/java/org/pollenhoist/serving/node/DigestCodecTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/DigestCodecTest.java
@@ -43,6 +43,8 @@
             new PrometheusRegistry(),
             () -> {});
 
+    private static final long HIGHEST_FENCING_TOKEN = 51;
+
     /** Space for a name of twenty characters and two numbers. */
     private static final int MAX_BYTES_PER_MODEL = 36;
 
@@ -62,11 +64,18 @@
                         true,
                         List.of(),
                         resignation,
+                        HIGHEST_FENCING_TOKEN,
                         CRASHES,
                         NOW);
         return VmDigest.parseFrom(written.toByteArray());
     }
 
+    @Test
+    void should_tell_the_highest_fencing_token() throws InvalidProtocolBufferException {
+        assertThat(write(Optional.empty(), Optional.empty()).getHighestFencingToken())
+                .isEqualTo(HIGHEST_FENCING_TOKEN);
+    }
+
     private static VmDemand demandFor(int models) {
         Map<String, RecentWork> work = new HashMap<>();
         for (int model = 0; model < models; model++) {
@@ -133,6 +142,7 @@
                             true,
                             List.of(),
                             Optional.empty(),
+                            HIGHEST_FENCING_TOKEN,
                             CRASHES,
                             NOW);
             return VmDigest.parseFrom(written.toByteArray());
--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
@@ -263,6 +263,7 @@
                     true,
                     engines,
                     Optional.empty(),
+                    0,
                     crashes,
                     at);
         }
