Keep two leaders apart when a claim is lost with an older copy of the store

Cause: a claim that is missing in the store without a resignation counted as expired, so that its holder had sent no orders for 1.3 s. When the store comes back from an older copy, the holder may have sent one just now, and goes on for half a lease if it does not hear of it. Its successor sent orders 0.9 to 1.7 s later, where the handover interval is 3 s.

When the era changes, a leader sends no orders until the listing of the copy shows its claim. If the copy has it, the leader goes on with it and its lease; if not, it claims anew and may send orders at once, since no other VM can have sent any. Every other VM reckons with orders of the earlier era for another half lease.

Not covered: a process that starts after the drill and hears of no peer that led before it.

--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -149,6 +149,7 @@
         mirror = new StoreMirror(loop, bootClock::read, store, state, this::batchingDelay);
         relay = new StoreRelayExchange(client, peers, mirror, eras, bootClock::read);
         eras.register(registry);
+        eras.onChange(() -> leadership.onNewEra(bootClock.read()));
         eras.onChange(() -> mirror.onNewEra(bootClock.read()));
         placement = new PlacementDriver(
                 this::after,
--- a/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
@@ -82,12 +82,15 @@
     private MonotonicTime maySendOrdersUntil;
     private MonotonicTime latestOrderByOthers;
     private MonotonicTime latestOrderByOthersBeforeRecord;
+    private MonotonicTime latestOrderOfEarlierEra;
     private Optional<MonotonicTime> recordPresentSince = Optional.empty();
     private MonotonicTime nextCallAt;
     private boolean isCallPending;
     private boolean isHolder;
     private boolean isClaimConfirmed;
     private boolean isStopping;
+    private boolean isClaimInDoubt;
+    private boolean wasOnlyLeader;
 
     /**
      * Creates a candidate for the leadership.
@@ -111,6 +114,7 @@
         this.nextCallAt = now;
         this.latestOrderByOthers = isFirstStart ? now.plus(handoverInterval.negated()) : now;
         this.latestOrderByOthersBeforeRecord = latestOrderByOthers;
+        this.latestOrderOfEarlierEra = latestOrderByOthers;
     }
 
     /**
@@ -128,7 +132,9 @@
     }
 
     private MonotonicTime maySendOrdersFrom() {
-        return latestOrderByOthers.plus(handoverInterval);
+        MonotonicTime latest =
+                latestOrderByOthers.isBefore(latestOrderOfEarlierEra) ? latestOrderOfEarlierEra : latestOrderByOthers;
+        return latest.plus(handoverInterval);
     }
 
     /**
@@ -226,7 +232,7 @@
         record = changed;
         recordPresentSince = changed.map(item -> now);
         if (changed.isPresent() && isOwnClaim()) {
-            isClaimConfirmed = true;
+            confirmClaim(changed.get().revision());
             return;
         }
         claimToRaise = Optional.empty();
@@ -242,6 +248,46 @@
         }
     }
 
+    private void confirmClaim(StoreRevision revision) {
+        if (isHolder && !revision.isOfSameEra(claimRevision)) {
+            // The copy has the claim, so it has the lease that the claim was written with.
+            lease = lease.map(granted -> new StoreLease(revision.era(), granted.number()));
+            continueClaim(revision);
+        }
+        isClaimConfirmed = !isHolder || !claimRevision.isAfter(revision);
+    }
+
+    /** Keeps the leadership in a new era, unless the copy has the claim at a lower revision than orders were sent with. */
+    private void continueClaim(StoreRevision revision) {
+        isClaimInDoubt = false;
+        if (revision.number() >= fencingToken()) {
+            claimRevision = revision;
+            return;
+        }
+        highestKnownToken = highestKnownToken();
+        isHolder = false;
+        claimToRaise = Optional.of(revision);
+        LOG.event("placement_suspended", "claim", revision, "highest_known", highestKnownToken);
+    }
+
+    /**
+     * Stops sending orders because the store has come back from an older copy, until the listing of the copy shows
+     * whether the claim still exists. Another VM that led before, and has not heard of the new era, may send orders for
+     * the rest of its ordering time; a claim of it that is missing in the copy has not expired.
+     *
+     * @param now the present time
+     */
+    public void onNewEra(MonotonicTime now) {
+        wasOnlyLeader = isHolder && isClaimConfirmed && now.isBefore(maySendOrdersUntil);
+        if (!wasOnlyLeader) {
+            latestOrderOfEarlierEra = now.plus(orderingTime(handoverInterval));
+        }
+        isClaimInDoubt = isHolder;
+        isClaimConfirmed = false;
+        claimToRaise = Optional.empty();
+        LOG.event("placement_in_doubt", "holder", isHolder, "claim", claimRevision, "only_leader", wasOnlyLeader);
+    }
+
     /** Tells whether the removed record may have been present for a whole lease, so that it may have expired. */
     private boolean hasExpired(MonotonicTime now) {
         return recordPresentSince
@@ -265,6 +311,12 @@
      * @param now the present time
      */
     public void onMissedChanges(MonotonicTime now) {
+        if (isClaimInDoubt) {
+            loseLeadership("the copy does not have the claim");
+            if (wasOnlyLeader) {
+                return;
+            }
+        }
         if (isHolder && now.isBefore(maySendOrdersUntil)) {
             return;
         }
@@ -306,7 +358,7 @@
         if (isClaimOfOther() && !isVacant()) {
             latestOrderByOthers = now;
         }
-        if (isCallPending || isStopping || now.isBefore(nextCallAt)) {
+        if (isCallPending || isStopping || isClaimInDoubt || now.isBefore(nextCallAt)) {
             return;
         }
         raisesInTick = 0;
@@ -446,6 +498,7 @@
     }
 
     private void endLeadership() {
+        isClaimInDoubt = false;
         highestKnownToken = highestKnownToken();
         isHolder = false;
         claimToRaise = Optional.empty();
