Do not end a stream as complete when its continuation has no event

Callers got three of eight events and an end that looked complete, when the upstream that was asked to go on with a broken stream sent a whole response without a single event.

Cause: only a response without a length or chunks had to have an event. A continuation within the caller's response now counts as broken without one, so that it goes on elsewhere or the response is cut. What a caller gets that resumes a stream itself is unchanged: the response of the upstream, whole.

--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -40,6 +40,7 @@
 
     private final RequestEnvironment environment;
     private final CallerRequest request;
+    private final boolean isContinuation;
     private UpstreamExchange exchange;
     private HttpResponse head;
     private ResponseHead parsedHead;
@@ -49,7 +50,18 @@
     private boolean isFirstEvent = true;
     private boolean isClosed;
 
-    UpstreamAttempt(RequestEnvironment environment, Upstream upstream, CallerRequest request, MonotonicTime now) {
+    /**
+     * Starts to count as load of the upstream.
+     *
+     * @param isContinuation whether the caller has already received events of the stream in the same response
+     */
+    UpstreamAttempt(
+            RequestEnvironment environment,
+            Upstream upstream,
+            CallerRequest request,
+            boolean isContinuation,
+            MonotonicTime now) {
+        this.isContinuation = isContinuation;
         this.environment = environment;
         this.upstream = upstream;
         this.request = request;
@@ -208,9 +220,9 @@
             close("broken");
             logFailure("broken", "stream ended within an event");
             onBroken("ended_within_an_event", true);
-        } else if (isFirstEvent && !hasExplicitEnd()) {
+        } else if (isFirstEvent && (isContinuation || !hasExplicitEnd())) {
             close("broken");
-            logFailure("broken", "stream without a length ended before its first event");
+            logFailure("broken", "stream without a length, or continuation, ended before its first event");
             onBroken("ended_before_the_first_event", true);
         } else {
             close("ok");
