Do not pass on bytes that are no event

Callers found the status line, header fields and text of a second response in the middle of their stream, and the stream ended as if it were complete.

Each line of an event must now be a field of server-sent events, or one that the platform adds. The first line that is none ends the attempt after the events before it, so that the stream goes on elsewhere or is cut.

--- a/serving/src/main/java/org/pollenhoist/serving/request/EventStream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/EventStream.java
@@ -4,8 +4,10 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * Splits a stream of server-sent events into complete events, so that a caller never receives part of an event when the
@@ -15,8 +17,12 @@
 
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
+    private static final char FIELD_END = ':';
     private static final String IDENTIFIER_FIELD = "id:";
 
+    /** The fields of server-sent events; a line that begins with a colon, a comment, has an empty name. */
+    private static final Set<String> STANDARD_FIELDS = Set.of("", "data", "event", "id", "retry");
+
     /** Longest event that is buffered, in bytes. */
     private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
 
@@ -25,10 +31,19 @@
 
     private final ByteBufAllocator allocator;
     private ByteBuf pending = Unpooled.EMPTY_BUFFER;
+    private final Set<String> fields = new HashSet<>(STANDARD_FIELDS);
     private OptionalLong lastIdentifier = OptionalLong.empty();
+    private boolean hasForeignBytes;
 
-    EventStream(ByteBufAllocator allocator) {
+    /**
+     * Creates a stream without events.
+     *
+     * @param allocator allocates buffers of events
+     * @param furtherFields names of fields that events may have besides the standard ones
+     */
+    EventStream(ByteBufAllocator allocator, Set<String> furtherFields) {
         this.allocator = allocator;
+        fields.addAll(furtherFields);
     }
 
     /**
@@ -48,12 +63,50 @@
         if (end == 0) {
             return Optional.empty();
         }
-        ByteBuf events = allocator.buffer(end).writeBytes(pending, end);
+        // One character for each byte, so that positions in the text are positions in the buffer.
+        String text = pending.toString(pending.readerIndex(), end, StandardCharsets.ISO_8859_1);
+        int genuine = lengthOfGenuineEvents(text);
+        hasForeignBytes = genuine < end;
+        if (genuine == 0) {
+            return Optional.empty();
+        }
+        ByteBuf events = allocator.buffer(genuine).writeBytes(pending, genuine);
         pending.discardReadBytes();
-        updateLastIdentifier(events.toString(StandardCharsets.UTF_8));
+        updateLastIdentifier(text.substring(0, genuine));
         return Optional.of(events);
     }
 
+    /** Returns the length of the events before the first one that has a line which is no field. */
+    private int lengthOfGenuineEvents(String events) {
+        int eventBegin = 0;
+        int lineBegin = 0;
+        while (lineBegin < events.length()) {
+            int lineEnd = events.indexOf(LINE_FEED, lineBegin);
+            boolean hasCarriageReturn = lineEnd > lineBegin && events.charAt(lineEnd - 1) == CARRIAGE_RETURN;
+            String line = events.substring(lineBegin, hasCarriageReturn ? lineEnd - 1 : lineEnd);
+            lineBegin = lineEnd + 1;
+            if (line.isEmpty()) {
+                eventBegin = lineBegin;
+            } else if (!isField(line)) {
+                return eventBegin;
+            }
+        }
+        return events.length();
+    }
+
+    private boolean isField(String line) {
+        int nameEnd = line.indexOf(FIELD_END);
+        return fields.contains(nameEnd < 0 ? line : line.substring(0, nameEnd));
+    }
+
+    /**
+     * Returns whether the bytes after the last events that were returned are no event, such as a second response. Without
+     * a length or chunks, whatever follows on the connection belongs to the body.
+     */
+    boolean hasForeignBytes() {
+        return hasForeignBytes;
+    }
+
     /** Returns whether the incomplete event exceeds the maximum length. */
     boolean isEventTooLong() {
         return pending.readableBytes() > MAXIMUM_EVENT_BYTES;
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestFormat.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestFormat.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Set;
 
 /** Reads and writes the headers that carry metadata of requests and responses. Implemented by the platform adapter. */
 public interface RequestFormat {
@@ -33,6 +34,13 @@
      */
     ResponseHead readResponse(HttpResponse head);
 
+    /**
+     * Returns the fields that an event of a stream may have besides those of server-sent events.
+     *
+     * @return their names
+     */
+    Set<String> eventFields();
+
     /**
      * Adds the identifier of a request to a response that this system creates itself.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -147,7 +147,8 @@
         boolean isEventStream =
                 responseHead.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM);
         if (isStream() && parsedHead.isSuccess() && isEventStream) {
-            eventStream = new EventStream(PooledByteBufAllocator.DEFAULT);
+            eventStream = new EventStream(
+                    PooledByteBufAllocator.DEFAULT, environment.format().eventFields());
         }
         if (parsedHead.isSuccess() && !isTrustworthy()) {
             abort("answer_not_genuine");
@@ -175,6 +176,9 @@
             onEvents(head, complete.get(), eventStream.lastIdentifier());
             isFirstEvent = false;
         }
+        if (!isClosed && eventStream.hasForeignBytes()) {
+            abort("bytes_that_are_no_event");
+        }
         if (!isClosed && eventStream.isEventTooLong()) {
             abort("event_too_large");
         }
--- a/serving/src/test/java/org/pollenhoist/serving/forwarding/ForwardingServerTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/forwarding/ForwardingServerTest.java
@@ -207,6 +207,11 @@
     /** Reads the identifier of requests and responses, and nothing else. */
     private static final class Format implements RequestFormat {
 
+        @Override
+        public Set<String> eventFields() {
+            return Set.of();
+        }
+
         @Override
         public CallerRequest read(HttpRequest head) {
             return new CallerRequest(
--- a/serving/src/test/java/org/pollenhoist/serving/request/EventStreamTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/request/EventStreamTest.java
@@ -8,12 +8,17 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class EventStreamTest {
 
-    private final EventStream stream = new EventStream(UnpooledByteBufAllocator.DEFAULT);
+    private static final Set<String> FURTHER_FIELDS = Set.of("weights");
+
+    private final EventStream stream = new EventStream(UnpooledByteBufAllocator.DEFAULT, FURTHER_FIELDS);
 
     private Optional<String> append(String text) {
         return stream.append(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8))
@@ -42,7 +47,7 @@
             String text = "id: 1\r\ndata: x\r\n\r\nid: 2\ndata: y\n\n";
             for (int first = 0; first <= text.length(); first++) {
                 for (int second = first; second <= text.length(); second++) {
-                    EventStream split = new EventStream(UnpooledByteBufAllocator.DEFAULT);
+                    EventStream split = new EventStream(UnpooledByteBufAllocator.DEFAULT, FURTHER_FIELDS);
                     StringBuilder events = new StringBuilder();
                     for (String part :
                             List.of(text.substring(0, first), text.substring(first, second), text.substring(second))) {
@@ -83,6 +88,54 @@
         }
     }
 
+    /** Guards against bytes of another response, or of none, that are passed on as events. */
+    @Nested
+    class ForeignBytes {
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 3\r\n\r\n",
+                    "Content-Type: text/event-stream\r\n\r\n",
+                    "{\"error\":\"no model\"}\n\n",
+                    "bad gateway\n\n",
+                    "<html>\n<body>\n\n",
+                    "data: x\nHTTP/1.1 200 OK\n\n",
+                    "\u00ffdata: x\n\n"
+                })
+        void should_return_the_events_before_them(String foreign) {
+            assertThat(append("id: 1\ndata: x\n\n" + foreign)).contains("id: 1\ndata: x\n\n");
+
+            assertThat(stream.hasForeignBytes()).isTrue();
+            assertThat(stream.lastIdentifier()).hasValue(1);
+        }
+
+        @Test
+        void should_return_no_event_when_they_are_all_there_is() {
+            assertThat(append("HTTP/1.1 200 OK\r\n\r\n")).isEmpty();
+            assertThat(stream.hasForeignBytes()).isTrue();
+        }
+
+        @Test
+        void should_take_each_field_for_an_event() {
+            String events = ": comment\n\nretry: 5\n\nweights: 3\nevent: delta\nid: 2\ndata\ndata:\u00e9\n\n";
+
+            assertThat(append(events)).contains(events);
+            assertThat(stream.hasForeignBytes()).isFalse();
+        }
+
+        @Test
+        void should_be_noticed_at_the_latest_with_the_next_blank_line_when_they_come_in_parts() {
+            append("data: x\n\nHTTP/1.1 500 ");
+            assertThat(stream.hasForeignBytes()).isFalse();
+            assertThat(stream.hasPartialEvent()).isTrue();
+
+            assertThat(append("Error\r\n\r\n")).isEmpty();
+
+            assertThat(stream.hasForeignBytes()).isTrue();
+        }
+    }
+
     @Nested
     class Identifiers {
 
