Keep a leaving upstream out of use when an older entry of it comes back

Cause: an upstream was usable again as soon as its entry no longer said that it leaves. With an older copy of the store the entry of before comes back for a moment, and new requests went to an upstream that was about to end.

An upstream that has registered as leaving stays so for its lifetime, as one that says so in a response does already.

--- a/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
@@ -32,6 +32,7 @@
     private boolean hasEnded;
     private boolean hasEndedUnexpectedly;
     private boolean hasAnnouncedLeaving;
+    private boolean hasRegisteredLeaving;
     private int running;
     private long tokensAwaitingPrefill;
     private long reservedTokens;
@@ -60,6 +61,8 @@
     final void updateDescription(UpstreamDescription newDescription) {
         Set<String> before = description == null ? Set.of() : names(description);
         description = newDescription;
+        // An upstream that is leaving does not change its mind; an older entry may come back with a copy of the store.
+        hasRegisteredLeaving |= newDescription.isLeaving();
         Set<String> after = names(newDescription);
         for (HeldModel model : newDescription.models()) {
             if (!before.contains(model.name())) {
@@ -155,7 +158,7 @@
      * @return false if it is leaving or has ended
      */
     public boolean isUsable() {
-        return !hasEnded && !hasAnnouncedLeaving && !description.isLeaving();
+        return !hasEnded && !hasAnnouncedLeaving && !hasRegisteredLeaving;
     }
 
     /**
