--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
@@ -107,7 +107,7 @@
         return text.matches("\\d{1,18}") ? OptionalLong.of(Long.parseLong(text)) : OptionalLong.empty();
     }
 
-    private static StoreRelay toMessage(StoreChanges changes) {
+    static StoreRelay toMessage(StoreChanges changes) {
         StoreRelay.Builder relay = StoreRelay.newBuilder()
                 .setRevision(changes.revision().number())
                 .setEra(changes.revision().era())
@@ -127,8 +127,13 @@
         return relay.build();
     }
 
-    private StoreChanges fromMessage(StoreRelay relay) {
-        long era = relay.hasEra() ? relay.getEra() : mirror.revision().era();
+    /**
+     * Reads what a peer relays.
+     *
+     * @param knownEra the era that this VM knows, which a relay of an earlier build, that names none, is taken to be of
+     */
+    static StoreChanges fromMessage(StoreRelay relay, long knownEra) {
+        long era = relay.hasEra() ? relay.getEra() : knownEra;
         return new StoreChanges(
                 new StoreRevision(era, relay.getRevision()),
                 relay.getItemsList().stream()
@@ -227,7 +232,7 @@
             return;
         }
         try {
-            mirror.applyPeerChanges(fromMessage(StoreRelay.parseFrom(completed.body())));
+            mirror.applyPeerChanges(fromMessage(StoreRelay.parseFrom(completed.body()), mirror.revision().era()));
         } catch (InvalidProtocolBufferException malformed) {
             LOG.event("relay_failed", "reason", malformed.getMessage());
         }
