--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
@@ -232,7 +232,8 @@
             return;
         }
         try {
-            mirror.applyPeerChanges(fromMessage(StoreRelay.parseFrom(completed.body()), mirror.revision().era()));
+            mirror.applyPeerChanges(fromMessage(
+                    StoreRelay.parseFrom(completed.body()), mirror.revision().era()));
         } catch (InvalidProtocolBufferException malformed) {
             LOG.event("relay_failed", "reason", malformed.getMessage());
         }
