Let the upstream that fills the memory give way, and buffer on the heap

Cause: incomplete events were not counted with buffered responses, capacities were not counted at all, and both lay in direct memory, for which the JDK lets the event loop sleep when it is used up.

Incomplete events and buffered responses now lie on the heap and are counted together by the capacity of their buffers. At the limit the upstream that holds most gives way with its largest response (response_buffers_full); whoever is below its share is spared. The limit is 20 MiB, an eighth of the heap.

Left for the open issue on one bound: request bodies, slow callers, calls to the store and to engines, bytes that pass through for a peer.

--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -57,8 +57,8 @@
     /** Interval of the periodic task that checks deadlines and queued requests. */
     private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
 
-    /** Maximum total size of buffered responses: half of the process's direct memory. */
-    private static final long RESPONSE_BUFFER_BYTES = 24L << 20;
+    /** Maximum total size of buffered responses and incomplete events: an eighth of the process's heap. */
+    private static final long RESPONSE_BUFFER_BYTES = 20L << 20;
 
     /**
      * Interval of the periodic task that closes idle connections and reconciles verdicts and the registration with the
--- a/serving/src/main/java/org/pollenhoist/serving/request/EventStream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/EventStream.java
@@ -55,7 +55,8 @@
     Optional<ByteBuf> append(ByteBuf chunk) {
         if (!pending.isReadable()) {
             pending.release();
-            pending = allocator.buffer(chunk.readableBytes());
+            // On the heap, as buffered responses are.
+            pending = allocator.heapBuffer(chunk.readableBytes());
         }
         int previousLength = pending.readableBytes();
         pending.writeBytes(chunk);
@@ -112,6 +113,11 @@
         return pending.readableBytes() > MAXIMUM_EVENT_BYTES;
     }
 
+    /** Returns the memory that an incomplete event takes, 0 if there is none. */
+    int bufferedBytes() {
+        return pending.isReadable() ? pending.capacity() : 0;
+    }
+
     /** Returns the length of all complete events. No event ends within the first {@code searched} bytes. */
     private static int endOfLastEvent(ByteBuf bytes, int searched) {
         int begin = bytes.readerIndex();
--- a/serving/src/main/java/org/pollenhoist/serving/request/ResponseBufferBudget.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/ResponseBufferBudget.java
@@ -1,16 +1,36 @@
 package org.pollenhoist.serving.request;
 
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.pollenhoist.common.DecisionLog;
+
 /**
- * Limits the total memory of responses that are buffered before they are passed on, so that upstreams that send endless
- * responses can't exhaust the memory that other responses need. Confined to the event loop.
+ * Limits the total memory of responses and incomplete events that are buffered before they are passed on, so that an
+ * upstream that sends endless responses can't exhaust the memory that other responses need. When the limit is exceeded,
+ * the upstream that fills most of the memory gives way with its largest response. Confined to the event loop.
  */
 public final class ResponseBufferBudget {
 
+    /** A response that is buffered. */
+    interface Holder {
+
+        /** Returns the upstream that sends the response. */
+        String upstream();
+
+        /** Ends the response and releases its memory. */
+        void giveUp();
+    }
+
+    private static final DecisionLog LOG = DecisionLog.of("upstream");
+
     private final long maximumBytes;
+    private final Map<Holder, Long> heldBytes = new LinkedHashMap<>();
     private long usedBytes;
 
     /**
-     * Creates a budget of which nothing is reserved.
+     * Creates a budget of which nothing is used.
      *
      * @param maximumBytes the limit for all buffered responses together, in bytes
      */
@@ -18,16 +38,56 @@
         this.maximumBytes = maximumBytes;
     }
 
-    /** Reserves bytes. Returns false, and reserves none, if fewer than that are left. */
-    boolean tryReserve(long bytes) {
-        if (usedBytes + bytes > maximumBytes) {
-            return false;
+    /**
+     * Records the size of a holder's buffer, and makes others give way if the limit is exceeded.
+     *
+     * @param holder the holder
+     * @param bytes the capacity of its buffer
+     * @return false if the holder has been given up itself
+     */
+    boolean resize(Holder holder, long bytes) {
+        release(holder);
+        if (bytes > 0) {
+            heldBytes.put(holder, bytes);
+            usedBytes += bytes;
         }
-        usedBytes += bytes;
-        return true;
+        while (usedBytes > maximumBytes) {
+            Holder yielding = yieldingHolder();
+            long released = release(yielding);
+            LOG.event(
+                    "response_buffers_full",
+                    "upstream",
+                    yielding.upstream(),
+                    "released_bytes",
+                    released,
+                    "used_bytes",
+                    usedBytes,
+                    "maximum_bytes",
+                    maximumBytes);
+            yielding.giveUp();
+        }
+        return bytes == 0 || heldBytes.containsKey(holder);
+    }
+
+    private Holder yieldingHolder() {
+        Map<String, Long> byUpstream = new HashMap<>();
+        heldBytes.forEach((holder, bytes) -> byUpstream.merge(holder.upstream(), bytes, Long::sum));
+        return heldBytes.entrySet().stream()
+                .max(Comparator.comparing((Map.Entry<Holder, Long> held) ->
+                                byUpstream.get(held.getKey().upstream()))
+                        .thenComparing(Map.Entry::getValue))
+                .orElseThrow()
+                .getKey();
+    }
+
+    /** Records that a holder has no buffer any more; returns how large it was. */
+    long release(Holder holder) {
+        Long held = heldBytes.remove(holder);
+        usedBytes -= held == null ? 0 : held;
+        return held == null ? 0 : held;
     }
 
-    void release(long bytes) {
-        usedBytes -= bytes;
+    long usedBytes() {
+        return usedBytes;
     }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -41,6 +41,7 @@
     private final RequestEnvironment environment;
     private final CallerRequest request;
     private final boolean isContinuation;
+    private final ResponseBufferBudget.Holder buffers = new Buffers();
     private UpstreamExchange exchange;
     private HttpResponse head;
     private ResponseHead parsedHead;
@@ -116,7 +117,7 @@
         if (eventStream != null) {
             eventStream.dropPartialEvent();
         }
-        environment.responseBufferBudget().release(bufferedBody.readableBytes());
+        environment.responseBufferBudget().release(buffers);
         bufferedBody.release();
         bufferedBody = Unpooled.EMPTY_BUFFER;
     }
@@ -182,6 +183,9 @@
         if (!isClosed && eventStream.isEventTooLong()) {
             abort("event_too_large");
         }
+        if (!isClosed) {
+            environment.responseBufferBudget().resize(buffers, eventStream.bufferedBytes());
+        }
     }
 
     private void markPrefillDone() {
@@ -196,14 +200,27 @@
             abort("answer_too_large");
             return;
         }
-        if (!environment.responseBufferBudget().tryReserve(chunk.readableBytes())) {
-            abort("no_memory_for_answers");
-            return;
-        }
         if (bufferedBody.capacity() == 0) {
-            bufferedBody = PooledByteBufAllocator.DEFAULT.buffer(chunk.readableBytes());
+            // On the heap: a thread that asks for direct memory beyond the limit is put to sleep, and all requests with
+            // it.
+            bufferedBody = PooledByteBufAllocator.DEFAULT.heapBuffer(chunk.readableBytes());
         }
         bufferedBody.writeBytes(chunk);
+        environment.responseBufferBudget().resize(buffers, bufferedBody.capacity());
+    }
+
+    /** What this attempt has buffered. */
+    private final class Buffers implements ResponseBufferBudget.Holder {
+
+        @Override
+        public String upstream() {
+            return upstream.description().identifier();
+        }
+
+        @Override
+        public void giveUp() {
+            abort("no_memory_for_answers");
+        }
     }
 
     @Override
