--- a/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
@@ -19,7 +19,7 @@
 import org.pollenhoist.serving.placement.Leadership;
 import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreItem;
-import org.pollenhoist.serving.store.StoreMirror;
+import org.pollenhoist.serving.store.StoreListener;
 import org.pollenhoist.serving.store.StoreResult;
 import org.pollenhoist.serving.store.StoreRevision;
 import org.pollenhoist.serving.upstream.UpstreamDescription;
@@ -29,7 +29,7 @@
  * Applies changes of the store: the active configuration, the upstreams, the peers, the verdicts on what
  * crashes upstreams, the leadership record, and this VM's registration. Confined to the event loop.
  */
-final class FleetState implements StoreMirror.Listener {
+final class FleetState implements StoreListener {
 
     static final String LEADER_KEY = "pollenhoist/placement";
 
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -148,9 +148,6 @@
                 streams);
         mirror = new StoreMirror(loop, bootClock::read, store, state, this::batchingDelay);
         relay = new StoreRelayExchange(client, peers, mirror, eras, bootClock::read);
-        eras.register(registry);
-        eras.onChange(() -> leadership.onNewEra(bootClock.read()));
-        eras.onChange(() -> mirror.onNewEra(bootClock.read()));
         placement = new PlacementDriver(
                 this::after,
                 bootClock::read,
@@ -351,6 +348,9 @@
     }
 
     private void begin() {
+        eras.register(registry);
+        eras.onChange(() -> leadership.onNewEra(bootClock.read()));
+        eras.onChange(() -> mirror.onNewEra(bootClock.read()));
         mirror.start();
         loop.scheduleWithFixedDelay(
                 this::tick, TICK_INTERVAL.toMillis(), TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
--- a/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/Leadership.java
@@ -30,23 +30,11 @@
     /**
      * A claim whose holder has resigned.
      *
-     * @param claimRevision the revision of the claim in the store; its number is the fencing token of the orders under it
+     * @param claimRevision the revision of the claim in the store; its number is the fencing token of orders under it
      * @param lastOrderAt the time of the last order under the claim, empty if none was sent
      */
     public record Resignation(StoreRevision claimRevision, Optional<MonotonicTime> lastOrderAt) {}
 
-    /**
-     * The leader sends orders only in the first of this many equal parts of its lease. The time without orders of a
-     * failed leader is counted from the end of that part.
-     */
-    private static final int ORDERING_TIME_DIVISOR = 2;
-
-    /** Tolerance for clock drift, subtracted from the time without orders before a claim expires. */
-    private static final Duration CLOCK_TOLERANCE = Duration.ofMillis(200);
-
-    /** Renewals during one lease, so that the loss of a single renewal does not interrupt orders. */
-    private static final int RENEWALS_PER_LEASE = 6;
-
     /** Delay after a failed call to the store. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
@@ -68,6 +56,7 @@
     private final String key;
     private final String name;
     private final Duration handoverInterval;
+    private final HandoverTimes times;
     private Optional<StoreItem> record = Optional.empty();
     private Optional<Resignation> receivedResignation = Optional.empty();
     private Optional<Resignation> ownResignation = Optional.empty();
@@ -109,6 +98,7 @@
         this.key = key;
         this.name = name;
         this.handoverInterval = handoverInterval;
+        this.times = new HandoverTimes(handoverInterval);
         this.renewedAt = now;
         this.maySendOrdersUntil = now;
         this.nextCallAt = now;
@@ -227,7 +217,7 @@
         boolean wasVacant = isVacant();
         if (wasClaimOfOther && !wasVacant) {
             latestOrderByOthers =
-                    hasExpired(now) ? now.plus(minimumSilenceAtExpiry().negated()) : now;
+                    hasExpired(now) ? now.plus(times.minimumSilenceAtExpiry().negated()) : now;
         }
         record = changed;
         recordPresentSince = changed.map(item -> now);
@@ -257,7 +247,7 @@
         isClaimConfirmed = !isHolder || !claimRevision.isAfter(revision);
     }
 
-    /** Keeps the leadership in a new era, unless the copy has the claim at a lower revision than orders were sent with. */
+    /** Keeps the leadership in a new era, unless orders were sent with a higher number than that of the copy. */
     private void continueClaim(StoreRevision revision) {
         isClaimInDoubt = false;
         if (revision.number() >= fencingToken()) {
@@ -280,7 +270,7 @@
     public void onNewEra(MonotonicTime now) {
         wasOnlyLeader = isHolder && isClaimConfirmed && now.isBefore(maySendOrdersUntil);
         if (!wasOnlyLeader) {
-            latestOrderOfEarlierEra = now.plus(orderingTime(handoverInterval));
+            latestOrderOfEarlierEra = now.plus(HandoverTimes.orderingTime(handoverInterval));
         }
         isClaimInDoubt = isHolder;
         isClaimConfirmed = false;
@@ -295,15 +285,6 @@
                 .orElse(true);
     }
 
-    private static Duration orderingTime(Duration leaseTime) {
-        return leaseTime.dividedBy(ORDERING_TIME_DIVISOR);
-    }
-
-    /** Minimum time for which a VM has sent no orders when its claim expires. */
-    private Duration minimumSilenceAtExpiry() {
-        return handoverInterval.minus(orderingTime(handoverInterval)).minus(CLOCK_TOLERANCE);
-    }
-
     /**
      * Accounts for changes of the record that may have been missed. Any VM may have sent orders until its claim
      * expired, unless this one held the lease throughout.
@@ -320,8 +301,9 @@
         if (isHolder && now.isBefore(maySendOrdersUntil)) {
             return;
         }
-        latestOrderByOthers =
-                record.isPresent() ? now : now.plus(minimumSilenceAtExpiry().negated());
+        latestOrderByOthers = record.isPresent()
+                ? now
+                : now.plus(times.minimumSilenceAtExpiry().negated());
         latestOrderByOthersBeforeRecord = latestOrderByOthers;
         recordPresentSince = Optional.empty();
     }
@@ -384,8 +366,8 @@
             switch (response) {
                 case StoreResult.Success<Duration> success -> {
                     renewedAt = now;
-                    maySendOrdersUntil = now.plus(orderingTime(success.value()));
-                    nextCallAt = isHolder ? now.plus(renewalInterval(success.value())) : now;
+                    maySendOrdersUntil = now.plus(HandoverTimes.orderingTime(success.value()));
+                    nextCallAt = isHolder ? now.plus(HandoverTimes.renewalInterval(success.value())) : now;
                 }
                 case StoreResult.Rejected<Duration> rejected -> loseLeadership(rejected.reason());
                 case StoreResult.Unavailable<Duration> unavailable -> {
@@ -433,7 +415,7 @@
                     switch (response) {
                         case StoreResult.Success<StoreRevision> success -> {
                             renewedAt = appliedAt;
-                            maySendOrdersUntil = appliedAt.plus(orderingTime(handoverInterval));
+                            maySendOrdersUntil = appliedAt.plus(HandoverTimes.orderingTime(handoverInterval));
                             onClaimed(success.value(), appliedAt);
                         }
                         case StoreResult.Rejected<StoreRevision> rejected -> {
@@ -471,17 +453,13 @@
     }
 
     private void raiseOrRenew(MonotonicTime now) {
-        if (now.since(renewedAt).compareTo(renewalInterval(handoverInterval)) >= 0) {
+        if (now.since(renewedAt).compareTo(HandoverTimes.renewalInterval(handoverInterval)) >= 0) {
             renew(now);
         } else {
             raise(now);
         }
     }
 
-    private static Duration renewalInterval(Duration leaseTime) {
-        return leaseTime.dividedBy(RENEWALS_PER_LEASE);
-    }
-
     private void takeLeadership(StoreRevision revision) {
         isHolder = true;
         claimRevision = revision;
--- a/serving/src/main/java/org/pollenhoist/serving/request/EventStream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/EventStream.java
@@ -101,8 +101,8 @@
     }
 
     /**
-     * Returns whether the bytes after the last events that were returned are no event, such as a second response. Without
-     * a length or chunks, whatever follows on the connection belongs to the body.
+     * Returns whether the bytes after the last events that were returned are no event, such as a second response.
+     * Without a length or chunks, whatever follows on the connection belongs to the body.
      */
     boolean hasForeignBytes() {
         return hasForeignBytes;
--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
@@ -25,35 +25,6 @@
  */
 public final class StoreMirror {
 
-    /** Receives the changes of the items. */
-    public interface Listener {
-
-        /**
-         * An item was written.
-         *
-         * @param item the item
-         */
-        void onWritten(StoreItem item);
-
-        /**
-         * An item was removed.
-         *
-         * @param key its key
-         */
-        void onRemoved(String key);
-
-        /** All items have been read, as a list or as a peer's snapshot; earlier changes may have been missed. */
-        void onListed();
-
-        /**
-         * Returns whether the owner of an item writes it again if its lease expired during an outage of the store.
-         *
-         * @param key the item's key
-         * @return true if a removal of the item shortly after an outage must be delayed
-         */
-        boolean mayBeRewritten(String key);
-    }
-
     /**
      * How long the store waits for a change before it responds to a watch. An unresponsive connection is detected
      * shortly after this time.
@@ -66,9 +37,6 @@
     /** Minimum time between two listings of a store that rejects watches. */
     private static final Duration MINIMUM_LISTING_SPACING = Duration.ofSeconds(1);
 
-    /** Number of removals that are recorded for peers that ask for changes. */
-    private static final int MAXIMUM_RECORDED_REMOVALS = 512;
-
     /** How much later than the watch time-out a response may arrive, including the delay before the watch. */
     private static final Duration RESPONSE_MARGIN = Duration.ofSeconds(1);
 
@@ -86,29 +54,17 @@
     private final EventLoop loop;
     private final Supplier<MonotonicTime> clock;
     private final Store store;
-    private final Listener listener;
+    private final StoreListener listener;
     private final Supplier<Duration> batchingDelay;
     private final Map<String, StoreItem> items = new LinkedHashMap<>();
     private final Map<String, MonotonicTime> delayedRemovals = new HashMap<>();
     private final List<StoreItem> listedItems = new ArrayList<>();
-    private final Map<String, StoreRevision> removalRevisions = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, StoreRevision> eldest) {
-            boolean isTooMany = size() > MAXIMUM_RECORDED_REMOVALS;
-            if (isTooMany) {
-                removalsCompleteFrom = StoreRevision.later(removalsCompleteFrom, eldest.getValue());
-            }
-            return isTooMany;
-        }
-    };
+    private final RecordedRemovals removals = new RecordedRemovals();
 
     private boolean isFollowing = true;
     private boolean isWatchSuspended;
     private StoreRevision listingRevision = StoreRevision.NONE;
     private StoreRevision revisionAtListing = StoreRevision.NONE;
-    private StoreRevision removalsCompleteFrom = StoreRevision.NONE;
     private StoreRevision revision = StoreRevision.NONE;
     private long latestCall;
     private boolean isLoaded;
@@ -133,7 +89,7 @@
             EventLoop loop,
             Supplier<MonotonicTime> clock,
             Store store,
-            Listener listener,
+            StoreListener listener,
             Supplier<Duration> batchingDelay) {
         this.loop = loop;
         this.clock = clock;
@@ -154,9 +110,9 @@
     }
 
     /**
-     * Lists the items again because the store has come back from an older copy: what this process knows may be lost, and
-     * what it doesn't know may have revisions that it has seen before. A mirror that doesn't watch hears of it from
-     * peers.
+     * Lists the items again because the store has come back from an older copy: what this process knows may be lost,
+     * and what it doesn't know may have revisions that it has seen before. A mirror that doesn't watch hears of it
+     * from peers.
      *
      * @param now the current time
      */
@@ -230,7 +186,7 @@
         revision = hasGoneBack ? listingRevision : StoreRevision.later(revision, listingRevision);
         missing.forEach(key -> remove(key, revision));
         if (isNewHistory) {
-            removalsCompleteFrom = revision;
+            removals.beginAt(revision);
             LOG.event(
                     "store_loaded",
                     "items",
@@ -286,7 +242,7 @@
         });
     }
 
-    /** Lists the items at once, or later if the last listing was a moment ago, so that it never repeats without a pause. */
+    /** Lists the items, not earlier than a while after the last listing, so that it never repeats without a pause. */
     private void listAgain(MonotonicTime now) {
         MonotonicTime due = listedAt.map(at -> at.plus(MINIMUM_LISTING_SPACING)).orElse(now);
         if (now.isBefore(due)) {
@@ -337,8 +293,7 @@
     private void apply(StoreItem item) {
         StoreItem known = items.get(item.key());
         boolean isKnown = known != null && !item.revision().isAfter(known.revision());
-        boolean isRemovedSince = known == null
-                && removalRevisions.getOrDefault(item.key(), StoreRevision.NONE).isAfter(item.revision());
+        boolean isRemovedSince = known == null && removals.isRemovedAfter(item.key(), item.revision());
         if (isKnown || isRemovedSince) {
             return;
         }
@@ -359,7 +314,7 @@
 
     private void put(StoreItem item) {
         delayedRemovals.remove(item.key());
-        removalRevisions.remove(item.key());
+        removals.forget(item.key());
         items.put(item.key(), item);
         try {
             listener.onWritten(item);
@@ -373,8 +328,7 @@
         if (items.remove(key) == null) {
             return;
         }
-        removalRevisions.remove(key);
-        removalRevisions.put(key, removalRevision);
+        removals.add(key, removalRevision);
         MonotonicTime now = clock.get();
         MonotonicTime until = recoveredAt.plus(REWRITE_PERIOD);
         if (now.isBefore(until) && listener.mayBeRewritten(key)) {
@@ -436,21 +390,18 @@
      *
      * @param knownRevision the revision up to which the peer knows the store
      * @param now the current time
-     * @return the changes after it, or a snapshot if the peer knows none, knows another era, or removals after it are no
-     *     longer recorded
+     * @return the changes after it, or a snapshot if the peer knows none, knows another era, or removals after it are
+     *     no longer recorded
      */
     public StoreChanges changesAfter(StoreRevision knownRevision, MonotonicTime now) {
         boolean isSnapshot = !knownRevision.isOfSameEra(revision)
-                || removalsCompleteFrom.isAfter(knownRevision)
+                || !removals.isCompleteAfter(knownRevision)
                 || knownRevision.number() == 0;
         List<StoreItem> changed = items.values().stream()
                 .filter(item -> isSnapshot || item.revision().isAfter(knownRevision))
                 .toList();
-        List<StoreItem> removals = removalRevisions.entrySet().stream()
-                .filter(removal -> !isSnapshot && removal.getValue().isAfter(knownRevision))
-                .map(removal -> new StoreItem(removal.getKey(), new byte[0], removal.getValue(), true))
-                .toList();
-        return new StoreChanges(revision, changed, removals, isSnapshot, now.since(recoveredAt));
+        List<StoreItem> removed = isSnapshot ? List.of() : removals.after(knownRevision);
+        return new StoreChanges(revision, changed, removed, isSnapshot, now.since(recoveredAt));
     }
 
     /**
@@ -483,7 +434,7 @@
         changes.removals().forEach(this::apply);
         missing.forEach(key -> remove(key, revision));
         if (changes.isSnapshot()) {
-            removalsCompleteFrom = revision;
+            removals.beginAt(revision);
             isLoaded = true;
             listener.onListed();
         }
--- a/serving/src/test/java/org/pollenhoist/serving/placement/LeadershipTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/placement/LeadershipTest.java
@@ -4,17 +4,11 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreItem;
-import org.pollenhoist.serving.store.StoreLease;
-import org.pollenhoist.serving.store.StorePage;
 import org.pollenhoist.serving.store.StoreResult;
 import org.pollenhoist.serving.store.StoreRevision;
 
@@ -26,16 +20,12 @@
     /** Milliseconds without orders of a VM when its claim expires: half a lease minus the clock tolerance. */
     private static final long SILENCE_AT_EXPIRY = 1_300;
 
-    private final FakeStore store = new FakeStore();
+    private final FakeClaimStore store = new FakeClaimStore();
 
     private Leadership candidate(boolean isFirstStart) {
         return new Leadership(store, "leader", "own", HANDOVER_INTERVAL, isFirstStart, START);
     }
 
-    private static StoreResult<StoreRevision> success(long revision) {
-        return new StoreResult.Success<>(StoreRevision.withoutEra(revision));
-    }
-
     private static MonotonicTime after(long milliseconds) {
         return START.plus(Duration.ofMillis(milliseconds));
     }
@@ -190,126 +180,6 @@
         }
     }
 
-    /** Guards against orders with a lower fencing token than before, after the store has come back from a copy. */
-    @Nested
-    class FencingTokens {
-
-        private Leadership leaderThatLostItsClaim(long token) {
-            store.nextRevision = token;
-            Leadership leadership = candidate(true);
-            leadership.tick(true, START);
-            leadership.onRecord(ownClaim(token), START);
-            assertThat(leadership.fencingToken()).isEqualTo(token);
-            leadership.onRecord(Optional.empty(), after(500));
-            return leadership;
-        }
-
-        private void tickUntil(Leadership leadership, long from, long until) {
-            for (long time = from; time <= until; time += 50) {
-                leadership.tick(true, after(time));
-                if (store.written.length > 0) {
-                    leadership.onRecord(ownClaim(store.nextRevision - 1), after(time));
-                }
-            }
-        }
-
-        @Test
-        void should_exceed_the_token_that_the_same_vm_used_before_its_claim_was_lost() {
-            Leadership leadership = leaderThatLostItsClaim(51);
-            store.nextRevision = 47;
-
-            tickUntil(leadership, 600, 1_000);
-
-            assertThat(leadership.isHolder()).isTrue();
-            assertThat(leadership.fencingToken()).isEqualTo(52);
-        }
-
-        @Test
-        void should_exceed_the_token_of_a_leader_that_is_gone_when_a_peer_knows_it() {
-            Leadership leadership = candidate(true);
-            leadership.onTokenUsed(80);
-            store.nextRevision = 47;
-
-            tickUntil(leadership, 0, 1_000);
-
-            assertThat(leadership.fencingToken()).isEqualTo(81);
-        }
-
-        @Test
-        void should_exceed_the_revision_of_each_claim_that_was_seen_in_the_store() {
-            Leadership leadership = candidate(true);
-            leadership.onRecord(claimOfOther(51), after(-5_000));
-            leadership.onRecord(Optional.empty(), START);
-            store.nextRevision = 49;
-
-            tickUntil(leadership, 0, 3_000);
-
-            assertThat(leadership.fencingToken()).isEqualTo(52);
-        }
-
-        @Test
-        void should_send_no_orders_while_a_peer_knows_a_higher_token() {
-            Leadership leadership = readyLeader();
-            store.nextRevision = 8;
-
-            leadership.onTokenUsed(9);
-
-            assertThat(leadership.maySendOrders(after(100))).isFalse();
-            tickUntil(leadership, 600, 700);
-            assertThat(leadership.fencingToken()).isEqualTo(10);
-            assertThat(leadership.maySendOrders(after(700))).isTrue();
-        }
-
-        @Test
-        void should_keep_its_token_when_a_peer_reports_the_same_one() {
-            Leadership leadership = readyLeader();
-
-            leadership.onTokenUsed(7);
-
-            assertThat(leadership.maySendOrders(after(100))).isTrue();
-        }
-
-        @Test
-        void should_tell_peers_the_token_that_it_uses_and_keep_it_after_the_loss_of_its_claim() {
-            Leadership leadership = readyLeader();
-            assertThat(leadership.highestKnownToken()).isEqualTo(7);
-
-            leadership.onRecord(Optional.empty(), after(500));
-
-            assertThat(leadership.highestKnownToken()).isEqualTo(7);
-        }
-
-        @Test
-        void should_bound_the_writes_of_one_tick_and_keep_the_lease_when_the_revision_is_far_too_low() {
-            Leadership leadership = candidate(true);
-            leadership.onTokenUsed(1_000);
-            store.nextRevision = 1;
-
-            leadership.tick(true, START);
-            assertThat(store.calls.stream().filter(call -> call.startsWith("commit")))
-                    .hasSize(9);
-            tickUntil(leadership, 50, 6_500);
-
-            assertThat(store.calls).contains("renew").containsOnlyOnce("grant").doesNotContain("end");
-            assertThat(leadership.fencingToken()).isEqualTo(1_001);
-        }
-
-        @Test
-        void should_claim_anew_when_another_vm_has_claimed_meanwhile() {
-            Leadership leadership = candidate(true);
-            leadership.onTokenUsed(100);
-            store.nextRevision = 1;
-            leadership.tick(true, START);
-
-            leadership.onRecord(claimOfOther(40), after(20));
-            leadership.tick(true, after(50));
-
-            assertThat(leadership.isHolder()).isFalse();
-            assertThat(store.calls.stream().filter(call -> call.startsWith("commit")))
-                    .hasSize(9);
-        }
-    }
-
     @Nested
     class LosingTheLease {
 
@@ -351,7 +221,7 @@
             Leadership leadership = readyLeader();
             leadership.onRecord(Optional.empty(), after(500));
 
-            store.claim = success(11);
+            store.claim = FakeClaimStore.granted(11);
             leadership.tick(true, after(600));
             leadership.onRecord(ownClaim(11), after(600));
 
@@ -481,7 +351,7 @@
             leadership.tick(true, after(1_750));
             assertThat(leadership.isHolder()).isFalse();
 
-            store.claim = success(12);
+            store.claim = FakeClaimStore.granted(12);
             leadership.tick(true, after(2_500));
             leadership.onRecord(ownClaim(12), after(2_500));
 
@@ -530,59 +400,4 @@
                     .isTrue();
         }
     }
-
-    /** Responds to each call at once. */
-    private static final class FakeStore implements Store {
-
-        private final List<String> calls = new ArrayList<>();
-        private byte[] written = {};
-        private long lastLease;
-        private Runnable whileGranting = () -> {};
-        private StoreResult<StoreRevision> claim = success(7);
-
-        /** The revision of the next write; 0 if each write has the result {@link #claim}. */
-        private long nextRevision;
-
-        private StoreResult<Duration> renewal = new StoreResult.Success<>(HANDOVER_INTERVAL);
-
-        @Override
-        public void list(String prefix, String afterKey, Consumer<StoreResult<StorePage>> response) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void watch(
-                String prefix, StoreRevision afterRevision, Duration wait, Consumer<StoreResult<StorePage>> response) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void commit(
-                List<Condition> conditions,
-                List<Write> writes,
-                List<String> removals,
-                Consumer<StoreResult<StoreRevision>> response) {
-            calls.add("commit " + conditions.get(0).revision());
-            written = writes.get(0).value();
-            response.accept(nextRevision == 0 ? claim : success(nextRevision++));
-        }
-
-        @Override
-        public void grantLease(Duration duration, Consumer<StoreResult<StoreLease>> response) {
-            calls.add("grant");
-            whileGranting.run();
-            response.accept(new StoreResult.Success<>(new StoreLease(0, ++lastLease)));
-        }
-
-        @Override
-        public void renewLease(StoreLease lease, Consumer<StoreResult<Duration>> response) {
-            calls.add("renew");
-            response.accept(renewal);
-        }
-
-        @Override
-        public void endLease(StoreLease lease) {
-            calls.add("end");
-        }
-    }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/store/DrillSimulation.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/DrillSimulation.java
@@ -128,7 +128,7 @@
     }
 
     /** A mirror with its own path to the store, whose calls are answered when the simulation says so. */
-    private final class MirrorUnderTest implements StoreMirror.Listener {
+    private final class MirrorUnderTest implements StoreListener {
 
         private final ManualEventLoop loop = new ManualEventLoop();
         private final StoreEras eras = new StoreEras();
--- a/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
@@ -5,12 +5,9 @@
 
 import io.netty.channel.DefaultEventLoop;
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Random;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -21,11 +18,11 @@
 
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final ScriptedStore store = new ScriptedStore();
-    private final List<String> events = new ArrayList<>();
-    private String rejectedKey = "";
+    private final RecordingListener listener = new RecordingListener();
+    private final List<String> events = listener.events;
     private MonotonicTime now = MonotonicTime.of(Duration.ofSeconds(100));
     private final StoreMirror mirror =
-            new StoreMirror(loop, () -> now, store, new Listener(), () -> ChangeBatchingDelay.MINIMUM);
+            new StoreMirror(loop, () -> now, store, listener, () -> ChangeBatchingDelay.MINIMUM);
 
     @AfterEach
     void stop() {
@@ -67,7 +64,7 @@
 
         @Test
         void should_apply_the_other_items_and_watch_on_when_one_is_rejected() {
-            rejectedKey = "b";
+            listener.rejectedKey = "b";
 
             mirror.start();
             store.complete(page(5, item("a", 3), item("b", 4), item("c", 5)));
@@ -169,185 +166,6 @@
         }
     }
 
-    /** Guards against changes that are ignored, and items that are kept, because their revisions are of another era. */
-    @Nested
-    class NewEra {
-
-        private static StoreItem item(String key, long era, long number) {
-            return new StoreItem(key, new byte[0], new StoreRevision(era, number), false);
-        }
-
-        private static StorePage pageOf(long era, long number, boolean hasMore, StoreItem... items) {
-            return new StorePage(List.of(items), new StoreRevision(era, number), hasMore);
-        }
-
-        private static StoreResult<StorePage> page(long era, long number, StoreItem... items) {
-            return new StoreResult.Success<>(pageOf(era, number, false, items));
-        }
-
-        private static StoreChanges snapshot(long era, long number, StoreItem... items) {
-            return new StoreChanges(new StoreRevision(era, number), List.of(items), List.of(), true, LONG_AGO);
-        }
-
-        @BeforeEach
-        void loadFirstEra() {
-            mirror.start();
-            store.complete(page(1, 50, item("a", 1, 48), item("b", 1, 49)));
-            events.clear();
-        }
-
-        @Test
-        void should_take_each_item_of_the_copy_and_watch_from_its_revision() {
-            mirror.onNewEra(now);
-            store.pendingCallbacks.removeFirst();
-            store.complete(page(2, 46, item("a", 2, 46)));
-
-            assertThat(events).containsExactly("a=2/46", "-b", "listed");
-            assertThat(store.calls.peekLast()).isEqualTo("watch 2/46");
-            assertThat(mirror.revision()).isEqualTo(new StoreRevision(2, 46));
-        }
-
-        @Test
-        void should_take_a_later_version_whose_revision_was_given_out_before() {
-            mirror.onNewEra(now);
-            store.pendingCallbacks.removeFirst();
-            store.complete(page(2, 47, item("a", 2, 47)));
-            store.complete(page(2, 48, item("a", 2, 48)));
-
-            assertThat(events).endsWith("a=2/48");
-        }
-
-        @Test
-        void should_list_when_a_watch_returns_changes_of_another_era() {
-            store.complete(page(2, 51, item("a", 2, 51)));
-
-            assertThat(events).isEmpty();
-            assertThat(store.calls.peekLast()).isEqualTo("list ");
-        }
-
-        @Test
-        void should_begin_anew_when_the_era_changes_between_two_pages() {
-            mirror.onNewEra(now);
-            store.pendingCallbacks.removeFirst();
-            store.complete(new StoreResult.Success<>(pageOf(2, 47, true, item("a", 2, 47))));
-            store.complete(page(3, 46, item("b", 3, 45)));
-            assertThat(events).isEmpty();
-            assertThat(store.calls.peekLast()).isEqualTo("list ");
-
-            store.complete(page(3, 46, item("b", 3, 45)));
-            advance(2_000);
-
-            assertThat(events).containsExactly("b=3/45", "listed", "-a");
-        }
-
-        @Test
-        void should_ignore_the_response_to_a_call_of_before() {
-            mirror.onNewEra(now);
-            store.complete(page(1, 51, item("a", 1, 51)));
-
-            assertThat(events).isEmpty();
-            assertThat(mirror.revision()).isEqualTo(new StoreRevision(1, 50));
-        }
-
-        @Test
-        void should_not_know_the_store_until_it_is_listed_again() {
-            mirror.onNewEra(now);
-
-            assertThat(mirror.knownAsOf()).isEmpty();
-            assertThat(mirror.isCurrent(now)).isFalse();
-        }
-
-        @Test
-        void should_delay_the_removal_of_what_the_copy_lacks_and_its_owner_writes_again() {
-            mirror.onNewEra(now);
-            store.pendingCallbacks.removeFirst();
-            store.complete(page(2, 46, item("b", 2, 46)));
-            advance(1_800);
-            assertThat(events).doesNotContain("-a");
-
-            advance(200);
-
-            assertThat(events).endsWith("-a");
-        }
-
-        @Test
-        void should_take_a_peers_snapshot_of_a_later_era_with_a_lower_revision() {
-            mirror.applyPeerChanges(snapshot(2, 46, item("a", 2, 45)));
-
-            assertThat(events).containsExactly("a=2/45", "-b", "listed");
-        }
-
-        @Test
-        void should_ignore_a_peers_snapshot_of_an_earlier_era_with_a_higher_revision() {
-            mirror.applyPeerChanges(snapshot(2, 46, item("a", 2, 45)));
-            events.clear();
-
-            mirror.applyPeerChanges(snapshot(1, 60, item("a", 1, 60)));
-
-            assertThat(events).isEmpty();
-        }
-
-        @Test
-        void should_ignore_changes_of_a_later_era_that_are_no_snapshot() {
-            mirror.applyPeerChanges(
-                    new StoreChanges(new StoreRevision(2, 46), List.of(item("a", 2, 46)), List.of(), false, LONG_AGO));
-
-            assertThat(events).isEmpty();
-        }
-
-        @Test
-        void should_return_a_snapshot_to_a_peer_that_knows_another_era() {
-            assertThat(mirror.changesAfter(new StoreRevision(2, 50), now).isSnapshot())
-                    .isTrue();
-            assertThat(mirror.changesAfter(new StoreRevision(0, 50), now).isSnapshot())
-                    .isTrue();
-            assertThat(mirror.changesAfter(new StoreRevision(1, 50), now).isSnapshot())
-                    .isFalse();
-        }
-
-        @Test
-        void should_keep_what_a_peer_reported_after_the_first_page_was_read() {
-            mirror.onNewEra(now);
-            store.pendingCallbacks.removeFirst();
-            mirror.applyPeerChanges(snapshot(2, 60, item("a", 2, 45), item("c", 2, 60)));
-            store.complete(page(2, 46, item("a", 2, 45), item("b", 2, 46)));
-
-            assertThat(events).doesNotContain("-c");
-            assertThat(mirror.find("c")).isPresent();
-        }
-
-        @Test
-        void should_not_list_before_it_watches_when_it_does_not_follow_the_store() {
-            mirror.setFollowing(false);
-            int calls = store.calls.size();
-
-            mirror.onNewEra(now);
-
-            assertThat(store.calls).hasSize(calls);
-        }
-
-        @Test
-        void should_pause_between_listings_when_each_watch_is_rejected() {
-            store.complete(new StoreResult.Rejected<>("410"));
-            assertThat(store.pendingCallbacks).isEmpty();
-
-            await().until(() -> store.pendingCallbacks.size() == 1);
-
-            assertThat(store.calls.peekLast()).isEqualTo("list ");
-        }
-
-        /**
-         * Random histories with drills: while stores and peers answer in any order, a mirror never steps back, and each
-         * one in touch ends equal to the store.
-         */
-        @Test
-        void should_equal_the_store_after_any_history() {
-            for (long seed = 1; seed <= 1_000; seed++) {
-                new DrillSimulation(seed).run();
-            }
-        }
-    }
-
     @Nested
     class Outage {
 
@@ -466,9 +284,10 @@
             for (long seed = 1; seed <= 50; seed++) {
                 Random random = new Random(seed);
                 ScriptedStore sourceStore = new ScriptedStore();
-                StoreMirror source = new StoreMirror(loop, () -> now, sourceStore, new Listener(), () -> Duration.ZERO);
-                StoreMirror relayed =
-                        new StoreMirror(loop, () -> now, new ScriptedStore(), new Listener(), () -> Duration.ZERO);
+                StoreMirror source =
+                        new StoreMirror(loop, () -> now, sourceStore, new RecordingListener(), () -> Duration.ZERO);
+                StoreMirror relayed = new StoreMirror(
+                        loop, () -> now, new ScriptedStore(), new RecordingListener(), () -> Duration.ZERO);
                 source.start();
                 sourceStore.complete(page(1));
                 long revision = 1;
@@ -557,79 +376,4 @@
             assertThat(mirror.isCurrent(now)).isFalse();
         }
     }
-
-    private final class Listener implements StoreMirror.Listener {
-
-        @Override
-        public void onWritten(StoreItem item) {
-            if (item.key().equals(rejectedKey)) {
-                throw new IllegalArgumentException("odd item");
-            }
-            events.add(item.key() + "=" + item.revision());
-        }
-
-        @Override
-        public void onRemoved(String key) {
-            events.add("-" + key);
-        }
-
-        @Override
-        public void onListed() {
-            events.add("listed");
-        }
-
-        @Override
-        public boolean mayBeRewritten(String key) {
-            return !key.equals("b");
-        }
-    }
-
-    /** Holds the callbacks of calls until the test completes them. */
-    private static final class ScriptedStore implements Store {
-
-        private final Deque<String> calls = new ArrayDeque<>();
-        private final Deque<Consumer<StoreResult<StorePage>>> pendingCallbacks =
-                new java.util.concurrent.ConcurrentLinkedDeque<>();
-
-        private void complete(StoreResult<StorePage> result) {
-            pendingCallbacks.removeFirst().accept(result);
-        }
-
-        @Override
-        public void list(String prefix, String afterKey, Consumer<StoreResult<StorePage>> callback) {
-            calls.add("list " + afterKey);
-            pendingCallbacks.add(callback);
-        }
-
-        @Override
-        public void watch(
-                String prefix, StoreRevision afterRevision, Duration wait, Consumer<StoreResult<StorePage>> callback) {
-            calls.add("watch " + afterRevision);
-            pendingCallbacks.add(callback);
-        }
-
-        @Override
-        public void commit(
-                List<Condition> conditions,
-                List<Write> writes,
-                List<String> removals,
-                Consumer<StoreResult<StoreRevision>> callback) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void grantLease(Duration duration, Consumer<StoreResult<StoreLease>> callback) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void renewLease(StoreLease lease, Consumer<StoreResult<Duration>> callback) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void endLease(StoreLease lease) {
-            throw new UnsupportedOperationException();
-        }
-    }
 }
