--- a/serving/src/main/java/org/pollenhoist/serving/request/EventStream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/EventStream.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -31,7 +30,7 @@
 
     private final ByteBufAllocator allocator;
     private ByteBuf pending = Unpooled.EMPTY_BUFFER;
-    private final Set<String> fields = new HashSet<>(STANDARD_FIELDS);
+    private final Set<String> furtherFields;
     private OptionalLong lastIdentifier = OptionalLong.empty();
     private boolean hasForeignBytes;
 
@@ -43,7 +42,7 @@
      */
     EventStream(ByteBufAllocator allocator, Set<String> furtherFields) {
         this.allocator = allocator;
-        fields.addAll(furtherFields);
+        this.furtherFields = furtherFields;
     }
 
     /**
@@ -97,7 +96,8 @@
 
     private boolean isField(String line) {
         int nameEnd = line.indexOf(FIELD_END);
-        return fields.contains(nameEnd < 0 ? line : line.substring(0, nameEnd));
+        String name = nameEnd < 0 ? line : line.substring(0, nameEnd);
+        return STANDARD_FIELDS.contains(name) || furtherFields.contains(name);
     }
 
     /**
--- a/serving/src/test/java/org/pollenhoist/serving/placement/LeadershipTokenTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/placement/LeadershipTokenTest.java
@@ -2,46 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.serving.store.StoreItem;
-import org.pollenhoist.serving.store.StoreRevision;
 
-class LeadershipTokenTest {
-
-    private static final Duration HANDOVER_INTERVAL = Duration.ofSeconds(3);
-    private static final MonotonicTime START = MonotonicTime.of(Duration.ofSeconds(100));
-
-    private final FakeClaimStore store = new FakeClaimStore();
-
-    private Leadership candidate(boolean isFirstStart) {
-        return new Leadership(store, "leader", "own", HANDOVER_INTERVAL, isFirstStart, START);
-    }
-
-    private static MonotonicTime after(long milliseconds) {
-        return START.plus(Duration.ofMillis(milliseconds));
-    }
-
-    private static Optional<StoreItem> claimOfOther(long revision) {
-        return Optional.of(new StoreItem(
-                "leader", "other 5".getBytes(StandardCharsets.UTF_8), StoreRevision.withoutEra(revision), false));
-    }
-
-    private Optional<StoreItem> ownClaim(long revision) {
-        return Optional.of(new StoreItem("leader", store.written, StoreRevision.withoutEra(revision), false));
-    }
-
-    /** Returns a leader that may send orders from the start on. */
-    private Leadership readyLeader() {
-        Leadership leadership = candidate(true);
-        leadership.tick(true, START);
-        leadership.onRecord(ownClaim(7), START);
-        return leadership;
-    }
+class LeadershipTokenTest extends LeadershipFixture {
 
     /** Guards against orders with a lower fencing token than before, after the store has come back from a copy. */
     @Nested
--- a/serving/src/test/java/org/pollenhoist/serving/store/DrillSimulation.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/DrillSimulation.java
@@ -191,7 +191,7 @@
     }
 
     /** Answers from the simulated store as it is when the answer is due. */
-    private final class QueuedStore implements Store {
+    private final class QueuedStore extends ReadOnlyStore {
 
         private final List<Consumer<Boolean>> pending = new ArrayList<>();
         private StoreEras eras;
@@ -250,29 +250,5 @@
                         new StoreResult.Success<>(new StorePage(changed, new StoreRevision(era, number), false)));
             });
         }
-
-        @Override
-        public void commit(
-                List<Condition> conditions,
-                List<Write> writes,
-                List<String> removals,
-                Consumer<StoreResult<StoreRevision>> callback) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void grantLease(Duration duration, Consumer<StoreResult<StoreLease>> callback) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void renewLease(StoreLease lease, Consumer<StoreResult<Duration>> callback) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void endLease(StoreLease lease) {
-            throw new UnsupportedOperationException();
-        }
     }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/store/ScriptedStore.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/ScriptedStore.java
@@ -3,12 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.function.Consumer;
 
 /** Holds the callbacks of calls until the test completes them. */
-final class ScriptedStore implements Store {
+final class ScriptedStore extends ReadOnlyStore {
 
     final Deque<String> calls = new ArrayDeque<>();
     final Deque<Consumer<StoreResult<StorePage>>> pendingCallbacks = new ConcurrentLinkedDeque<>();
@@ -29,28 +28,4 @@
         calls.add("watch " + afterRevision);
         pendingCallbacks.add(callback);
     }
-
-    @Override
-    public void commit(
-            List<Condition> conditions,
-            List<Write> writes,
-            List<String> removals,
-            Consumer<StoreResult<StoreRevision>> callback) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void grantLease(Duration duration, Consumer<StoreResult<StoreLease>> callback) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void renewLease(StoreLease lease, Consumer<StoreResult<Duration>> callback) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void endLease(StoreLease lease) {
-        throw new UnsupportedOperationException();
-    }
 }
