--- a/serving/src/main/java/org/pollenhoist/serving/catalog/Catalog.java
+++ b/serving/src/main/java/org/pollenhoist/serving/catalog/Catalog.java
@@ -68,6 +68,15 @@
         return new Catalog(version, routes, services, teams, limits);
     }
 
+    /**
+     * Counts the routes.
+     *
+     * @return the number of routes
+     */
+    public int routeCount() {
+        return routesByHostAndPrefix.values().stream().mapToInt(Map::size).sum();
+    }
+
     /**
      * Finds the route of a request: among the routes of the host, the one with the longest matching path prefix.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
@@ -49,6 +49,7 @@
     private final Leadership leadership;
     private final CrashTracking crashes;
     private final StreamTracking streams;
+    private final ConfigurationMetrics configurations;
     private Optional<Catalog> catalog = Optional.empty();
     private final Set<String> unreadableUpstreams = new HashSet<>();
     private boolean isLoaded;
@@ -65,7 +66,8 @@
             Consumer<Catalog> onCatalog,
             Leadership leadership,
             CrashTracking crashes,
-            StreamTracking streams) {
+            StreamTracking streams,
+            ConfigurationMetrics configurations) {
         this.settings = settings;
         this.binding = binding;
         this.clock = clock;
@@ -76,6 +78,7 @@
         this.leadership = leadership;
         this.crashes = crashes;
         this.streams = streams;
+        this.configurations = configurations;
     }
 
     Optional<Catalog> catalog() {
@@ -133,28 +136,65 @@
     }
 
     private void installCatalog(StoreItem item) {
+        MonotonicTime receivedAt = clock.get();
+        long activeVersion = catalog.map(Catalog::version).orElse(0L);
         Catalog read;
         try {
             read = binding.readCatalog(item.value());
         } catch (PollenhoistException unreadable) {
-            LOG.event("configuration_unreadable", "revision", item.revision(), "reason", unreadable.getMessage());
+            configurations.reject(ConfigurationMetrics.Rejection.UNREADABLE);
+            LOG.event(
+                    "configuration_unreadable",
+                    "revision",
+                    item.revision(),
+                    "bytes",
+                    item.value().length,
+                    "in_force",
+                    activeVersion,
+                    "reason",
+                    unreadable.getMessage());
             return;
         }
-        long activeVersion = catalog.map(Catalog::version).orElse(0L);
         if (read.version() < activeVersion) {
-            LOG.event("configuration_older", "version", read.version(), "in_force", activeVersion);
+            configurations.reject(ConfigurationMetrics.Rejection.OLDER);
+            LOG.event(
+                    "configuration_older",
+                    "version",
+                    read.version(),
+                    "revision",
+                    item.revision(),
+                    "in_force",
+                    activeVersion);
             return;
         }
+        MonotonicTime decodedAt = clock.get();
+        catalog = Optional.of(read);
+        try {
+            onCatalog.accept(read);
+        } finally {
+            // The configuration is in force even if something that follows from it fails.
+            recordInForce(read, activeVersion, item, receivedAt, decodedAt);
+        }
+    }
+
+    private void recordInForce(
+            Catalog read, long versionBefore, StoreItem item, MonotonicTime receivedAt, MonotonicTime decodedAt) {
+        MonotonicTime now = clock.get();
+        configurations.cameIntoForce(read.version(), receivedAt, now);
         LOG.event(
                 "configuration_in_force",
                 "version",
                 read.version(),
                 "before",
-                activeVersion,
+                versionBefore,
                 "revision",
-                item.revision());
-        catalog = Optional.of(read);
-        onCatalog.accept(read);
+                item.revision(),
+                "routes",
+                read.routeCount(),
+                "decode_ms",
+                decodedAt.since(receivedAt).toMillis(),
+                "apply_ms",
+                now.since(decodedAt).toMillis());
     }
 
     private void installUpstream(StoreItem item) {
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -66,11 +66,6 @@
      */
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
-    /**
-     * Delay per preceding VM before this VM requests the placement lease, so that VMs request it one after the other.
-     */
-    private static final Duration LEASE_REQUEST_STAGGER = Duration.ofMillis(150);
-
     private final PlatformBinding binding;
     private final EventLoop loop;
     private final BootClock bootClock = new BootClock();
@@ -104,9 +99,9 @@
     private final RequestForwarding forwarding;
     private final CallerServer callers;
     private final PlannedStop stop;
+    private final LeaseRequestStagger leaseRequests;
 
     private ServingSettings settings;
-    private MonotonicTime leaderAbsentSince;
     private MonotonicTime sweptAt;
 
     private ServingNode(ServingSettings settings, PlatformBinding binding, EventLoop loop) {
@@ -115,7 +110,7 @@
         this.loop = loop;
         MonotonicTime now = bootClock.read();
         retryBudgets = new RetryBudgets(settings, now);
-        leaderAbsentSince = now;
+        leaseRequests = new LeaseRequestStagger(now);
         sweptAt = now;
         limits = new FleetRateLimiter(settings.isFirstStart(), this::fleetSize, this::announceSpending);
         demandRates = new DemandRates();
@@ -145,7 +140,8 @@
                 this::configure,
                 leadership,
                 crashes,
-                streams);
+                streams,
+                new ConfigurationMetrics(registry, bootClock::read));
         mirror = new StoreMirror(loop, bootClock::read, store, state, this::batchingDelay);
         relay = new StoreRelayExchange(client, peers, mirror, eras, bootClock::read);
         placement = new PlacementDriver(
@@ -161,7 +157,7 @@
         presence = new FleetPresence(peers, digests, limits);
         rateShares = new RateShares(settings.vmName(), settings.failureDomain(), upstreams, peers, digests);
         rateShares.register(registry, bootClock::read);
-        synchronizer = new StoreSynchronizer(mirror, relay, digests, now);
+        synchronizer = new StoreSynchronizer(mirror, relay, digests, storeStanding(now), now);
         forwarding = requestForwarding();
         forwarding.register(registry);
         handler = new RequestHandler(environment());
@@ -234,6 +230,13 @@
                 this::place);
     }
 
+    private StoreStanding storeStanding(MonotonicTime now) {
+        StoreStanding standing =
+                new StoreStanding(settings.failureDomain(), mirror::revision, mirror::knownAsOf, eras, peers, now);
+        standing.register(registry, bootClock::read);
+        return standing;
+    }
+
     private RequestForwarding requestForwarding() {
         return new RequestForwarding(
                 settings.failureDomain(),
@@ -406,14 +409,8 @@
     }
 
     private void updateLeadership(MonotonicTime now) {
-        if (!leadership.isVacant()) {
-            leaderAbsentSince = now;
-        }
-        Duration vacant = now.since(leaderAbsentSince);
-        boolean mayRequestLease = isReady()
-                && forwarding.isAccepting()
-                && vacant.compareTo(LEASE_REQUEST_STAGGER.multipliedBy(vmIndex(now))) >= 0;
-        leadership.tick(mayRequestLease, now);
+        boolean isDue = leaseRequests.isDue(leadership.isVacant(), vmIndex(now), now);
+        leadership.tick(isDue && isReady() && forwarding.isAccepting(), now);
         place(now);
     }
 
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreSynchronizer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreSynchronizer.java
@@ -16,14 +16,21 @@
     private final StoreRelayExchange relay;
     private final DigestExchange digests;
     private final StandstillDetector standstill;
+    private final StoreStanding standing;
     private StoreRevision announcedRevision = StoreRevision.NONE;
     private boolean isFollowing = true;
 
-    StoreSynchronizer(StoreMirror mirror, StoreRelayExchange relay, DigestExchange digests, MonotonicTime now) {
+    StoreSynchronizer(
+            StoreMirror mirror,
+            StoreRelayExchange relay,
+            DigestExchange digests,
+            StoreStanding standing,
+            MonotonicTime now) {
         this.standstill = new StandstillDetector(now);
         this.mirror = mirror;
         this.relay = relay;
         this.digests = digests;
+        this.standing = standing;
     }
 
     void tick(MonotonicTime now) {
@@ -31,6 +38,7 @@
         isFollowing = digests.mustFollowStore(now) || relay.isLagging(now) || relay.hasPeersWithoutEra(now);
         mirror.setFollowing(isFollowing);
         relay.tick(isFollowing, now);
+        standing.update(isFollowing, now);
         if (!mirror.revision().equals(announcedRevision)) {
             announcedRevision = mirror.revision();
             if (isFollowing) {
--- a/serving/src/main/java/org/pollenhoist/serving/peer/PeerExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/peer/PeerExchange.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -184,6 +185,15 @@
                 .toList();
     }
 
+    /**
+     * Returns the newest digest of each peer, however old it is.
+     *
+     * @return the reports
+     */
+    public Collection<PeerReport> reports() {
+        return Collections.unmodifiableCollection(reports.values());
+    }
+
     /**
      * Counts the failure domains of all known peers.
      *
