--- a/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
@@ -35,7 +35,7 @@
 /** A caller's connection, whose requests are served one after another. Confined to the event loop. */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
-    /** Maximum number of requests that wait while another one is served; the connection is closed beyond it. */
+    /** Maximum number of requests that wait to be served; the connection is closed beyond it. */
     private static final int MAXIMUM_PIPELINED_REQUESTS = 8;
 
     private final CallerServer server;
@@ -127,13 +127,25 @@
     }
 
     private void accept(IncomingRequest request) {
-        if (currentResponse == null) {
-            handle(request);
-        } else if (pipelinedRequests.size() < MAXIMUM_PIPELINED_REQUESTS) {
-            pipelinedRequests.addLast(request);
-        } else {
+        if (pipelinedRequests.size() >= MAXIMUM_PIPELINED_REQUESTS) {
             request.body().release();
             context.close();
+            return;
+        }
+        pipelinedRequests.addLast(request);
+        if (currentResponse == null) {
+            // After an event loop that was late has read a request, it reads whether the caller has left meanwhile.
+            context.executor().execute(this::handleNext);
+        }
+    }
+
+    private void handleNext() {
+        if (currentResponse != null || isClosing || !context.channel().isActive()) {
+            return;
+        }
+        IncomingRequest next = pipelinedRequests.pollFirst();
+        if (next != null) {
+            handle(next);
         }
     }
 
@@ -154,10 +166,7 @@
             releasePipelinedRequests();
             return;
         }
-        IncomingRequest next = pipelinedRequests.pollFirst();
-        if (next != null) {
-            handle(next);
-        }
+        handleNext();
     }
 
     private void releasePipelinedRequests() {
--- /dev/null
+++ b/serving/src/test/java/org/pollenhoist/serving/http/AbandonedRequestTest.java
@@ -0,0 +1,128 @@
+package org.pollenhoist.serving.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.epoll.EpollEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.catalog.CallerLimits;
+
+/** Tests which requests a server takes up that has read them late. */
+class AbandonedRequestTest {
+
+    private static final int OK = 200;
+
+    private final EpollEventLoopGroup group = new EpollEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private final List<String> handled = new CopyOnWriteArrayList<>();
+    private final CallerServer server =
+            new CallerServer(loop, MonotonicTime::read, () -> CallerLimits.DEFAULTS, this::handle);
+    private InetSocketAddress address;
+
+    @BeforeEach
+    void listen() {
+        address = (InetSocketAddress) server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .syncUninterruptibly()
+                .channel()
+                .localAddress();
+    }
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private Runnable handle(IncomingRequest request, CallerResponse response) {
+        handled.add(request.head().uri());
+        request.body().release();
+        response.sendFull(OK, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+        return () -> {};
+    }
+
+    private Socket connect() throws IOException, InterruptedException {
+        int openBefore = server.openConnections();
+        Socket socket = new Socket(address.getAddress(), address.getPort());
+        while (loop.submit(server::openConnections).syncUninterruptibly().getNow() == openBefore) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        return socket;
+    }
+
+    private static void send(Socket socket, String... paths) throws IOException {
+        for (String path : paths) {
+            String request = "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        }
+    }
+
+    /** Lets the event loop stand still while callers act, then waits until it has read all that they did. */
+    private void whileStandingStill(Action action) throws IOException, InterruptedException {
+        CountDownLatch end = new CountDownLatch(1);
+        loop.execute(() -> await(end));
+        action.run();
+        end.countDown();
+        try (Socket last = new Socket(address.getAddress(), address.getPort())) {
+            send(last, "/last");
+            assertThat(last.getInputStream().read()).isNotNegative();
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private interface Action {
+        void run() throws IOException;
+    }
+
+    @Nested
+    class WhenTheEventLoopWasLate {
+
+        @Test
+        void should_not_take_up_requests_whose_callers_have_left() throws IOException, InterruptedException {
+            Socket closed = connect();
+            Socket reset = connect();
+            Socket pipelining = connect();
+
+            whileStandingStill(() -> {
+                send(closed, "/closed");
+                closed.close();
+                send(reset, "/reset");
+                reset.setSoLinger(true, 0);
+                reset.close();
+                send(pipelining, "/first", "/second");
+                pipelining.close();
+            });
+
+            assertThat(handled).containsExactly("/last");
+        }
+
+        @Test
+        void should_take_up_requests_whose_callers_wait_in_their_order() throws IOException, InterruptedException {
+            try (Socket waiting = connect()) {
+                whileStandingStill(() -> send(waiting, "/first", "/second"));
+
+                assertThat(handled).containsExactly("/first", "/second", "/last");
+            }
+        }
+    }
+}
