--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -12,8 +12,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.pollenhoist.common.MonotonicTime;
@@ -33,12 +31,6 @@
     /** Maximum number of bytes of such responses that are read, over all of them. */
     private static final long MAXIMUM_SKIPPED_BYTES = 1L << 20;
 
-    /**
-     * Number of requests without success after which a connection is closed. It is not used for these again, and so
-     * has to know them.
-     */
-    private static final int MAXIMUM_UNSUCCESSFUL_REQUESTS = 16;
-
     private enum ResponseState {
         NONE,
         ACCEPTED,
@@ -52,7 +44,7 @@
     private HttpExchange exchange;
     private ChannelFuture written;
     private ResponseState state = ResponseState.NONE;
-    private final Set<String> unsuccessfulRequests = new HashSet<>();
+    private final CarriedRequests carriedRequests = new CarriedRequests();
     private ConnectionUse use = ConnectionUse.NEW;
     private boolean isUsed;
     private boolean isSuccess;
@@ -94,12 +86,9 @@
         idleSince = now;
     }
 
-    /**
-     * Returns whether a request may be sent. One that was answered here without success, as one that was rejected, may
-     * not be sent here again: a copy of that response would be taken for the response to the new attempt.
-     */
+    /** Returns whether a request may be sent, which is the case unless an attempt of it was sent here before. */
     boolean mayCarry(String identifier) {
-        return !unsuccessfulRequests.contains(identifier);
+        return !carriedRequests.contains(identifier);
     }
 
     void start(HttpExchange newExchange) {
@@ -219,10 +208,8 @@
         }
         HttpExchange ended = exchange;
         exchange = null;
-        if (!isSuccess && !ended.identifier().isEmpty()) {
-            unsuccessfulRequests.add(ended.identifier());
-            isReusable &= unsuccessfulRequests.size() < MAXIMUM_UNSUCCESSFUL_REQUESTS;
-        }
+        carriedRequests.add(ended.identifier(), isSuccess, connections.now());
+        isReusable &= carriedRequests.hasRoom();
         // If the other end responded early, the body of the request may not have been written completely yet.
         boolean canBeReused = isReusable && written.isSuccess() && isOpen();
         if (canBeReused) {
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnectionPool.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnectionPool.java
@@ -81,8 +81,8 @@
     }
 
     /**
-     * Sends a request that may be sent again under the same identifier. A connection that brought a response without
-     * success to one attempt is not used for a further one.
+     * Sends a request that may be sent again under the same identifier. A connection that carried one attempt is not
+     * used for a further one.
      *
      * @param target the process to which it is sent
      * @param identifier identifies the request and all its attempts
@@ -220,6 +220,10 @@
         });
     }
 
+    MonotonicTime now() {
+        return clock.get();
+    }
+
     void notifyResponse(Target target, HttpResponse head) {
         onResponse.accept(target, head);
     }
--- a/serving/src/test/java/org/pollenhoist/serving/forwarding/ForwardingServerTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/forwarding/ForwardingServerTest.java
@@ -50,6 +50,7 @@
     private static final String IDENTIFIER = "X-Id";
     private static final String KEPT = "Keep-Alive: timeout=60\r\nContent-Length: 0\r\n\r\n";
     private static final String REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nX-Id: a\r\n" + KEPT;
+    private static final String FAILURE = "HTTP/1.1 500 Internal Server Error\r\nX-Id: a\r\n" + KEPT;
     private static final String UNNAMED_REFUSAL = "HTTP/1.1 503 Service Unavailable\r\n" + KEPT;
     private static final String ANSWER = "HTTP/1.1 200 OK\r\nX-Id: a\r\n" + KEPT;
     private static final String OTHER_ANSWER = "HTTP/1.1 200 OK\r\nX-Id: b\r\n" + KEPT;
@@ -169,6 +170,20 @@
         }
     }
 
+    @Nested
+    class Successes {
+
+        /** Guards against a copy of the first response that is passed on as the response to a later attempt. */
+        @Test
+        void should_not_be_passed_on_for_a_later_attempt_when_they_are_written_once_more() {
+            scripts.add(List.of(ANSWER, ANSWER + FAILURE));
+            scripts.add(List.of(FAILURE));
+
+            assertThat(send("a")).isEqualTo(200);
+            assertThat(send("a")).isEqualTo(500);
+        }
+    }
+
     private static final class Collector implements CallerResponse {
 
         private final CompletableFuture<Integer> status = new CompletableFuture<>();
--- a/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
@@ -167,6 +167,19 @@
             assertThat(send("b")).isEqualTo("ok");
             assertThat(accepted).hasValue(2);
         }
+
+        /** Guards against taking a copy of the first response for the response to a later attempt. */
+        @Test
+        void should_not_carry_a_request_twice_whatever_the_first_response_was() {
+            responses.addAll(List.of(
+                    LONG_KEEP_ALIVE.formatted("a"), LONG_KEEP_ALIVE.formatted("a"), LONG_KEEP_ALIVE.formatted("b")));
+
+            assertThat(send("a")).isEqualTo("ok");
+            assertThat(send("a")).isEqualTo("ok");
+            assertThat(accepted).hasValue(2);
+            assertThat(send("b")).isEqualTo("ok");
+            assertThat(accepted).hasValue(2);
+        }
     }
 
     @Nested
