--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
@@ -215,16 +215,17 @@
             return;
         }
         MonotonicTime sentAt = clock.get();
+        StoreRevision after = revision;
         long call = ++latestCall;
-        store.watch("", revision, WATCH_TIMEOUT, result -> {
+        store.watch("", after, WATCH_TIMEOUT, result -> {
             if (call != latestCall) {
                 return;
             }
             switch (result) {
                 case StoreResult.Success<StorePage> page -> {
                     markAvailable();
-                    if (!page.value().revision().isOfSameEra(revision)) {
-                        // The changes since the copy was made are missing.
+                    if (!page.value().revision().isOfSameEra(after)) {
+                        // The changes since the copy was made are missing, even if a peer has relayed the era since.
                         start();
                         return;
                     }
--- a/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorEraTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorEraTest.java
@@ -63,6 +63,21 @@
     @Nested
     class NewEra {
 
+        /** The number that a watch names means another state of the store in the new era. */
+        @Test
+        void should_list_again_when_a_watch_of_the_era_before_is_answered_after_a_relay_of_the_new_one() {
+            mirror.setFollowing(false);
+            mirror.onNewEra(now);
+            mirror.applyPeerChanges(snapshot(2, 46, item("a", 2, 46)));
+
+            store.complete(page(2, 52, item("c", 2, 51), item("a", 2, 52)));
+            assertThat(store.calls.peekLast()).isEqualTo("list ");
+            store.complete(page(2, 52, item("a", 2, 52), item("b", 2, 47), item("c", 2, 51)));
+
+            assertThat(mirror.find("b")).isPresent();
+            assertThat(mirror.revision()).isEqualTo(new StoreRevision(2, 52));
+        }
+
         @Test
         void should_take_each_item_of_the_copy_and_watch_from_its_revision() {
             mirror.onNewEra(now);
