--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
@@ -185,8 +185,11 @@
         listedItems.clear();
         revision = hasGoneBack ? listingRevision : StoreRevision.later(revision, listingRevision);
         missing.forEach(key -> remove(key, revision));
-        if (isNewHistory) {
+        if (isNewHistory || listingRevision.isAfter(before)) {
+            // A listing doesn't show what was written and removed since the revision before it.
             removals.beginAt(revision);
+        }
+        if (isNewHistory) {
             LOG.event(
                     "store_loaded",
                     "items",
--- a/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
@@ -278,6 +278,20 @@
                     .containsExactlyInAnyOrder(item("a", 3), item("b", 4));
         }
 
+        /** Guards against an item that stays at the peer, since it came and went while this mirror lost the history. */
+        @Test
+        void should_return_a_snapshot_when_the_items_have_been_listed_again_since_the_revision() {
+            load();
+            now = now.plus(Duration.ofSeconds(1));
+            store.complete(new StoreResult.Rejected<>("410"));
+            store.complete(page(9, item("a", 3), item("b", 4)));
+
+            assertThat(mirror.changesAfter(StoreRevision.withoutEra(7), now).isSnapshot())
+                    .isTrue();
+            assertThat(mirror.changesAfter(StoreRevision.withoutEra(9), now).isSnapshot())
+                    .isFalse();
+        }
+
         /** After each update, a mirror that is fed by a peer has the same items as the peer. */
         @Test
         void should_equal_the_mirror_of_a_peer_when_it_has_applied_its_changes() {
