--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
@@ -329,10 +329,11 @@
     }
 
     private void remove(String key, StoreRevision removalRevision) {
+        // Peers may know an item that was written and removed between two calls of this mirror.
+        removals.add(key, removalRevision);
         if (items.remove(key) == null) {
             return;
         }
-        removals.add(key, removalRevision);
         MonotonicTime now = clock.get();
         MonotonicTime until = recoveredAt.plus(REWRITE_PERIOD);
         if (now.isBefore(until) && listener.mayBeRewritten(key)) {
--- a/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
@@ -292,6 +292,17 @@
                     .isFalse();
         }
 
+        /** Guards against an item that stays at the peer, since it was written and removed within one response. */
+        @Test
+        void should_return_the_removal_of_an_item_that_it_never_knew() {
+            load();
+            store.complete(page(8, removal("c", 8)));
+
+            assertThat(mirror.changesAfter(StoreRevision.withoutEra(7), now).removals())
+                    .usingRecursiveFieldByFieldElementComparator()
+                    .containsExactly(removal("c", 8));
+        }
+
         /** After each update, a mirror that is fed by a peer has the same items as the peer. */
         @Test
         void should_equal_the_mirror_of_a_peer_when_it_has_applied_its_changes() {
