--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
@@ -232,7 +232,9 @@
                         start();
                         return;
                     }
-                    page.value().items().forEach(this::apply);
+                    page.value().items().stream()
+                            .filter(item -> !isGoneSince(item))
+                            .forEach(this::apply);
                     revision = StoreRevision.later(revision, page.value().revision());
                     knownAsOf = Optional.of(sentAt);
                     watchAgain(page.value().items().isEmpty());
@@ -308,6 +310,11 @@
         }
     }
 
+    /** Returns whether an item is missing at a later revision, which a peer has relayed since the store was asked. */
+    private boolean isGoneSince(StoreItem item) {
+        return !items.containsKey(item.key()) && !item.revision().isAfter(revision);
+    }
+
     /** Applies an item of a history that is not comparable with what is known. */
     private void replace(StoreItem item) {
         StoreItem known = items.get(item.key());
--- a/serving/src/test/java/org/pollenhoist/serving/store/DrillSimulation.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/DrillSimulation.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.netty.channel.DefaultEventLoop;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -171,25 +170,6 @@
         }
     }
 
-    /** Runs what was scheduled when it is told to. */
-    private static final class ManualEventLoop extends DefaultEventLoop {
-
-        private final List<Runnable> scheduled = new ArrayList<>();
-
-        @Override
-        public io.netty.util.concurrent.ScheduledFuture<?> schedule(
-                Runnable command, long delay, java.util.concurrent.TimeUnit unit) {
-            scheduled.add(command);
-            return null;
-        }
-
-        private void runScheduled() {
-            List<Runnable> due = List.copyOf(scheduled);
-            scheduled.clear();
-            due.forEach(Runnable::run);
-        }
-    }
-
     /** Answers from the simulated store as it is when the answer is due. */
     private final class QueuedStore extends ReadOnlyStore {
 
--- a/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorEraTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorEraTest.java
@@ -228,5 +228,13 @@
                 new DrillSimulation(seed).run();
             }
         }
+
+        /** As above, also while responses and relays are late: no mirror holds less or more than its revision says. */
+        @Test
+        void should_hold_what_its_revision_says_after_any_relay() {
+            for (long seed = 1; seed <= 3_000; seed++) {
+                new RelaySimulation(seed).run();
+            }
+        }
     }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
@@ -303,6 +303,18 @@
                     .containsExactly(removal("c", 8));
         }
 
+        @Test
+        void should_not_bring_an_item_back_when_a_watch_is_answered_later_than_a_relay_without_it() {
+            load();
+            mirror.applyPeerChanges(snapshot(9, item("a", 3), item("b", 4)));
+            events.clear();
+
+            store.complete(page(7, item("c", 6), item("a", 7)));
+
+            assertThat(events).containsExactly("a=7");
+            assertThat(mirror.find("c")).isEmpty();
+        }
+
         /** After each update, a mirror that is fed by a peer has the same items as the peer. */
         @Test
         void should_equal_the_mirror_of_a_peer_when_it_has_applied_its_changes() {
