--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
@@ -347,7 +347,16 @@
             delayedRemovals.put(key, until);
             LOG.event("removal_held", "key", key, "for_ms", until.since(now).toMillis());
         } else {
+            reportRemoval(key);
+        }
+    }
+
+    private void reportRemoval(String key) {
+        try {
             listener.onRemoved(key);
+        } catch (RuntimeException failure) {
+            // As for an item that was written.
+            LOG.event("removal_rejected", "key", key, "reason", failure);
         }
     }
 
@@ -468,7 +477,7 @@
                 Map.copyOf(delayedRemovals).entrySet()) {
             if (!now.isBefore(removal.getValue())) {
                 delayedRemovals.remove(removal.getKey());
-                listener.onRemoved(removal.getKey());
+                reportRemoval(removal.getKey());
             }
         }
     }
--- a/serving/src/test/java/org/pollenhoist/serving/store/RecordingListener.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/RecordingListener.java
@@ -19,6 +19,9 @@
 
     @Override
     public void onRemoved(String key) {
+        if (key.equals(rejectedKey)) {
+            throw new IllegalArgumentException("odd removal");
+        }
         events.add("-" + key);
     }
 
--- a/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
@@ -126,6 +126,17 @@
             assertThat(store.pendingCallbacks).hasSize(1);
         }
 
+        @Test
+        void should_apply_the_other_changes_and_watch_on_when_a_removal_is_rejected() {
+            load();
+            listener.rejectedKey = "b";
+            store.complete(page(7, removal("b", 6), item("a", 7)));
+
+            assertThat(events).containsExactly("a=7");
+            await().until(() -> store.pendingCallbacks.size() == 1);
+            assertThat(store.calls.peekLast()).isEqualTo("watch 7");
+        }
+
         @Test
         void should_ignore_an_item_when_its_revision_is_older_than_the_known_one() {
             load();
