--- a/serving/src/main/java/org/pollenhoist/serving/store/RecordedRemovals.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/RecordedRemovals.java
@@ -33,8 +33,9 @@
         revisions.remove(key);
     }
 
-    /** Declares that no removals before a revision are known. */
+    /** Declares that no removals before a revision are known, and that those after it are of a lost history. */
     void beginAt(StoreRevision revision) {
+        revisions.values().removeIf(removal -> removal.isAfter(revision));
         completeFrom = revision;
     }
 
