--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
@@ -232,8 +232,10 @@
                         start();
                         return;
                     }
+                    // An item may be gone at a later revision that a peer has relayed since.
                     page.value().items().stream()
-                            .filter(item -> !isGoneSince(item))
+                            .filter(item -> items.containsKey(item.key())
+                                    || item.revision().isAfter(revision))
                             .forEach(this::apply);
                     revision = StoreRevision.later(revision, page.value().revision());
                     knownAsOf = Optional.of(sentAt);
@@ -310,11 +312,6 @@
         }
     }
 
-    /** Returns whether an item is missing at a later revision, which a peer has relayed since the store was asked. */
-    private boolean isGoneSince(StoreItem item) {
-        return !items.containsKey(item.key()) && !item.revision().isAfter(revision);
-    }
-
     /** Applies an item of a history that is not comparable with what is known. */
     private void replace(StoreItem item) {
         StoreItem known = items.get(item.key());
--- a/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/store/StoreMirrorTest.java
@@ -179,8 +179,8 @@
         /** Guards against an item that is missed because its removal at a higher revision is remembered. */
         @Test
         void should_apply_an_item_that_was_removed_in_the_lost_time() {
-            mirror.applyPeerChanges(
-                    new StoreChanges(StoreRevision.withoutEra(9), List.of(), List.of(removal("b", 9)), false, LONG_AGO));
+            mirror.applyPeerChanges(new StoreChanges(
+                    StoreRevision.withoutEra(9), List.of(), List.of(removal("b", 9)), false, LONG_AGO));
             store.complete(page(4, item("a", 3)));
             events.clear();
 
