--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -143,7 +143,7 @@
                 streams,
                 new ConfigurationMetrics(registry, bootClock::read));
         mirror = new StoreMirror(loop, bootClock::read, store, state, this::batchingDelay);
-        relay = new StoreRelayExchange(client, peers, mirror, eras, bootClock::read);
+        relay = new StoreRelayExchange(client::call, peers, mirror, eras, bootClock::read);
         placement = new PlacementDriver(
                 this::after,
                 bootClock::read,
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -15,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
@@ -61,7 +63,23 @@
      */
     private static final Duration MAX_LAG = Duration.ofMillis(900);
 
-    private final BufferedHttpClient client;
+    /** Calls peers. */
+    @FunctionalInterface
+    interface Client {
+
+        /**
+         * Sends a request.
+         *
+         * @param target the peer
+         * @param request the request, which is released
+         * @param timeout the longest time until the result
+         * @param callback receives the result, exactly once
+         */
+        void call(
+                Target target, FullHttpRequest request, Duration timeout, Consumer<BufferedHttpClient.Result> callback);
+    }
+
+    private final Client client;
     private final PeerExchange peers;
     private final StoreMirror mirror;
     private final StoreEras eras;
@@ -70,11 +88,7 @@
     private boolean isRequestPending;
 
     StoreRelayExchange(
-            BufferedHttpClient client,
-            PeerExchange peers,
-            StoreMirror mirror,
-            StoreEras eras,
-            Supplier<MonotonicTime> clock) {
+            Client client, PeerExchange peers, StoreMirror mirror, StoreEras eras, Supplier<MonotonicTime> clock) {
         this.client = client;
         this.peers = peers;
         this.mirror = mirror;
@@ -91,8 +105,15 @@
     }
 
     void respond(String uri, CallerResponse response) {
-        StoreRelay relay = toMessage(mirror.changesAfter(knownRevision(uri), clock.get()));
-        response.sendFull(OK, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(relay.toByteArray()));
+        response.sendFull(
+                OK,
+                new DefaultHttpHeaders(),
+                Unpooled.wrappedBuffer(changesFor(uri).toByteArray()));
+    }
+
+    /** Returns what this VM answers to a relay request. */
+    StoreRelay changesFor(String uri) {
+        return toMessage(mirror.changesAfter(knownRevision(uri), clock.get()));
     }
 
     private StoreRevision knownRevision(String uri) {
--- /dev/null
+++ b/serving/src/test/java/org/pollenhoist/serving/node/ChangePropagationTest.java
@@ -0,0 +1,70 @@
+package org.pollenhoist.serving.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.params.provider.EnumSource.Mode.EXCLUDE;
+import static org.junit.jupiter.params.provider.EnumSource.Mode.INCLUDE;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against VMs that handle requests by an old configuration long after the store has confirmed a newer one. */
+class ChangePropagationTest {
+
+    private static final long SEED = 1;
+
+    private static void assertInForceWithin(
+            Duration bound, Duration stablePeriod, int vms, int domains, StoreTrouble trouble, int changes) {
+        StoreFleet fleet = new StoreFleet(vms, domains, bound, SEED);
+
+        ChangePropagation.Distribution measured =
+                new ChangePropagation(fleet, stablePeriod, SEED).measure(trouble, changes);
+
+        assertThat(measured.longest()).as(measured.toString()).isLessThanOrEqualTo(bound);
+    }
+
+    @Nested
+    class FleetOf9 {
+
+        private static void assertInForceInTime(StoreTrouble trouble) {
+            assertInForceWithin(Duration.ofSeconds(2), Duration.ofSeconds(3), 9, 3, trouble, 60);
+        }
+
+        @ParameterizedTest
+        @EnumSource(mode = EXCLUDE, names = "UNANSWERED_IN_TURN")
+        void should_have_a_change_in_force_everywhere_within_2_seconds(StoreTrouble trouble) {
+            assertInForceInTime(trouble);
+        }
+
+        @Tag("known-red")
+        @Test
+        void should_have_a_change_in_force_everywhere_when_the_store_ignores_one_vm_after_the_other() {
+            assertInForceInTime(StoreTrouble.UNANSWERED_IN_TURN);
+        }
+    }
+
+    @Nested
+    class FleetOf85 {
+
+        @ParameterizedTest
+        @EnumSource
+        void should_have_a_change_in_force_everywhere_within_3_seconds(StoreTrouble trouble) {
+            assertInForceWithin(Duration.ofSeconds(3), Duration.ofSeconds(4), 85, 5, trouble, 2);
+        }
+    }
+
+    @Nested
+    class FleetOf330 {
+
+        @ParameterizedTest
+        @EnumSource(
+                mode = INCLUDE,
+                names = {"UNANSWERED_IN_TURN", "DRILL"})
+        void should_have_a_change_in_force_everywhere_within_3_seconds(StoreTrouble trouble) {
+            assertInForceWithin(Duration.ofSeconds(3), Duration.ofSeconds(4), 330, 16, trouble, 1);
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
@@ -0,0 +1,476 @@
+package org.pollenhoist.serving.node;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.util.concurrent.ScheduledFuture;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.http.BufferedHttpClient;
+import org.pollenhoist.serving.http.Target;
+import org.pollenhoist.serving.limit.FleetRateLimiter;
+import org.pollenhoist.serving.peer.PeerExchange;
+import org.pollenhoist.serving.peer.PeerReport;
+import org.pollenhoist.serving.placement.DemandRates;
+import org.pollenhoist.serving.store.StoreEras;
+import org.pollenhoist.serving.store.StoreItem;
+import org.pollenhoist.serving.store.StoreListener;
+import org.pollenhoist.serving.store.StoreMirror;
+import org.pollenhoist.serving.upstream.Upstream;
+import org.pollenhoist.serving.upstream.UpstreamNoticeHandler;
+import org.pollenhoist.serving.upstream.UpstreamTable;
+import org.pollenhoist.vm.generated.VmDigest;
+
+/** Simulates a fleet whose VMs learn of configurations from a store or from each other, on a simulated clock. */
+final class StoreFleet {
+
+    static final String CONFIGURATION = "op/config";
+
+    private static final String VM_PREFIX = "pollenhoist/vms/";
+    private static final int TICK_MILLISECONDS = 50;
+    private static final int LINK_DELAY_MILLISECONDS = 1;
+    private static final double LOSS_RATE = 0.01;
+    private static final Duration UPSTREAM_HEARTBEAT = Duration.ofMillis(1_200);
+    private static final int OK = 200;
+
+    private record Event(long at, long number, Runnable action) {}
+
+    /** A VM, whose processes follow each other. */
+    final class Vm {
+
+        final String name;
+        final String failureDomain;
+        private final InetSocketAddress address;
+        private VmProcess process;
+        private long incarnation;
+        private boolean isFrozen;
+        private boolean isStopping;
+        private SimulatedHistoryStore.Treatment treatment = SimulatedHistoryStore.Treatment.SERVED;
+        private long lastTreatment;
+        private MonotonicTime disturbedUntil;
+        private final List<Runnable> waiting = new ArrayList<>();
+        private long version;
+        private long bytes;
+
+        private Vm(int index, int domains) {
+            this.failureDomain = "domain-" + index % domains;
+            this.name = "frontend-" + failureDomain + '-' + index;
+            this.address = addressOf(index);
+            this.disturbedUntil = now();
+        }
+
+        private void start() {
+            isStopping = false;
+            process = new VmProcess(this, ++incarnation);
+            process.access.treat(treatment);
+            process.mirror.start();
+            after(random.nextInt(TICK_MILLISECONDS), process::tickForever);
+        }
+
+        /** Returns the highest version of the configuration that has been in force here since the process started. */
+        long version() {
+            return version;
+        }
+
+        /** Returns whether nothing has disturbed this VM for a while. */
+        boolean isUndisturbedFor(Duration duration) {
+            return !isFrozen
+                    && process != null
+                    && !isStopping
+                    && now().since(disturbedUntil).compareTo(duration) >= 0;
+        }
+
+        boolean isWatching() {
+            return process != null && !isFrozen && process.digests.mustFollowStore(now());
+        }
+
+        /** Returns a number that is higher the later this VM's treatment was last changed, 0 if it never was. */
+        long lastTreatment() {
+            return lastTreatment;
+        }
+
+        /** Returns whether this VM watches the store with success. */
+        boolean isCurrent() {
+            return process != null && process.mirror.isCurrent(now());
+        }
+
+        /** Lets the store treat this VM in a certain way for a while. */
+        void treat(SimulatedHistoryStore.Treatment next, long forMilliseconds) {
+            lastTreatment = ++treatments;
+            treat(next);
+            after(forMilliseconds, () -> treat(SimulatedHistoryStore.Treatment.SERVED));
+        }
+
+        private void treat(SimulatedHistoryStore.Treatment next) {
+            treatment = next;
+            if (process != null) {
+                process.access.treat(next);
+            }
+        }
+
+        /** Lets a share of the store's responses to this VM get lost for a while. */
+        void loseResponses(double share, long forMilliseconds) {
+            if (process != null) {
+                SimulatedHistoryStore.Access access = process.access;
+                access.loseResponses(share);
+                after(forMilliseconds, () -> access.loseResponses(0));
+            }
+        }
+
+        /** Lets the processes of this VM stand still for a while. */
+        void freeze(long milliseconds) {
+            if (isFrozen || process == null) {
+                return;
+            }
+            isFrozen = true;
+            after(milliseconds, () -> {
+                isFrozen = false;
+                disturbedUntil = now();
+                List<Runnable> due = List.copyOf(waiting);
+                waiting.clear();
+                due.forEach(Runnable::run);
+            });
+        }
+
+        /** Stops the process, which tells its peers, and starts another one after a while. */
+        void restart(long graceMilliseconds, long downMilliseconds) {
+            if (process == null || isStopping) {
+                return;
+            }
+            isStopping = true;
+            process.digests.send(now());
+            after(graceMilliseconds, () -> kill(downMilliseconds));
+        }
+
+        /** Ends the process without notice and starts another one after a while. */
+        void kill(long downMilliseconds) {
+            if (process == null) {
+                return;
+            }
+            process.access.close();
+            process = null;
+            version = 0;
+            after(downMilliseconds, () -> {
+                disturbedUntil = now();
+                start();
+            });
+        }
+
+        private void run(VmProcess owner, Runnable action) {
+            if (isFrozen) {
+                waiting.add(() -> run(owner, action));
+            } else if (process == owner) {
+                action.run();
+            }
+        }
+
+        private void install(long next) {
+            if (next >= version) {
+                version = next;
+                installed.accept(this);
+            }
+        }
+    }
+
+    /** One process with the components that keep its copy of the store. */
+    private final class VmProcess implements DigestExchange.LocalVm, StoreListener {
+
+        private final Vm vm;
+        private final DigestCodec codec;
+        private final StoreEras eras = new StoreEras();
+        private final UpstreamTable upstreams = new UpstreamTable();
+        private final FleetRateLimiter limits = new FleetRateLimiter(true, () -> vms.size(), () -> {});
+        private final CrashTracking crashes;
+        private final PeerExchange peers;
+        private final DigestExchange digests;
+        private final SimulatedHistoryStore.Access access;
+        private final StoreMirror mirror;
+        private final StoreRelayExchange relay;
+        private final StoreSynchronizer synchronizer;
+
+        private VmProcess(Vm vm, long incarnation) {
+            this.vm = vm;
+            this.codec = new DigestCodec(vm.name, vm.failureDomain, incarnation);
+            this.crashes = new CrashTracking(
+                    vm.name,
+                    StoreFleet.this::now,
+                    upstreams,
+                    UPSTREAM_HEARTBEAT,
+                    new InMemoryStore(),
+                    new PrometheusRegistry(),
+                    () -> {});
+            this.peers = new PeerExchange(this::transmit, StoreFleet.this::now, vm.name, this::receive, streams -> {});
+            this.digests = new DigestExchange(
+                    (delay, action) -> later(delay.toMillis(), action),
+                    StoreFleet.this::now,
+                    peers,
+                    upstreams,
+                    new UpstreamNoticeHandler(upstreams, upstream -> {}),
+                    limits,
+                    new DemandRates(),
+                    crashes,
+                    this);
+            this.access = store.access(eras, action -> vm.run(this, action));
+            this.mirror = new StoreMirror(new SimulatedLoop(), StoreFleet.this::now, access, this, this::batchingDelay);
+            this.relay = new StoreRelayExchange(this::call, peers, mirror, eras, StoreFleet.this::now);
+            this.synchronizer = new StoreSynchronizer(mirror, relay, digests, now());
+            eras.onChange(() -> mirror.onNewEra(now()));
+        }
+
+        private void later(long milliseconds, Runnable action) {
+            after(milliseconds, () -> vm.run(this, action));
+        }
+
+        private void tickForever() {
+            vm.run(this, () -> {
+                mirror.applyDueRemovals(now());
+                synchronizer.tick(now());
+                digests.tick(now());
+                after(TICK_MILLISECONDS, this::tickForever);
+            });
+        }
+
+        private Duration batchingDelay() {
+            return synchronizer.batchingDelay(bound);
+        }
+
+        private void receive(PeerReport report) {
+            relay.receive(report.digest());
+            digests.receive(report);
+        }
+
+        private void transmit(byte[] sent, List<InetSocketAddress> receivers) {
+            for (InetSocketAddress receiver : receivers) {
+                Vm to = vms.get(receiver.getPort() - 1);
+                vm.bytes += sent.length;
+                if (random.nextDouble() >= LOSS_RATE && !isPartitioned(vm, to)) {
+                    after(LINK_DELAY_MILLISECONDS, () -> {
+                        VmProcess reached = to.process;
+                        if (reached != null) {
+                            to.run(reached, () -> reached.peers.receive(sent, vm.address));
+                        }
+                    });
+                }
+            }
+        }
+
+        private void call(
+                Target target,
+                FullHttpRequest request,
+                Duration timeout,
+                Consumer<BufferedHttpClient.Result> callback) {
+            String uri = request.uri();
+            request.release();
+            boolean[] isComplete = {false};
+            Consumer<BufferedHttpClient.Result> complete = result -> {
+                if (!isComplete[0]) {
+                    isComplete[0] = true;
+                    callback.accept(result);
+                }
+            };
+            later(timeout.toMillis(), () -> complete.accept(new BufferedHttpClient.Result.Failed(true, "no response")));
+            Vm to = vms.get(target.address().getPort() - 1);
+            VmProcess reached = to.process;
+            if (reached == null || isPartitioned(vm, to)) {
+                return;
+            }
+            after(
+                    LINK_DELAY_MILLISECONDS,
+                    () -> to.run(reached, () -> {
+                        byte[] body = reached.relay.changesFor(uri).toByteArray();
+                        to.bytes += body.length;
+                        later(
+                                LINK_DELAY_MILLISECONDS,
+                                () -> complete.accept(
+                                        new BufferedHttpClient.Result.Answered(OK, EmptyHttpHeaders.INSTANCE, body)));
+                    }));
+        }
+
+        @Override
+        public void onWritten(StoreItem item) {
+            if (item.key().equals(CONFIGURATION)) {
+                vm.install(Long.parseLong(new String(item.value(), StandardCharsets.UTF_8)));
+            } else if (item.key().startsWith(VM_PREFIX)) {
+                Vm peer = vms.get(Integer.parseInt(item.key().substring(VM_PREFIX.length())));
+                peers.putPeer(peer.name, peer.address, peer.failureDomain);
+            }
+        }
+
+        @Override
+        public void onRemoved(String key) {
+            // Nothing is removed that a configuration depends on.
+        }
+
+        @Override
+        public void onListed() {
+            // There is no placement leader.
+        }
+
+        @Override
+        public boolean mayBeRewritten(String key) {
+            return false;
+        }
+
+        @Override
+        public VmDigest createDigest(long sequence, boolean hasDemand, Collection<Upstream> engines, MonotonicTime at) {
+            return codec.write(
+                    sequence,
+                    mirror.revision(),
+                    mirror.isCurrent(at),
+                    limits.report(at),
+                    upstreams.all(),
+                    Optional.empty(),
+                    List.of(),
+                    false,
+                    vm.isStopping,
+                    true,
+                    engines,
+                    Optional.empty(),
+                    0,
+                    crashes,
+                    at);
+        }
+
+        @Override
+        public String vmName() {
+            return vm.name;
+        }
+
+        @Override
+        public String failureDomain() {
+            return vm.failureDomain;
+        }
+
+        @Override
+        public Collection<Upstream> engines() {
+            return upstreams.all();
+        }
+
+        @Override
+        public boolean isSendingOrders(MonotonicTime at) {
+            return false;
+        }
+
+        @Override
+        public boolean hasUrgentNotices(MonotonicTime at) {
+            return false;
+        }
+
+        @Override
+        public void onResidentModelsChanged(MonotonicTime at) {
+            // There are no engines.
+        }
+
+        @Override
+        public void onPeerModelRequests(MonotonicTime at) {
+            // There is no placement leader.
+        }
+
+        /** Runs what the mirror schedules on the simulated clock. */
+        private final class SimulatedLoop extends DefaultEventLoop {
+
+            @Override
+            public ScheduledFuture<?> schedule(Runnable command, long delay, TimeUnit unit) {
+                later(unit.toMillis(delay), command);
+                return null;
+            }
+        }
+    }
+
+    final List<Vm> vms = new ArrayList<>();
+    final SimulatedHistoryStore store;
+    private final Random random;
+    private final Duration bound;
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
+    private Consumer<Vm> installed = vm -> {};
+    private Set<String> partitionedDomains = Set.of();
+    private long configured;
+    private long treatments;
+    private long milliseconds = 1_000_000;
+    private long nextNumber;
+
+    StoreFleet(int size, int domains, Duration bound, long seed) {
+        this.random = new Random(seed);
+        this.bound = bound;
+        this.store = new SimulatedHistoryStore(this::after, random);
+        for (int index = 0; index < size; index++) {
+            vms.add(new Vm(index, domains));
+            store.write(VM_PREFIX + index, new byte[0]);
+        }
+        configure(1);
+        vms.forEach(vm -> after(random.nextInt(TICK_MILLISECONDS), vm::start));
+    }
+
+    private static InetSocketAddress addressOf(int index) {
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(new byte[] {10, 0, 0, 1}), index + 1);
+        } catch (UnknownHostException unexpected) {
+            throw new IllegalStateException(unexpected);
+        }
+    }
+
+    /** Writes a version of the configuration. */
+    void configure(long version) {
+        configured = version;
+        store.write(CONFIGURATION, Long.toString(version).getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Writes the newest version again, as the operator does when the store has lost it. */
+    void rewriteConfiguration() {
+        configure(configured);
+    }
+
+    /** Sets who is told each time a VM has a version in force. */
+    void onInstalled(Consumer<Vm> listener) {
+        installed = listener;
+    }
+
+    /** Separates failure domains from all others. */
+    void partition(Set<String> domains) {
+        partitionedDomains = domains;
+    }
+
+    private boolean isPartitioned(Vm from, Vm to) {
+        return !from.failureDomain.equals(to.failureDomain)
+                && (partitionedDomains.contains(from.failureDomain) || partitionedDomains.contains(to.failureDomain));
+    }
+
+    /** Returns how many bytes VMs have sent to each other, without headers. */
+    long bytes() {
+        return vms.stream().mapToLong(vm -> vm.bytes).sum();
+    }
+
+    MonotonicTime now() {
+        return MonotonicTime.of(Duration.ofMillis(milliseconds));
+    }
+
+    void after(long delayMilliseconds, Runnable action) {
+        events.add(new Event(milliseconds + delayMilliseconds, nextNumber++, action));
+    }
+
+    void run(long durationMilliseconds) {
+        long end = milliseconds + durationMilliseconds;
+        while (!events.isEmpty() && events.peek().at() <= end) {
+            Event event = events.poll();
+            milliseconds = event.at();
+            event.action().run();
+        }
+        milliseconds = end;
+    }
+}
