--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -11,6 +11,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
+import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -100,6 +102,15 @@
         skippedResponses = 0;
         skippedBytes = 0;
         written = context.writeAndFlush(newExchange.begin(this));
+        written.addListener(this::recordWritten);
+    }
+
+    /**
+     * Records a reset that shows in writing the request. The connection is then closed without a failed read, and a
+     * response that ends with its connection would look complete.
+     */
+    private void recordWritten(Future<? super Void> result) {
+        isReset |= !result.isSuccess() && !(result.cause() instanceof ClosedChannelException);
     }
 
     void setReading(boolean isReading) {
--- a/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
@@ -19,6 +19,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -37,6 +38,12 @@
     private static final String LONG_KEEP_ALIVE =
             "HTTP/1.1 200 OK\r\nX-Id: %s\r\nKeep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\nok";
 
+    /** Time in which the client reads what was written before a reset. */
+    private static final Duration RESET_DELAY = Duration.ofMillis(100);
+
+    /** Longer than what the buffers of a connection hold, in bytes. */
+    private static final int LONG_BODY_BYTES = 32 << 20;
+
     private final EpollEventLoopGroup group = new EpollEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final HttpConnectionPool connections =
@@ -46,6 +53,9 @@
     private ServerSocket server;
     private volatile boolean isReset;
 
+    /** Whether the server ends its side of the connection before it resets the connection. */
+    private volatile boolean isEndedFirst;
+
     @BeforeEach
     void listen() throws IOException {
         server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
@@ -88,7 +98,11 @@
                 socket.getOutputStream().write(scripted.getBytes(StandardCharsets.US_ASCII));
                 socket.getOutputStream().flush();
                 if (scripted.isEmpty() || !scripted.contains("Content-Length")) {
+                    if (isEndedFirst) {
+                        socket.shutdownOutput();
+                    }
                     if (isReset) {
+                        Thread.sleep(RESET_DELAY);
                         socket.setSoLinger(true, 0);
                     }
                     return;
@@ -96,6 +110,8 @@
             }
         } catch (IOException gone) {
             // Some tests make the client close the connection.
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
         }
     }
 
@@ -105,9 +121,12 @@
     }
 
     private String send(String identifier, int port) {
+        return send(identifier, port, Unpooled.EMPTY_BUFFER);
+    }
+
+    private String send(String identifier, int port, ByteBuf body) {
         CompletableFuture<String> result = new CompletableFuture<>();
-        FullHttpRequest request =
-                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER);
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/", body);
         Target target = new Target(new InetSocketAddress(server.getInetAddress(), port), "1");
         loop.execute(() -> connections.send(
                 target, identifier, request, ConnectionOptions.ANY_IDLE, new Collector(identifier, result)));
@@ -276,6 +295,28 @@
             assertThat(send("a")).isIn("BROKEN_ANSWER", "NO_ANSWER");
         }
 
+        /** Guards against part of a response that is taken for all of it, as the reset ends the request's writing. */
+        @Test
+        void should_fail_a_response_without_a_length_when_the_reset_comes_before_the_request_was_written() {
+            isReset = true;
+            responses.add("HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\n" + "part".repeat(10));
+
+            String result = send("a", server.getLocalPort(), Unpooled.wrappedBuffer(new byte[LONG_BODY_BYTES]));
+
+            assertThat(result).isIn("BROKEN_ANSWER", "NO_ANSWER");
+        }
+
+        @Test
+        void should_accept_a_response_without_a_length_when_it_ends_before_the_request_was_written() {
+            isEndedFirst = true;
+            isReset = true;
+            responses.add("HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nall of it");
+
+            String result = send("a", server.getLocalPort(), Unpooled.wrappedBuffer(new byte[LONG_BODY_BYTES]));
+
+            assertThat(result).isEqualTo("all of it");
+        }
+
         @Test
         void should_fail_a_response_when_it_is_truncated() {
             responses.add("HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
