--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreStanding.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreStanding.java
@@ -216,7 +216,9 @@
                 "knowledge_age_ms",
                 milliseconds(knowledgeAsOf, now),
                 "watchers",
-                watchers().count(),
+                watchers()
+                        .filter(report -> now.since(report.receivedAt()).compareTo(PeerExchange.REPORT_TIMEOUT) < 0)
+                        .count(),
                 "watchers_said",
                 watchersSaid(now)));
         LOG.event(event, fields.toArray());
