--- a/serving/src/main/java/org/pollenhoist/serving/request/EventStream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/EventStream.java
@@ -31,18 +31,23 @@
     private final ByteBufAllocator allocator;
     private ByteBuf pending = Unpooled.EMPTY_BUFFER;
     private final Set<String> furtherFields;
+    private final Optional<Long> resumedAfter;
     private OptionalLong lastIdentifier = OptionalLong.empty();
+    private boolean hasEvents;
     private boolean hasForeignBytes;
+    private boolean goesOn = true;
 
     /**
      * Creates a stream without events.
      *
      * @param allocator allocates buffers of events
      * @param furtherFields names of fields that events may have besides the standard ones
+     * @param resumedAfter the identifier of the event after which the stream has to go on, empty if it is a new one
      */
-    EventStream(ByteBufAllocator allocator, Set<String> furtherFields) {
+    EventStream(ByteBufAllocator allocator, Set<String> furtherFields, Optional<Long> resumedAfter) {
         this.allocator = allocator;
         this.furtherFields = furtherFields;
+        this.resumedAfter = resumedAfter;
     }
 
     /**
@@ -67,7 +72,7 @@
         String text = pending.toString(pending.readerIndex(), end, StandardCharsets.ISO_8859_1);
         int genuine = lengthOfGenuineEvents(text);
         hasForeignBytes = genuine < end;
-        if (genuine == 0) {
+        if (genuine == 0 || !checkFirstEvent(text)) {
             return Optional.empty();
         }
         ByteBuf events = allocator.buffer(genuine).writeBytes(pending, genuine);
@@ -76,6 +81,24 @@
         return Optional.of(events);
     }
 
+    /** Checks the first event if it is among the given ones; returns whether the stream goes on with it. */
+    private boolean checkFirstEvent(String events) {
+        if (!hasEvents && resumedAfter.isPresent()) {
+            OptionalLong first = identifier(events.substring(0, endOfFirstEvent(events)));
+            goesOn = first.isPresent() && first.getAsLong() > resumedAfter.get();
+        }
+        hasEvents = true;
+        return goesOn;
+    }
+
+    private static int endOfFirstEvent(String events) {
+        int end = events.indexOf(LINE_FEED) + 1;
+        while (!events.substring(end, events.indexOf(LINE_FEED, end)).isBlank()) {
+            end = events.indexOf(LINE_FEED, end) + 1;
+        }
+        return end;
+    }
+
     /** Returns the length of the events before the first one that has a line which is no field. */
     private int lengthOfGenuineEvents(String events) {
         int eventBegin = 0;
@@ -108,6 +131,14 @@
         return hasForeignBytes;
     }
 
+    /**
+     * Returns whether the stream goes on after the event that it has to follow. It doesn't if its first event has no
+     * identifier, or not a greater one: then it is not the rest of the stream that was begun.
+     */
+    boolean goesOn() {
+        return goesOn;
+    }
+
     /** Returns whether the incomplete event exceeds the maximum length. */
     boolean isEventTooLong() {
         return pending.readableBytes() > MAXIMUM_EVENT_BYTES;
@@ -138,18 +169,22 @@
     }
 
     private void updateLastIdentifier(String events) {
+        OptionalLong found = identifier(events);
+        lastIdentifier = found.isPresent() ? found : lastIdentifier;
+    }
+
+    /** Returns the last identifier in some events, empty if it is no number or none has one. */
+    private static OptionalLong identifier(String events) {
         int found = events.lastIndexOf(IDENTIFIER_FIELD);
         while (found > 0 && events.charAt(found - 1) != LINE_FEED) {
             found = events.lastIndexOf(IDENTIFIER_FIELD, found - 1);
         }
         if (found < 0) {
-            return;
+            return OptionalLong.empty();
         }
         int end = events.indexOf(LINE_FEED, found);
         String text = events.substring(found + IDENTIFIER_FIELD.length(), end).trim();
-        if (text.matches("\\d{1,18}")) {
-            lastIdentifier = OptionalLong.of(Long.parseLong(text));
-        }
+        return text.matches("\\d{1,18}") ? OptionalLong.of(Long.parseLong(text)) : OptionalLong.empty();
     }
 
     /** Returns the identifier of the last complete event that has one. */
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -370,7 +370,7 @@
         private final long tokensAwaitingPrefill;
 
         private Attempt(Upstream upstream, long tokensAwaitingPrefill, MonotonicTime now) {
-            super(environment, upstream, request, isResponseStarted, now);
+            super(environment, upstream, request, continuity.resumeAfter(), now);
             this.tokensAwaitingPrefill = tokensAwaitingPrefill;
         }
 
--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -40,7 +40,7 @@
 
     private final RequestEnvironment environment;
     private final CallerRequest request;
-    private final boolean isContinuation;
+    private final Optional<Long> resumedAfter;
     private final ResponseBufferBudget.Holder buffers = new Buffers();
     private UpstreamExchange exchange;
     private HttpResponse head;
@@ -54,15 +54,15 @@
     /**
      * Starts to count as load of the upstream.
      *
-     * @param isContinuation whether the caller has already received events of the stream in the same response
+     * @param resumedAfter the last event that the caller has received in the same response, empty if there is none
      */
     UpstreamAttempt(
             RequestEnvironment environment,
             Upstream upstream,
             CallerRequest request,
-            boolean isContinuation,
+            Optional<Long> resumedAfter,
             MonotonicTime now) {
-        this.isContinuation = isContinuation;
+        this.resumedAfter = resumedAfter;
         this.environment = environment;
         this.upstream = upstream;
         this.request = request;
@@ -149,7 +149,7 @@
                 responseHead.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM);
         if (isStream() && parsedHead.isSuccess() && isEventStream) {
             eventStream = new EventStream(
-                    PooledByteBufAllocator.DEFAULT, environment.format().eventFields());
+                    PooledByteBufAllocator.DEFAULT, environment.format().eventFields(), resumedAfter);
         }
         if (parsedHead.isSuccess() && !isTrustworthy()) {
             abort("answer_not_genuine");
@@ -177,6 +177,9 @@
             onEvents(head, complete.get(), eventStream.lastIdentifier());
             isFirstEvent = false;
         }
+        if (!isClosed && !eventStream.goesOn()) {
+            abort("no_continuation_of_the_stream");
+        }
         if (!isClosed && eventStream.hasForeignBytes()) {
             abort("bytes_that_are_no_event");
         }
@@ -241,7 +244,7 @@
             close("broken");
             logFailure("broken", "stream ended within an event");
             onBroken("ended_within_an_event", true);
-        } else if (isFirstEvent && (isContinuation || !hasExplicitEnd())) {
+        } else if (isFirstEvent && (resumedAfter.isPresent() || !hasExplicitEnd())) {
             close("broken");
             logFailure("broken", "stream without a length, or continuation, ended before its first event");
             onBroken("ended_before_the_first_event", true);
--- a/serving/src/test/java/org/pollenhoist/serving/request/EventStreamTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/request/EventStreamTest.java
@@ -18,7 +18,8 @@
 
     private static final Set<String> FURTHER_FIELDS = Set.of("weights");
 
-    private final EventStream stream = new EventStream(UnpooledByteBufAllocator.DEFAULT, FURTHER_FIELDS);
+    private final EventStream stream =
+            new EventStream(UnpooledByteBufAllocator.DEFAULT, FURTHER_FIELDS, Optional.empty());
 
     private Optional<String> append(String text) {
         return stream.append(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8))
@@ -47,7 +48,8 @@
             String text = "id: 1\r\ndata: x\r\n\r\nid: 2\ndata: y\n\n";
             for (int first = 0; first <= text.length(); first++) {
                 for (int second = first; second <= text.length(); second++) {
-                    EventStream split = new EventStream(UnpooledByteBufAllocator.DEFAULT, FURTHER_FIELDS);
+                    EventStream split =
+                            new EventStream(UnpooledByteBufAllocator.DEFAULT, FURTHER_FIELDS, Optional.empty());
                     StringBuilder events = new StringBuilder();
                     for (String part :
                             List.of(text.substring(0, first), text.substring(first, second), text.substring(second))) {
@@ -153,4 +155,55 @@
             assertThat(stream.lastIdentifier()).isEmpty();
         }
     }
+
+    /** Guards against a response that is passed on as the rest of a stream that it does not go on with. */
+    @Nested
+    class Continuations {
+
+        private final EventStream continuation =
+                new EventStream(UnpooledByteBufAllocator.DEFAULT, FURTHER_FIELDS, Optional.of(3L));
+
+        private boolean passesOn(String text) {
+            return continuation
+                    .append(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8))
+                    .isPresent();
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "data: x\n\n",
+                    "data: x\n\nid: 4\ndata: x\n\n",
+                    "data: id: 4\r\n\r\nid: 5\r\n\r\n",
+                    "id: 3\ndata: x\n\n",
+                    "id: 1\ndata: x\n\nid: 4\ndata: y\n\n",
+                    "id: four\ndata: x\n\n",
+                    "id:\ndata: x\n\n",
+                    ": comment\n\n"
+                })
+        void should_not_go_on_when_the_first_event_does_not_follow_the_last_one(String text) {
+            assertThat(passesOn(text)).isFalse();
+            assertThat(continuation.goesOn()).isFalse();
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "id: 4\ndata: x\n\n",
+                    "id: 7\r\ndata: x\r\n\r\n",
+                    "weights: 2\nid: 4\ndata: x\n\n",
+                    "id: 4\ndata: x\n\ndata: y\n\n"
+                })
+        void should_go_on_when_the_first_event_follows_the_last_one(String text) {
+            assertThat(passesOn(text)).isTrue();
+            assertThat(continuation.goesOn()).isTrue();
+        }
+
+        @Test
+        void should_check_the_first_event_only_when_it_is_complete() {
+            assertThat(passesOn("id: 4\nda")).isFalse();
+            assertThat(continuation.goesOn()).isTrue();
+            assertThat(passesOn("ta: x\n\n")).isTrue();
+        }
+    }
 }
