--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
@@ -27,12 +27,13 @@
 
     /**
      * How long the store waits for a change before it responds to a watch. An unresponsive connection is detected
-     * shortly after this time.
+     * shortly after this time, and a change that it has withheld is read over another one; together this has to take
+     * less than the 2 s within which a change has to be in force in a small fleet.
      */
-    private static final Duration WATCH_TIMEOUT = Duration.ofMillis(1_500);
+    private static final Duration WATCH_TIMEOUT = Duration.ofMillis(900);
 
-    /** Delay before a failed call is repeated. */
-    private static final Duration RETRY_DELAY = Duration.ofMillis(200);
+    /** Minimum time between the sending of a call that fails and its repetition. */
+    private static final Duration RETRY_SPACING = Duration.ofMillis(200);
 
     /** Minimum time between two listings of a store that rejects watches. */
     private static final Duration MINIMUM_LISTING_SPACING = Duration.ofSeconds(1);
@@ -127,6 +128,7 @@
     }
 
     private void list(String after) {
+        MonotonicTime sentAt = clock.get();
         long call = ++latestCall;
         store.list("", after, result -> {
             if (call != latestCall) {
@@ -134,8 +136,8 @@
             }
             switch (result) {
                 case StoreResult.Success<StorePage> page -> listed(page.value(), after.isEmpty());
-                case StoreResult.Rejected<StorePage> rejected -> retry(rejected.reason(), this::start);
-                case StoreResult.Unavailable<StorePage> unavailable -> retry(unavailable.reason(), this::start);
+                case StoreResult.Rejected<StorePage> rejected -> retry(rejected.reason(), sentAt, this::start);
+                case StoreResult.Unavailable<StorePage> unavailable -> retry(unavailable.reason(), sentAt, this::start);
             }
         });
     }
@@ -245,7 +247,7 @@
                     LOG.event("store_history_lost", "revision", revision, "reason", rejected.reason());
                     listAgain(clock.get());
                 }
-                case StoreResult.Unavailable<StorePage> unavailable -> retry(unavailable.reason(), this::watch);
+                case StoreResult.Unavailable<StorePage> unavailable -> retry(unavailable.reason(), sentAt, this::watch);
             }
         });
     }
@@ -281,12 +283,14 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    private void retry(String reason, Runnable call) {
+    private void retry(String reason, MonotonicTime sentAt, Runnable call) {
         if (isAvailable) {
             isAvailable = false;
             LOG.event("store_lost", "revision", revision, "reason", reason);
         }
-        schedule(call, RETRY_DELAY);
+        MonotonicTime due = sentAt.plus(RETRY_SPACING);
+        MonotonicTime now = clock.get();
+        schedule(call, now.isBefore(due) ? due.since(now) : Duration.ZERO);
     }
 
     private void markAvailable() {
--- a/serving/src/test/java/org/pollenhoist/serving/node/ChangePropagationTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/ChangePropagationTest.java
@@ -1,13 +1,10 @@
 package org.pollenhoist.serving.node;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.junit.jupiter.params.provider.EnumSource.Mode.EXCLUDE;
 import static org.junit.jupiter.params.provider.EnumSource.Mode.INCLUDE;
 
 import java.time.Duration;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -29,20 +26,10 @@
     @Nested
     class FleetOf9 {
 
-        private static void assertInForceInTime(StoreTrouble trouble) {
-            assertInForceWithin(Duration.ofSeconds(2), Duration.ofSeconds(3), 9, 3, trouble, 60);
-        }
-
         @ParameterizedTest
-        @EnumSource(mode = EXCLUDE, names = "UNANSWERED_IN_TURN")
+        @EnumSource
         void should_have_a_change_in_force_everywhere_within_2_seconds(StoreTrouble trouble) {
-            assertInForceInTime(trouble);
-        }
-
-        @Tag("known-red")
-        @Test
-        void should_have_a_change_in_force_everywhere_when_the_store_ignores_one_vm_after_the_other() {
-            assertInForceInTime(StoreTrouble.UNANSWERED_IN_TURN);
+            assertInForceWithin(Duration.ofSeconds(2), Duration.ofSeconds(3), 9, 3, trouble, 60);
         }
     }
 
