--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreMirror.java
@@ -26,9 +26,8 @@
 public final class StoreMirror {
 
     /**
-     * How long the store waits for a change before it responds to a watch. An unresponsive connection is detected
-     * shortly after this time, and a change that it has withheld is read over another one; together this has to take
-     * less than the 2 s within which a change has to be in force in a small fleet.
+     * How long the store waits for a change before it responds to a watch. A connection that hangs has to be detected,
+     * and the change read over another one, within the 2 s in which changes have to be in force in a small fleet.
      */
     private static final Duration WATCH_TIMEOUT = Duration.ofMillis(900);
 
@@ -83,8 +82,7 @@
      * @param clock returns the current time
      * @param store the store
      * @param listener receives changes
-     * @param batchingDelay the delay between receiving changes and watching again; it lets several changes arrive with
-     *     one call, because each call has a cost
+     * @param batchingDelay the delay before it watches again, in which changes gather, since each call has a cost
      */
     public StoreMirror(
             EventLoop loop,
@@ -279,7 +277,7 @@
                         action.run();
                     }
                 },
-                delay.toMillis(),
+                Math.max(0, delay.toMillis()),
                 TimeUnit.MILLISECONDS);
     }
 
@@ -288,9 +286,7 @@
             isAvailable = false;
             LOG.event("store_lost", "revision", revision, "reason", reason);
         }
-        MonotonicTime due = sentAt.plus(RETRY_SPACING);
-        MonotonicTime now = clock.get();
-        schedule(call, now.isBefore(due) ? due.since(now) : Duration.ZERO);
+        schedule(call, RETRY_SPACING.minus(clock.get().since(sentAt)));
     }
 
     private void markAvailable() {
