--- a/serving/src/main/java/org/pollenhoist/serving/request/StreamContinuity.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/StreamContinuity.java
@@ -65,6 +65,10 @@
         if (!isResumable) {
             return new Verdict.Proceed(Set.of());
         }
+        if (hasEvents && lastSentEvent.isEmpty()) {
+            // An upstream that isn't told where to go on would begin anew.
+            return new Verdict.Refuse("events_without_identifier");
+        }
         if (softwareVersion.isPresent()) {
             return new Verdict.Proceed(Set.of(softwareVersion.get()));
         }
