--- a/library/src/main/java/org/pollenhoist/upstream/EngineConnection.java
+++ b/library/src/main/java/org/pollenhoist/upstream/EngineConnection.java
@@ -118,6 +118,12 @@
                 context.close();
                 return;
             }
+            if (response.decoderResult().isFailure()) {
+                // The aggregator completes a head that was cut, as if it had no body.
+                context.close();
+                answered.completeExceptionally(new IOException("answer is malformed or cut"));
+                return;
+            }
             byte[] content = ByteBufUtil.getBytes(response.content());
             answered.complete(new Answer(response.status().code(), content, HttpUtil.isKeepAlive(response)));
         }
