--- a/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
@@ -35,7 +35,7 @@
 /** A caller's connection, whose requests are served one after another. Confined to the event loop. */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
-    /** Maximum number of requests that wait to be served; the connection is closed beyond it. */
+    /** Maximum number of requests that wait while another one is served; the connection is closed beyond it. */
     private static final int MAXIMUM_PIPELINED_REQUESTS = 8;
 
     private final CallerServer server;
@@ -84,7 +84,7 @@
     private void begin(HttpRequest requestHead) {
         head = requestHead;
         body = context.alloc().compositeBuffer(1_024);
-        if (HttpUtil.is100ContinueExpected(requestHead) && currentResponse == null) {
+        if (HttpUtil.is100ContinueExpected(requestHead) && currentResponse == null && pipelinedRequests.isEmpty()) {
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
@@ -127,7 +127,8 @@
     }
 
     private void accept(IncomingRequest request) {
-        if (pipelinedRequests.size() >= MAXIMUM_PIPELINED_REQUESTS) {
+        int maximumWaiting = currentResponse == null ? MAXIMUM_PIPELINED_REQUESTS + 1 : MAXIMUM_PIPELINED_REQUESTS;
+        if (pipelinedRequests.size() >= maximumWaiting) {
             request.body().release();
             context.close();
             return;
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreStanding.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreStanding.java
@@ -24,8 +24,8 @@
 final class StoreStanding {
 
     /**
-     * Age from which this VM's knowledge of the store counts as old: two watches in a row without a change, and a
-     * second for their responses.
+     * Age from which this VM's knowledge of the store counts as old. Two watches in a row without a change and the
+     * responses to them take less.
      */
     static final Duration MAXIMUM_KNOWLEDGE_AGE = Duration.ofSeconds(4);
 
--- a/serving/src/test/java/org/pollenhoist/serving/http/AbandonedRequestTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/AbandonedRequestTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -124,5 +125,33 @@
                 assertThat(handled).containsExactly("/first", "/second", "/last");
             }
         }
+
+        @Test
+        void should_take_up_as_many_pipelined_requests_as_one_that_is_served_and_those_that_may_wait()
+                throws IOException, InterruptedException {
+            String[] paths =
+                    IntStream.rangeClosed(1, 9).mapToObj(number -> "/" + number).toArray(String[]::new);
+            try (Socket waiting = connect()) {
+                whileStandingStill(() -> send(waiting, paths));
+
+                assertThat(handled).startsWith(paths).hasSize(paths.length + 1);
+            }
+        }
+
+        @Test
+        void should_not_ask_for_the_body_of_a_request_before_the_response_to_an_earlier_one()
+                throws IOException, InterruptedException {
+            try (Socket waiting = connect()) {
+                whileStandingStill(() -> {
+                    send(waiting, "/first");
+                    String expecting = "POST /second HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+                            + "Expect: 100-continue\r\n\r\nok";
+                    waiting.getOutputStream().write(expecting.getBytes(StandardCharsets.US_ASCII));
+                });
+
+                byte[] status = waiting.getInputStream().readNBytes("HTTP/1.1 200".length());
+                assertThat(new String(status, StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 200");
+            }
+        }
     }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
@@ -23,6 +23,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -53,9 +54,11 @@
     private ServerSocket server;
     private volatile boolean isReset;
 
-    /** Whether the server ends its side of the connection before it resets the connection. */
+    /** Whether the server ends its side of the connection, and resets the connection once the client has the result. */
     private volatile boolean isEndedFirst;
 
+    private final CountDownLatch received = new CountDownLatch(1);
+
     @BeforeEach
     void listen() throws IOException {
         server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
@@ -101,6 +104,9 @@
                     if (isEndedFirst) {
                         socket.shutdownOutput();
                     }
+                    if (isEndedFirst) {
+                        received.await();
+                    }
                     if (isReset) {
                         Thread.sleep(RESET_DELAY);
                         socket.setSoLinger(true, 0);
@@ -130,7 +136,11 @@
         Target target = new Target(new InetSocketAddress(server.getInetAddress(), port), "1");
         loop.execute(() -> connections.send(
                 target, identifier, request, ConnectionOptions.ANY_IDLE, new Collector(identifier, result)));
-        return result.orTimeout(10, TimeUnit.SECONDS).join();
+        try {
+            return result.orTimeout(10, TimeUnit.SECONDS).join();
+        } finally {
+            received.countDown();
+        }
     }
 
     private static final class Collector implements ResponseListener {
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
@@ -228,8 +228,8 @@
             this.access = store.access(eras, action -> vm.run(this, action));
             this.mirror = new StoreMirror(new SimulatedLoop(), StoreFleet.this::now, access, this, this::batchingDelay);
             this.relay = new StoreRelayExchange(this::call, peers, mirror, eras, StoreFleet.this::now);
-            StoreStanding standing = new StoreStanding(
-                    vm.failureDomain, mirror::revision, mirror::knownAsOf, eras, peers, now());
+            StoreStanding standing =
+                    new StoreStanding(vm.failureDomain, mirror::revision, mirror::knownAsOf, eras, peers, now());
             this.synchronizer = new StoreSynchronizer(mirror, relay, digests, standing, now());
             eras.onChange(() -> mirror.onNewEra(now()));
         }
