--- a/serving/src/test/java/org/pollenhoist/serving/forwarding/CutPeerHeadTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/forwarding/CutPeerHeadTest.java
@@ -53,6 +53,8 @@
 
     private final EventLoop loop = Transport.newEventLoop();
     private final AtomicInteger receivedRequests = new AtomicInteger();
+    // Refuses connections: it is bound and does not listen, so that no other socket gets its port.
+    private final Socket refusing = new Socket();
     private final List<ServerSocket> servers = new ArrayList<>();
     private UpstreamConnections connections;
     private Upstream upstream;
@@ -61,13 +63,22 @@
 
     @BeforeEach
     void start() throws IOException {
-        ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        refusing.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         UpstreamTable upstreams = new UpstreamTable();
         upstreams.put(
                 new UpstreamDescription(
-                        "i-1", 1, "app", "v1", address(closed), "north", 4, false, 0, List.of(), Set.of()),
+                        "i-1",
+                        1,
+                        "app",
+                        "v1",
+                        (InetSocketAddress) refusing.getLocalSocketAddress(),
+                        "north",
+                        4,
+                        false,
+                        0,
+                        List.of(),
+                        Set.of()),
                 MonotonicTime.read());
-        closed.close();
         upstream = upstreams.find("i-1").orElseThrow();
         List<ForwardingPeers.Peer> peers = List.of(
                 new ForwardingPeers.Peer("one", "north", serve()), new ForwardingPeers.Peer("two", "north", serve()));
@@ -84,6 +95,7 @@
 
     @AfterEach
     void stop() throws IOException {
+        refusing.close();
         for (ServerSocket server : servers) {
             server.close();
         }
@@ -195,9 +207,14 @@
             assertThat(wrong).isEmpty();
         }
 
+        /** Each on a connection of its own: the peer closes also those that its response keeps open. */
         @Test
-        void should_be_passed_on_when_it_is_whole() {
+        void should_be_passed_on_when_it_is_whole_and_successful() {
             assertThat(send(ANSWERED.formatted("true"))).isEqualTo("complete");
+        }
+
+        @Test
+        void should_be_passed_on_when_it_is_whole_and_not_answered() {
             assertThat(send(FAILED.formatted("no_answer"))).isEqualTo("NO_ANSWER");
             assertThat(send(FAILED.formatted("not_sent"))).isEqualTo("NOT_SENT");
         }
