--- a/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /** An HTTP client that buffers each response and delivers it when it is complete. Confined to the event loop. */
 public final class BufferedHttpClient {
@@ -56,7 +57,7 @@
     }
 
     /**
-     * Sends a request.
+     * Sends a request to a process that responds once to each request.
      *
      * @param target the process to call
      * @param request the request, which is released
@@ -64,8 +65,28 @@
      * @param callback receives the result, exactly once
      */
     public void call(Target target, FullHttpRequest request, Duration timeout, Consumer<Result> callback) {
-        ResponseBuffer buffer = new ResponseBuffer(callback);
-        HttpExchange exchange = connections.send(target, request, ConnectionOptions.ANY_IDLE, buffer);
+        call(target, "", request, timeout, head -> true, callback);
+    }
+
+    /**
+     * Sends a request to a process that may write responses to earlier requests once more, late.
+     *
+     * @param target the process to call
+     * @param kind identifies all requests whose responses can't be told apart; a connection carries one of them
+     * @param request the request, which is released
+     * @param timeout the longest time until the result
+     * @param isExpected whether a response can be one to a request of this kind; others are skipped
+     * @param callback receives the result, exactly once
+     */
+    public void call(
+            Target target,
+            String kind,
+            FullHttpRequest request,
+            Duration timeout,
+            Predicate<HttpResponse> isExpected,
+            Consumer<Result> callback) {
+        ResponseBuffer buffer = new ResponseBuffer(isExpected, callback);
+        HttpExchange exchange = connections.send(target, kind, request, ConnectionOptions.ANY_IDLE, buffer);
         buffer.exchange = exchange;
         buffer.timer = loop.schedule(
                 () -> {
@@ -82,6 +103,7 @@
 
     private static final class ResponseBuffer implements ResponseListener {
 
+        private final Predicate<HttpResponse> isExpected;
         private final Consumer<Result> callback;
         private final ByteBuf body = Unpooled.buffer();
         private HttpExchange exchange;
@@ -90,12 +112,16 @@
         private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
         private boolean isComplete;
 
-        private ResponseBuffer(Consumer<Result> callback) {
+        private ResponseBuffer(Predicate<HttpResponse> isExpected, Consumer<Result> callback) {
+            this.isExpected = isExpected;
             this.callback = callback;
         }
 
         @Override
         public boolean onHead(HttpResponse head, ConnectionUse use) {
+            if (!isExpected.test(head)) {
+                return false;
+            }
             status = head.status().code();
             headers = head.headers();
             return true;
