--- a/library/src/main/java/org/pollenhoist/caller/RequestGuard.java
+++ b/library/src/main/java/org/pollenhoist/caller/RequestGuard.java
@@ -5,30 +5,48 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.ErrorCode;
 
-/** Answers requests that can't be read, or don't arrive whole in time, before any handler sees them. */
+/**
+ * Answers requests that can't be read, are too large, or don't arrive whole in time, in place of their handler. Callers
+ * attribute responses by their order, so a refusal follows the responses to all requests that were read before.
+ */
 public final class RequestGuard extends ChannelDuplexHandler {
 
+    /**
+     * Tells the guard of a connection that the body of the request that is being read is too large.
+     *
+     * @param maximumBytes the size of the largest body that is allowed
+     */
+    public record OversizedBody(int maximumBytes) {}
+
     private static final DecisionLog LOG = DecisionLog.of("caller");
 
     private final StrictRequestDecoder decoder;
 
-    private boolean isRefused;
+    private Optional<Refusal> refusal = Optional.empty();
+    private long requestsRead;
+    private long responsesWritten;
+    private boolean isLastResponse;
 
     /**
      * Creates a guard.
@@ -41,7 +59,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (isRefused) {
+        if (refusal.isPresent()) {
             ReferenceCountUtil.release(message);
             return;
         }
@@ -63,10 +81,14 @@
             refuse(context, Refusal.notRun(ErrorCode.INVALID_REQUEST, "the request's framing is ambiguous"));
             return;
         }
-        if (part instanceof LastHttpContent) {
+        boolean isLastPart = part instanceof LastHttpContent;
+        if (isLastPart) {
             decoder.requestCompleted();
         }
         context.fireChannelRead(part);
+        if (isLastPart && refusal.isEmpty()) {
+            requestsRead++;
+        }
     }
 
     private static boolean isFramingUnambiguous(HttpRequest request) {
@@ -89,18 +111,47 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
-        if (event instanceof IdleStateEvent && decoder.isRequestBegun() && !isRefused) {
+        if (event instanceof IdleStateEvent && decoder.isRequestBegun()) {
             refuse(context, Refusal.notRun(ErrorCode.REQUEST_TIMEOUT, "the request did not arrive whole in time"));
             return;
         }
+        if (event instanceof OversizedBody oversized) {
+            String message = "the body holds more than " + oversized.maximumBytes() + " bytes";
+            refuse(context, Refusal.notRun(ErrorCode.REQUEST_TOO_LARGE, message));
+            return;
+        }
         super.userEventTriggered(context, event);
     }
 
-    private void refuse(ChannelHandlerContext context, Refusal refusal) {
-        isRefused = true;
-        LOG.event("refuse", "code", refusal.code().text(), "reason", refusal.message(), "not_run", true);
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        boolean isInterim = false;
+        if (message instanceof HttpResponse head) {
+            isInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            isLastResponse |= !isInterim && !HttpUtil.isKeepAlive(head);
+        }
+        context.write(message, promise);
+        if (message instanceof LastHttpContent && !isInterim) {
+            responsesWritten++;
+            sendDueRefusal(context);
+        }
+    }
+
+    private void refuse(ChannelHandlerContext context, Refusal newRefusal) {
+        if (refusal.isPresent()) {
+            return;
+        }
+        refusal = Optional.of(newRefusal);
+        LOG.event("refuse", "code", newRefusal.code().text(), "reason", newRefusal.message(), "not_run", true);
+        sendDueRefusal(context);
+    }
+
+    private void sendDueRefusal(ChannelHandlerContext context) {
+        if (refusal.isEmpty() || responsesWritten < requestsRead || isLastResponse) {
+            return;
+        }
         // The usual encoders refuse an answer to a request whose header has not been read, so they are passed over.
-        context.pipeline().firstContext().writeAndFlush(encode(refusal)).addListener(ChannelFutureListener.CLOSE);
+        context.pipeline().firstContext().writeAndFlush(encode(refusal.get())).addListener(ChannelFutureListener.CLOSE);
     }
 
     private static ByteBuf encode(Refusal refusal) {
--- a/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
@@ -29,6 +29,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Consumer;
+import org.pollenhoist.caller.RequestGuard;
 import org.pollenhoist.caller.StrictRequestDecoder;
 import org.pollenhoist.common.MonotonicTime;
 
@@ -118,12 +119,9 @@
         body.release();
         head = null;
         body = null;
-        isClosing = true;
-        DefaultFullHttpResponse rejection = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, Unpooled.EMPTY_BUFFER);
-        rejection.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-        rejection.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.writeAndFlush(rejection).addListener(ChannelFutureListener.CLOSE);
+        context.pipeline()
+                .fireUserEventTriggered(
+                        new RequestGuard.OversizedBody(server.limits().bodyBytes()));
     }
 
     private void accept(IncomingRequest request) {
