--- a/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
@@ -69,7 +69,8 @@
     }
 
     /**
-     * Sends a request to a process that may write responses to earlier requests once more, late.
+     * Sends a request to a process that may write responses to earlier requests once more, late. A connection that is
+     * opened for it is closed after the response: it could carry none of its kind, and such connections would add up.
      *
      * @param target the process to call
      * @param kind identifies all requests whose responses can't be told apart; a connection carries one of them
@@ -85,7 +86,7 @@
             Duration timeout,
             Predicate<HttpResponse> isExpected,
             Consumer<Result> callback) {
-        ResponseBuffer buffer = new ResponseBuffer(isExpected, callback);
+        ResponseBuffer buffer = new ResponseBuffer(!kind.isEmpty(), isExpected, callback);
         HttpExchange exchange = connections.send(target, kind, request, ConnectionOptions.ANY_IDLE, buffer);
         buffer.exchange = exchange;
         buffer.timer = loop.schedule(
@@ -103,6 +104,7 @@
 
     private static final class ResponseBuffer implements ResponseListener {
 
+        private final boolean closesNewConnection;
         private final Predicate<HttpResponse> isExpected;
         private final Consumer<Result> callback;
         private final ByteBuf body = Unpooled.buffer();
@@ -112,7 +114,9 @@
         private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
         private boolean isComplete;
 
-        private ResponseBuffer(Predicate<HttpResponse> isExpected, Consumer<Result> callback) {
+        private ResponseBuffer(
+                boolean closesNewConnection, Predicate<HttpResponse> isExpected, Consumer<Result> callback) {
+            this.closesNewConnection = closesNewConnection;
             this.isExpected = isExpected;
             this.callback = callback;
         }
@@ -122,6 +126,9 @@
             if (!isExpected.test(head)) {
                 return false;
             }
+            if (closesNewConnection && use == ConnectionUse.NEW) {
+                exchange.closeConnectionAfterwards();
+            }
             status = head.status().code();
             headers = head.headers();
             return true;
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -126,6 +126,10 @@
         context.close();
     }
 
+    void closeAfterExchange() {
+        isReusable = false;
+    }
+
     void close() {
         isReusable = false;
         context.close();
