--- a/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
@@ -65,29 +65,26 @@
      * @param callback receives the result, exactly once
      */
     public void call(Target target, FullHttpRequest request, Duration timeout, Consumer<Result> callback) {
-        call(target, "", request, timeout, head -> true, callback);
+        call(target, request, timeout, head -> true, callback);
     }
 
     /**
-     * Sends a request to a process that may write responses to earlier requests once more, late. A connection that is
-     * opened for it is closed after the response: it could carry none of its kind, and such connections would add up.
+     * Sends a request to a process that may write responses to earlier requests once more, late.
      *
      * @param target the process to call
-     * @param kind identifies all requests whose responses can't be told apart; a connection carries one of them
      * @param request the request, which is released
      * @param timeout the longest time until the result
-     * @param isExpected whether a response can be one to a request of this kind; others are skipped
+     * @param isExpected whether a response can be one to this request; others are skipped
      * @param callback receives the result, exactly once
      */
     public void call(
             Target target,
-            String kind,
             FullHttpRequest request,
             Duration timeout,
             Predicate<HttpResponse> isExpected,
             Consumer<Result> callback) {
-        ResponseBuffer buffer = new ResponseBuffer(!kind.isEmpty(), isExpected, callback);
-        HttpExchange exchange = connections.send(target, kind, request, ConnectionOptions.ANY_IDLE, buffer);
+        ResponseBuffer buffer = new ResponseBuffer(isExpected, callback);
+        HttpExchange exchange = connections.send(target, request, ConnectionOptions.ANY_IDLE, buffer);
         buffer.exchange = exchange;
         buffer.timer = loop.schedule(
                 () -> {
@@ -104,7 +101,6 @@
 
     private static final class ResponseBuffer implements ResponseListener {
 
-        private final boolean closesNewConnection;
         private final Predicate<HttpResponse> isExpected;
         private final Consumer<Result> callback;
         private final ByteBuf body = Unpooled.buffer();
@@ -114,9 +110,7 @@
         private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
         private boolean isComplete;
 
-        private ResponseBuffer(
-                boolean closesNewConnection, Predicate<HttpResponse> isExpected, Consumer<Result> callback) {
-            this.closesNewConnection = closesNewConnection;
+        private ResponseBuffer(Predicate<HttpResponse> isExpected, Consumer<Result> callback) {
             this.isExpected = isExpected;
             this.callback = callback;
         }
@@ -126,9 +120,6 @@
             if (!isExpected.test(head)) {
                 return false;
             }
-            if (closesNewConnection && use == ConnectionUse.NEW) {
-                exchange.closeConnectionAfterwards();
-            }
             status = head.status().code();
             headers = head.headers();
             return true;
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -126,10 +126,6 @@
         context.close();
     }
 
-    void closeAfterExchange() {
-        isReusable = false;
-    }
-
     void close() {
         isReusable = false;
         context.close();
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpExchange.java
@@ -75,13 +75,6 @@
         }
     }
 
-    /** Lets the connection close after the response, in place of being kept for other requests. */
-    void closeConnectionAfterwards() {
-        if (connection != null) {
-            connection.closeAfterExchange();
-        }
-    }
-
     private void releaseUnsent() {
         if (!isSent) {
             ReferenceCountUtil.release(request);
