--- a/serving/src/main/java/org/pollenhoist/serving/node/PlannedStop.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/PlannedStop.java
@@ -1,9 +1,9 @@
 package org.pollenhoist.serving.node;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.forwarding.ForwardingServer;
@@ -33,7 +33,7 @@
     private final RequestHandler handler;
     private final CallerServer callers;
     private final ForwardingServer forwarding;
-    private final List<Runnable> onStopped = new ArrayList<>();
+    private final CompletableFuture<Void> end = new CompletableFuture<>();
     private Optional<MonotonicTime> startedAt = Optional.empty();
     private Duration maxDuration = Duration.ZERO;
 
@@ -47,12 +47,13 @@
         return startedAt.isPresent();
     }
 
-    /**
-     * Begins the stop and runs the action when it is complete. Returns false if a stop was already in progress; the
-     * action still runs at its end.
-     */
-    boolean begin(Duration grace, Runnable whenStopped, MonotonicTime now) {
-        onStopped.add(whenStopped);
+    /** Returns the end of the stop. It completes on the event loop; any thread may wait for it. */
+    CompletionStage<Void> end() {
+        return end;
+    }
+
+    /** Begins the stop. Returns false if it has begun before. */
+    boolean begin(Duration grace, MonotonicTime now) {
         if (isStopping()) {
             return false;
         }
@@ -65,7 +66,7 @@
     }
 
     void tick(MonotonicTime now) {
-        startedAt.ifPresent(started -> endWhenDone(now.since(started)));
+        startedAt.filter(started -> !end.isDone()).ifPresent(started -> endWhenDone(now.since(started)));
     }
 
     private void endWhenDone(Duration elapsed) {
@@ -88,8 +89,7 @@
                     handler.runningRequests(),
                     "connections",
                     callers.openConnections());
-            onStopped.forEach(Runnable::run);
-            onStopped.clear();
+            end.complete(null);
         }
     }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -477,19 +477,24 @@
 
     /**
      * Starts a planned stop: the process reports not ready immediately, keeps serving until the load balancer has
-     * noticed, and ends once no request is running. Every request is answered before the process ends.
+     * noticed, and ends once no request is running and every one has been answered. Then all sockets are closed.
      *
-     * @param whenStopped runs on the event loop when the stop is complete
+     * @param whenStopped runs when the stop is complete, at once if it has been before
      */
     public void stop(Runnable whenStopped) {
-        loop.execute(() -> {
-            MonotonicTime now = bootClock.read();
-            if (!stop.begin(settings.stopGrace(), whenStopped, now)) {
-                return;
-            }
+        stop.end().thenRun(whenStopped);
+        if (!loop.isShuttingDown()) {
+            loop.execute(this::beginStop);
+        }
+    }
+
+    private void beginStop() {
+        MonotonicTime now = bootClock.read();
+        if (stop.begin(settings.stopGrace(), now)) {
+            stop.end().thenRun(loop.parent()::shutdownGracefully);
             queue.tryStartAll(now);
             leadership.stop();
             digests.send(now);
-        });
+        }
     }
 }
