--- a/serving/src/main/java/org/pollenhoist/serving/forwarding/ForwardingServer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/forwarding/ForwardingServer.java
@@ -89,7 +89,7 @@
     }
 
     /**
-     * Returns the number of requests that are at upstreams for peers.
+     * Returns the number of requests that are at upstreams for peers, or whose responses are being sent to them.
      *
      * @return the number
      */
@@ -150,6 +150,10 @@
         response.sendFull(OK, headers, Unpooled.EMPTY_BUFFER);
     }
 
+    private void finished() {
+        running--;
+    }
+
     /** Passes an upstream's response on to the peer. */
     private final class Passing implements ResponseListener {
 
@@ -166,14 +170,13 @@
         }
 
         private void cancel(HttpExchange started) {
-            end("cancelled");
+            end("cancelled", ForwardingServer.this::finished);
             started.cancel();
         }
 
-        private void end(String result) {
+        private void end(String result, Runnable action) {
             if (!isEnded) {
                 isEnded = true;
-                running--;
                 LOG.event(
                         "forwarded",
                         "request",
@@ -182,6 +185,7 @@
                         upstream.description().identifier(),
                         "result",
                         result);
+                action.run();
             }
         }
 
@@ -211,13 +215,12 @@
 
         @Override
         public void onEnd() {
-            end("passed_on");
-            response.end();
+            end("passed_on", () -> response.endThen(ForwardingServer.this::finished));
         }
 
         @Override
         public void onFailure(ExchangeFailure failure, String reason) {
-            end(reason);
+            end(reason, ForwardingServer.this::finished);
             if (isBegun) {
                 response.abort();
             } else {
--- a/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -47,6 +48,7 @@
     private CompositeByteBuf body;
     private PendingResponse currentResponse;
     private MonotonicTime lastActivity;
+    private long lastUnsentBytes;
     private boolean isClosing;
 
     CallerConnection(CallerServer server, StrictRequestDecoder decoder) {
@@ -62,7 +64,13 @@
     }
 
     boolean isBusy() {
-        return currentResponse != null || decoder.isRequestBegun() || !pipelinedRequests.isEmpty();
+        return currentResponse != null || decoder.isRequestBegun() || !pipelinedRequests.isEmpty() || unsentBytes() > 0;
+    }
+
+    /** Returns the number of bytes of responses that have not been written to the socket yet. */
+    long unsentBytes() {
+        ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
+        return unsent == null ? 0 : unsent.totalPendingWriteBytes() - unsent.currentProgress();
     }
 
     @Override
@@ -181,15 +189,19 @@
     }
 
     void closeIfTimedOut(MonotonicTime now) {
-        if (currentResponse != null || isClosing) {
-            return;
+        if (unsentBytes() != lastUnsentBytes) {
+            lastUnsentBytes = unsentBytes();
+            lastActivity = now;
         }
         boolean isIdleTooLong =
                 now.since(lastActivity).compareTo(server.limits().idleTimeout()) > 0;
+        if (currentResponse != null || (isClosing && !isIdleTooLong)) {
+            return;
+        }
         boolean isHeaderLate = decoder.isRequestBegun()
                 && head == null
                 && now.since(lastActivity).compareTo(server.limits().headerTimeout()) > 0;
-        if (isHeaderLate || (isIdleTooLong && decoder.isRequestBegun())) {
+        if (!isClosing && (isHeaderLate || (isIdleTooLong && decoder.isRequestBegun()))) {
             context.pipeline().fireUserEventTriggered(IdleStateEvent.READER_IDLE_STATE_EVENT);
         } else if (isIdleTooLong) {
             context.close();
@@ -295,10 +307,14 @@
         }
 
         @Override
-        public void end() {
-            if (!isFinished()) {
-                finishAfter(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+        public void endThen(Runnable whenSent) {
+            if (isFinished()) {
+                whenSent.run();
+                return;
             }
+            ChannelFuture sent = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+            sent.addListener(completed -> whenSent.run());
+            finishAfter(sent);
         }
 
         @Override
--- a/serving/src/main/java/org/pollenhoist/serving/http/CallerResponse.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/CallerResponse.java
@@ -31,7 +31,16 @@
     void sendChunk(ByteBuf chunk);
 
     /** Ends a response that was begun. */
-    void end();
+    default void end() {
+        endThen(() -> {});
+    }
+
+    /**
+     * Ends a response that was begun.
+     *
+     * @param whenSent runs once the whole response was written to the socket, or can't be any more
+     */
+    void endThen(Runnable whenSent);
 
     /** Closes the connection without ending the response, so that the caller can't take it for complete. */
     void abort();
--- a/serving/src/main/java/org/pollenhoist/serving/http/CallerServer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/CallerServer.java
@@ -121,7 +121,7 @@
     }
 
     /**
-     * Closes the connections on which no request is being read or served. A request that a caller sends while its
+     * Closes the connections on which no request is being read or served and no response is being sent. A request that a caller sends while its
      * connection is being closed is not read, so the caller may send it again.
      */
     public void closeIdle() {
@@ -129,7 +129,7 @@
     }
 
     /**
-     * Returns the number of connections on which a request is being read or served.
+     * Returns the number of connections on which a request is being read or served, or a response is being sent.
      *
      * @return the count
      */
@@ -137,6 +137,15 @@
         return (int) connections.stream().filter(CallerConnection::isBusy).count();
     }
 
+    /**
+     * Returns the number of bytes of responses that callers have not taken yet, beyond those in the sockets' buffers.
+     *
+     * @return the number of bytes
+     */
+    public long unsentBytes() {
+        return connections.stream().mapToLong(CallerConnection::unsentBytes).sum();
+    }
+
     /**
      * Returns the number of open connections.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/node/PlannedStop.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/PlannedStop.java
@@ -88,7 +88,9 @@
                     "cut",
                     handler.runningRequests(),
                     "connections",
-                    callers.openConnections());
+                    callers.openConnections(),
+                    "unsent_bytes",
+                    callers.unsentBytes());
             end.complete(null);
         }
     }
--- a/serving/src/test/java/org/pollenhoist/serving/forwarding/ForwardingServerTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/forwarding/ForwardingServerTest.java
@@ -131,6 +131,10 @@
 
     /** Returns the status that the peer gets. */
     private int send(String identifier) {
+        return start(identifier).status.orTimeout(10, TimeUnit.SECONDS).join();
+    }
+
+    private Collector start(String identifier) {
         HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
         head.headers().set(IDENTIFIER, identifier);
         head.headers().set(ForwardingHeaders.UPSTREAM, "i-1");
@@ -139,7 +143,11 @@
         Collector collector = new Collector();
         IncomingRequest request = new IncomingRequest(head, Unpooled.EMPTY_BUFFER, InetAddress.getLoopbackAddress());
         loop.execute(() -> forwarding.onRequest(request, collector));
-        return collector.status.orTimeout(10, TimeUnit.SECONDS).join();
+        return collector;
+    }
+
+    private int runningRequests() {
+        return loop.submit(forwarding::runningRequests).syncUninterruptibly().getNow();
     }
 
     @Nested
@@ -182,11 +190,23 @@
             assertThat(send("a")).isEqualTo(200);
             assertThat(send("a")).isEqualTo(500);
         }
+
+        @Test
+        void should_count_as_running_until_the_peer_has_taken_them() {
+            scripts.add(List.of(ANSWER));
+
+            Runnable whenSent = start("a").sent.orTimeout(10, TimeUnit.SECONDS).join();
+
+            assertThat(runningRequests()).isEqualTo(1);
+            loop.submit(whenSent).syncUninterruptibly();
+            assertThat(runningRequests()).isZero();
+        }
     }
 
     private static final class Collector implements CallerResponse {
 
         private final CompletableFuture<Integer> status = new CompletableFuture<>();
+        private final CompletableFuture<Runnable> sent = new CompletableFuture<>();
 
         @Override
         public void sendFull(int code, HttpHeaders headers, ByteBuf body) {
@@ -204,8 +224,8 @@
         }
 
         @Override
-        public void end() {
-            // The status is all that the tests look at.
+        public void endThen(Runnable whenSent) {
+            sent.complete(whenSent);
         }
 
         @Override
