--- a/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
@@ -27,6 +27,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Consumer;
@@ -40,6 +41,12 @@
     /** Maximum number of requests that wait while another one is served; the connection is closed beyond it. */
     private static final int MAXIMUM_PIPELINED_REQUESTS = 8;
 
+    /**
+     * Time without progress after which a response is given up. The kernel tells that a caller has read only when a
+     * large part of the socket's buffer is free, which takes a slow caller many seconds.
+     */
+    private static final Duration STALL_TIMEOUT = Duration.ofSeconds(60);
+
     private final CallerServer server;
     private final StrictRequestDecoder decoder;
     private final Deque<IncomingRequest> pipelinedRequests = new ArrayDeque<>();
@@ -48,6 +55,7 @@
     private CompositeByteBuf body;
     private PendingResponse currentResponse;
     private MonotonicTime lastActivity;
+    private MonotonicTime lastProgress;
     private long lastUnsentBytes;
     private boolean isClosing;
 
@@ -55,6 +63,7 @@
         this.server = server;
         this.decoder = decoder;
         this.lastActivity = server.now();
+        this.lastProgress = lastActivity;
     }
 
     @Override
@@ -147,7 +156,8 @@
     }
 
     private void handleNext() {
-        if (currentResponse != null || isClosing || !context.channel().isActive()) {
+        boolean isServing = currentResponse != null || !context.channel().isWritable();
+        if (isServing || isClosing || !context.channel().isActive()) {
             return;
         }
         IncomingRequest next = pipelinedRequests.pollFirst();
@@ -189,19 +199,30 @@
     }
 
     void closeIfTimedOut(MonotonicTime now) {
-        if (unsentBytes() != lastUnsentBytes) {
-            lastUnsentBytes = unsentBytes();
+        closeIfStalled(now);
+        if (unsentBytes() > 0) {
             lastActivity = now;
+        } else if (currentResponse == null && !isClosing) {
+            closeIfRequestIsLate(now);
+        }
+    }
+
+    void closeIfStalled(MonotonicTime now) {
+        if (unsentBytes() == 0 || unsentBytes() != lastUnsentBytes) {
+            lastUnsentBytes = unsentBytes();
+            lastProgress = now;
+        } else if (now.since(lastProgress).compareTo(STALL_TIMEOUT) > 0) {
+            context.close();
         }
+    }
+
+    private void closeIfRequestIsLate(MonotonicTime now) {
         boolean isIdleTooLong =
                 now.since(lastActivity).compareTo(server.limits().idleTimeout()) > 0;
-        if (currentResponse != null || (isClosing && !isIdleTooLong)) {
-            return;
-        }
         boolean isHeaderLate = decoder.isRequestBegun()
                 && head == null
                 && now.since(lastActivity).compareTo(server.limits().headerTimeout()) > 0;
-        if (!isClosing && (isHeaderLate || (isIdleTooLong && decoder.isRequestBegun()))) {
+        if (isHeaderLate || (isIdleTooLong && decoder.isRequestBegun())) {
             context.pipeline().fireUserEventTriggered(IdleStateEvent.READER_IDLE_STATE_EVENT);
         } else if (isIdleTooLong) {
             context.close();
@@ -213,6 +234,7 @@
         if (currentResponse != null && currentResponse.onWritabilityChanged != null) {
             currentResponse.onWritabilityChanged.accept(changedContext.channel().isWritable());
         }
+        handleNext();
     }
 
     @Override
--- a/serving/src/main/java/org/pollenhoist/serving/http/CallerServer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/CallerServer.java
@@ -107,7 +107,8 @@
     }
 
     /**
-     * Closes connections that have been idle for too long and those whose request doesn't arrive in time.
+     * Closes connections that have been idle for too long, those whose request doesn't arrive in time, and those whose
+     * callers take nothing of a response for too long.
      *
      * @param now the current time
      */
@@ -115,14 +116,23 @@
         connections.stream().toList().forEach(connection -> connection.closeIfTimedOut(now));
     }
 
+    /**
+     * Closes connections whose callers take nothing of a response for too long.
+     *
+     * @param now the current time
+     */
+    public void closeStalled(MonotonicTime now) {
+        connections.stream().toList().forEach(connection -> connection.closeIfStalled(now));
+    }
+
     /** Begins to shut the server down: from now on, each connection is closed after its next response. */
     public void stop() {
         isStopping = true;
     }
 
     /**
-     * Closes the connections on which no request is being read or served and no response is being sent. A request that a caller sends while its
-     * connection is being closed is not read, so the caller may send it again.
+     * Closes the connections on which no request is being read or served and no response is being sent. A request that
+     * a caller sends while its connection is being closed is not read, so the caller may send it again.
      */
     public void closeIdle() {
         connections.stream().toList().forEach(CallerConnection::closeIfIdle);
--- a/serving/src/main/java/org/pollenhoist/serving/node/InternalEndpoints.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/InternalEndpoints.java
@@ -10,12 +10,15 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.catalog.CallerLimits;
 import org.pollenhoist.serving.forwarding.ForwardingServer;
+import org.pollenhoist.serving.http.CallerListener;
 import org.pollenhoist.serving.http.CallerResponse;
 import org.pollenhoist.serving.http.CallerServer;
 import org.pollenhoist.serving.http.IncomingRequest;
@@ -32,6 +35,7 @@
 
     private final EventLoop loop;
     private final Supplier<MonotonicTime> clock;
+    private final List<CallerServer> servers = new ArrayList<>();
 
     InternalEndpoints(EventLoop loop, Supplier<MonotonicTime> clock) {
         this.loop = loop;
@@ -39,11 +43,10 @@
     }
 
     ChannelFuture listen(InetSocketAddress address, String path, BiConsumer<String, CallerResponse> onRequest) {
-        return new CallerServer(loop, clock, () -> CallerLimits.DEFAULTS, (request, response) -> {
-                    handle(request, response, path, onRequest);
-                    return () -> {};
-                })
-                .listen(address);
+        return listen(address, () -> CallerLimits.DEFAULTS, (request, response) -> {
+            handle(request, response, path, onRequest);
+            return () -> {};
+        });
     }
 
     /** Listens for peers: for requests to send to upstreams, and for relay requests at the given path. */
@@ -52,14 +55,24 @@
             ForwardingServer forwarding,
             Supplier<CallerLimits> limits,
             BiConsumer<String, CallerResponse> onRelayRequest) {
-        return new CallerServer(loop, clock, limits, (request, response) -> {
-                    if (ForwardingServer.isAskedBy(request.head())) {
-                        return forwarding.onRequest(request, response);
-                    }
-                    handle(request, response, StoreRelayExchange.PATH, onRelayRequest);
-                    return () -> {};
-                })
-                .listen(address);
+        return listen(address, limits, (request, response) -> {
+            if (ForwardingServer.isAskedBy(request.head())) {
+                return forwarding.onRequest(request, response);
+            }
+            handle(request, response, StoreRelayExchange.PATH, onRelayRequest);
+            return () -> {};
+        });
+    }
+
+    private ChannelFuture listen(InetSocketAddress address, Supplier<CallerLimits> limits, CallerListener listener) {
+        CallerServer server = new CallerServer(loop, clock, limits, listener);
+        servers.add(server);
+        return server.listen(address);
+    }
+
+    /** Closes connections whose other ends take nothing of a response for too long. */
+    void closeStalled(MonotonicTime now) {
+        servers.forEach(server -> server.closeStalled(now));
     }
 
     private static void handle(
--- a/serving/src/main/java/org/pollenhoist/serving/node/PlannedStop.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/PlannedStop.java
@@ -2,8 +2,6 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.forwarding.ForwardingServer;
@@ -33,25 +31,22 @@
     private final RequestHandler handler;
     private final CallerServer callers;
     private final ForwardingServer forwarding;
-    private final CompletableFuture<Void> end = new CompletableFuture<>();
+    private final Runnable whenComplete;
     private Optional<MonotonicTime> startedAt = Optional.empty();
     private Duration maxDuration = Duration.ZERO;
+    private boolean isComplete;
 
-    PlannedStop(RequestHandler handler, CallerServer callers, ForwardingServer forwarding) {
+    PlannedStop(RequestHandler handler, CallerServer callers, ForwardingServer forwarding, Runnable whenComplete) {
         this.handler = handler;
         this.callers = callers;
         this.forwarding = forwarding;
+        this.whenComplete = whenComplete;
     }
 
     boolean isStopping() {
         return startedAt.isPresent();
     }
 
-    /** Returns the end of the stop. It completes on the event loop; any thread may wait for it. */
-    CompletionStage<Void> end() {
-        return end;
-    }
-
     /** Begins the stop. Returns false if it has begun before. */
     boolean begin(Duration grace, MonotonicTime now) {
         if (isStopping()) {
@@ -66,10 +61,10 @@
     }
 
     void tick(MonotonicTime now) {
-        startedAt.filter(started -> !end.isDone()).ifPresent(started -> endWhenDone(now.since(started)));
+        startedAt.filter(started -> !isComplete).ifPresent(started -> proceed(now.since(started)));
     }
 
-    private void endWhenDone(Duration elapsed) {
+    private void proceed(Duration elapsed) {
         boolean hasBalancerNoticed = elapsed.compareTo(LOAD_BALANCER_LAG) >= 0;
         if (hasBalancerNoticed) {
             handler.refuseNew();
@@ -87,11 +82,14 @@
                     elapsed.toMillis(),
                     "cut",
                     handler.runningRequests(),
+                    "cut_for_peers",
+                    forwarding.runningRequests(),
                     "connections",
                     callers.openConnections(),
                     "unsent_bytes",
                     callers.unsentBytes());
-            end.complete(null);
+            isComplete = true;
+            whenComplete.run();
         }
     }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -60,10 +60,7 @@
     /** Maximum total size of buffered responses and incomplete events: an eighth of the process's heap. */
     private static final long RESPONSE_BUFFER_BYTES = 20L << 20;
 
-    /**
-     * Interval of the periodic task that closes idle connections and reconciles verdicts and the registration with the
-     * store.
-     */
+    /** Interval of the periodic task that closes idle connections, and reconciles verdicts and the registration. */
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
     private final PlatformBinding binding;
@@ -98,6 +95,7 @@
     private final RequestHandler handler;
     private final RequestForwarding forwarding;
     private final CallerServer callers;
+    private final InternalEndpoints endpoints;
     private final PlannedStop stop;
     private final LeaseRequestStagger leaseRequests;
 
@@ -156,13 +154,13 @@
                 this::after, bootClock::read, peers, upstreams, notices, limits, demandRates, crashes, localVmState());
         presence = new FleetPresence(peers, digests, limits);
         rateShares = new RateShares(settings.vmName(), settings.failureDomain(), upstreams, peers, digests);
-        rateShares.register(registry, bootClock::read);
         synchronizer = new StoreSynchronizer(mirror, relay, digests, storeStanding(now), now);
         forwarding = requestForwarding();
         forwarding.register(registry);
         handler = new RequestHandler(environment());
         callers = new CallerServer(loop, bootClock::read, this::callerLimits, handler);
-        stop = new PlannedStop(handler, callers, forwarding.server());
+        endpoints = new InternalEndpoints(loop, bootClock::read);
+        stop = new PlannedStop(handler, callers, forwarding.server(), () -> Transport.shutDown(loop));
     }
 
     private RequestEnvironment environment() {
@@ -334,7 +332,6 @@
     }
 
     private List<ChannelFuture> listen() {
-        InternalEndpoints endpoints = new InternalEndpoints(loop, bootClock::read);
         return List.of(
                 callers.listen(settings.callerAddress()),
                 endpoints.listen(
@@ -352,6 +349,7 @@
 
     private void begin() {
         eras.register(registry);
+        rateShares.register(registry, bootClock::read);
         eras.onChange(() -> leadership.onNewEra(bootClock.read()));
         eras.onChange(() -> mirror.onNewEra(bootClock.read()));
         mirror.start();
@@ -380,16 +378,17 @@
             if (now.since(sweptAt).compareTo(SWEEP_INTERVAL) >= 0) {
                 sweep(now);
             }
-            stop.tick(now);
         } catch (RuntimeException failure) {
             // An exception must not cancel the periodic task.
             LOG.event("tick_failed", "reason", failure, "at", failure.getStackTrace()[0]);
         }
+        stop.tick(bootClock.read());
     }
 
     private void sweep(MonotonicTime now) {
         sweptAt = now;
         callers.closeTimedOut(now);
+        endpoints.closeStalled(now);
         connections.closeIdle(now);
         crashes.tick(synchronizer.isCurrent(now), vmIndex(now), now);
         streams.sweep(synchronizer.isCurrent(now), vmIndex(now), now);
@@ -479,10 +478,10 @@
      * Starts a planned stop: the process reports not ready immediately, keeps serving until the load balancer has
      * noticed, and ends once no request is running and every one has been answered. Then all sockets are closed.
      *
-     * @param whenStopped runs when the stop is complete, at once if it has been before
+     * @param whenStopped runs when all sockets are closed, on another thread than the event loop's
      */
     public void stop(Runnable whenStopped) {
-        stop.end().thenRun(whenStopped);
+        loop.terminationFuture().addListener(closed -> whenStopped.run());
         if (!loop.isShuttingDown()) {
             loop.execute(this::beginStop);
         }
@@ -491,7 +490,6 @@
     private void beginStop() {
         MonotonicTime now = bootClock.read();
         if (stop.begin(settings.stopGrace(), now)) {
-            stop.end().thenRun(loop.parent()::shutdownGracefully);
             queue.tryStartAll(now);
             leadership.stop();
             digests.send(now);
--- a/serving/src/main/java/org/pollenhoist/serving/transport/Transport.java
+++ b/serving/src/main/java/org/pollenhoist/serving/transport/Transport.java
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import org.pollenhoist.common.DecisionLog;
 
 /** The implementation of sockets and event loops. */
@@ -51,6 +52,15 @@
         return new NioEventLoopGroup(1).next();
     }
 
+    /**
+     * Closes all channels of an event loop and ends its thread.
+     *
+     * @param loop an event loop from {@link #newEventLoop()}
+     */
+    static void shutDown(EventLoop loop) {
+        loop.parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
     private static String rootCause(Throwable failure) {
         Throwable cause = failure;
         while (cause.getCause() != null) {
--- a/serving/src/test/java/org/pollenhoist/serving/http/AbandonedRequestTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/AbandonedRequestTest.java
@@ -73,8 +73,13 @@
 
     /** Lets the event loop stand still while callers act, then waits until it has read all that they did. */
     private void whileStandingStill(Action action) throws IOException, InterruptedException {
+        CountDownLatch begin = new CountDownLatch(1);
         CountDownLatch end = new CountDownLatch(1);
-        loop.execute(() -> await(end));
+        loop.execute(() -> {
+            begin.countDown();
+            await(end);
+        });
+        begin.await();
         action.run();
         end.countDown();
         try (Socket last = new Socket(address.getAddress(), address.getPort())) {
--- a/serving/src/test/java/org/pollenhoist/serving/http/SlowReaderTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/SlowReaderTest.java
@@ -13,7 +13,9 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -36,14 +38,18 @@
     private static final int TIMEOUT_MILLISECONDS = 20_000;
     private static final String END_OF_HEAD = "\r\n\r\n";
 
-    /** Longer than callers' connections may be idle. */
-    private static final Duration LONG_PAUSE =
-            CallerLimits.DEFAULTS.idleTimeout().plusSeconds(1);
+    /** Longer than callers' connections may be idle, and than a caller may take nothing of a response. */
+    private static final Duration LONG_PAUSE = Duration.ofSeconds(61);
+
+    /** Shorter than a caller may take nothing of a response. */
+    private static final Duration SHORT_PAUSE = Duration.ofSeconds(29);
 
     private final EventLoop loop = Transport.newEventLoop();
     private final CallerServer server =
             new CallerServer(loop, MonotonicTime::read, () -> CallerLimits.DEFAULTS, this::handle);
     private final Socket caller = new Socket();
+    private final AtomicInteger handled = new AtomicInteger();
+    private final CountDownLatch sent = new CountDownLatch(1);
     private MonotonicTime now = MonotonicTime.read();
 
     @BeforeEach
@@ -66,17 +72,43 @@
 
     private Runnable handle(IncomingRequest request, CallerResponse response) {
         request.body().release();
-        response.sendFull(OK, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(new byte[RESPONSE_BYTES]));
+        handled.incrementAndGet();
+        if (request.head().uri().equals("/parts")) {
+            response.begin(OK, new DefaultHttpHeaders());
+            response.sendChunk(Unpooled.wrappedBuffer(new byte[RESPONSE_BYTES]));
+            response.endThen(sent::countDown);
+        } else {
+            response.sendFull(OK, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(new byte[RESPONSE_BYTES]));
+        }
         return () -> {};
     }
 
-    /** Sends a request and reads the head of the response. */
-    private void request(String connection) throws IOException {
-        String request = "GET / HTTP/1.1\r\nHost: a\r\nConnection: " + connection + END_OF_HEAD;
-        caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+    private void send(String text) throws IOException {
+        caller.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Sends a request, reads the head of the response and waits until the server can't write any more. */
+    private void request(String path, String connection) throws Exception {
+        send(requestHead(path, connection));
         StringBuilder head = new StringBuilder();
         while (head.indexOf(END_OF_HEAD) < 0) {
-            head.append((char) caller.getInputStream().read());
+            int next = caller.getInputStream().read();
+            assertThat(next).isNotNegative();
+            head.append((char) next);
+        }
+        awaitStandstill();
+        assertThat(onLoop(server::unsentBytes)).isPositive();
+    }
+
+    private static String requestHead(String path, String connection) {
+        return "GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: " + connection + END_OF_HEAD;
+    }
+
+    private void awaitStandstill() throws InterruptedException {
+        long before = -1;
+        for (long unsent = onLoop(server::unsentBytes); unsent != before; unsent = onLoop(server::unsentBytes)) {
+            before = unsent;
+            TimeUnit.MILLISECONDS.sleep(200);
         }
     }
 
@@ -90,8 +122,8 @@
         return loop.submit(action).syncUninterruptibly().getNow();
     }
 
-    private void closeTimedOutAfterLongPause() {
-        now = now.plus(LONG_PAUSE);
+    private void closeTimedOutAfter(Duration pause) {
+        now = now.plus(pause);
         MonotonicTime later = now;
         loop.submit(() -> server.closeTimedOut(later)).syncUninterruptibly();
     }
@@ -111,59 +143,100 @@
         @ParameterizedTest
         @ValueSource(strings = {"keep-alive", "close"})
         void should_count_as_running_until_the_caller_has_taken_them(String connection) throws Exception {
-            request(connection);
+            request("/", connection);
 
             assertThat(onLoop(server::runningRequests)).isEqualTo(1);
-            assertThat(onLoop(server::unsentBytes)).isPositive();
 
             assertThat(read(RESPONSE_BYTES)).isEqualTo(RESPONSE_BYTES);
             awaitNoneRunning();
             assertThat(onLoop(server::unsentBytes)).isZero();
         }
 
+        @Test
+        void should_be_reported_as_sent_when_the_caller_has_taken_them() throws Exception {
+            request("/parts", "keep-alive");
+            assertThat(sent.getCount()).isEqualTo(1);
+
+            assertThat(read(RESPONSE_BYTES)).isEqualTo(RESPONSE_BYTES);
+
+            assertThat(sent.await(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)).isTrue();
+        }
+
+        @Test
+        void should_be_reported_as_sent_when_the_caller_has_left() throws Exception {
+            request("/parts", "keep-alive");
+
+            caller.close();
+
+            assertThat(sent.await(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)).isTrue();
+        }
+
         @Test
         void should_not_be_cut_when_idle_connections_are_closed() throws Exception {
-            request("keep-alive");
+            request("/", "keep-alive");
 
             loop.submit(server::closeIdle).syncUninterruptibly();
 
             assertThat(read(RESPONSE_BYTES)).isEqualTo(RESPONSE_BYTES);
         }
 
-        @Test
-        void should_not_be_cut_as_idle_while_the_caller_takes_them() throws Exception {
-            request("keep-alive");
-            closeTimedOutAfterLongPause();
-
-            int received = 0;
-            while (received < RESPONSE_BYTES) {
-                int read = read(READ_AT_ONCE_BYTES);
-                assertThat(read).isEqualTo(READ_AT_ONCE_BYTES);
-                received += read;
-                closeTimedOutAfterLongPause();
+        @ParameterizedTest
+        @ValueSource(strings = {"keep-alive", "close"})
+        void should_not_be_cut_as_idle_while_the_caller_takes_them(String connection) throws Exception {
+            request("/", connection);
+            closeTimedOutAfter(SHORT_PAUSE);
+
+            for (int received = 0; received < RESPONSE_BYTES; received += READ_AT_ONCE_BYTES) {
+                closeTimedOutAfter(SHORT_PAUSE);
+                closeTimedOutAfter(SHORT_PAUSE);
+                assertThat(read(READ_AT_ONCE_BYTES)).isEqualTo(READ_AT_ONCE_BYTES);
+                awaitStandstill();
+                closeTimedOutAfter(SHORT_PAUSE);
             }
         }
 
         @ParameterizedTest
         @ValueSource(strings = {"keep-alive", "close"})
-        void should_be_cut_when_the_caller_takes_nothing_for_the_time_that_connections_may_be_idle(String connection)
-                throws Exception {
-            request(connection);
-            awaitStandstill();
+        void should_be_cut_when_the_caller_takes_nothing_for_long(String connection) throws Exception {
+            request("/", connection);
 
-            closeTimedOutAfterLongPause();
-            closeTimedOutAfterLongPause();
+            closeTimedOutAfter(LONG_PAUSE);
+            closeTimedOutAfter(LONG_PAUSE);
 
             awaitNoneRunning();
             assertThat(onLoop(server::openConnections)).isZero();
         }
 
-        private void awaitStandstill() throws InterruptedException {
-            long before = -1;
-            for (long unsent = onLoop(server::unsentBytes); unsent != before; unsent = onLoop(server::unsentBytes)) {
-                before = unsent;
-                TimeUnit.MILLISECONDS.sleep(50);
-            }
+        @ParameterizedTest
+        @ValueSource(strings = {"G", "no request\r\n\r\n"})
+        void should_be_cut_when_the_caller_sends_more_but_takes_nothing_for_long(String further) throws Exception {
+            request("/", "keep-alive");
+
+            closeTimedOutAfter(SHORT_PAUSE);
+            send(further);
+            awaitStandstill();
+            closeTimedOutAfter(LONG_PAUSE);
+            closeTimedOutAfter(LONG_PAUSE);
+
+            awaitNoneRunning();
+            assertThat(onLoop(server::openConnections)).isZero();
+        }
+    }
+
+    @Nested
+    class PipelinedRequests {
+
+        /** Guards against responses that pile up in the memory for a caller that doesn't read. */
+        @Test
+        void should_wait_until_the_caller_has_taken_the_response_to_an_earlier_one() throws Exception {
+            request("/", "keep-alive");
+            send(requestHead("/", "keep-alive") + requestHead("/", "close"));
+            awaitStandstill();
+
+            assertThat(handled).hasValue(1);
+
+            assertThat(caller.getInputStream().readAllBytes()).hasSizeGreaterThan(3 * RESPONSE_BYTES);
+            assertThat(handled).hasValue(3);
         }
     }
 }
