Log the connection of each response, and the first bytes of malformed ones

The logs could not tell a response that belongs to a request from two that were read as one: they named no connections, not what was skipped on one, nor the bytes of a malformed head. A line for each response that is taken or dropped has the number of its connection, the exchanges before and the responses skipped; malformed responses and bytes on idle connections are logged with their first bytes.

For this the client codec is replaced by its two parts. The response to HEAD is told by the request that is on the connection; the codec told it by the order of all responses.

--- a/serving/src/main/java/org/pollenhoist/serving/forwarding/ForwardingServer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/forwarding/ForwardingServer.java
@@ -29,6 +29,7 @@
 import org.pollenhoist.serving.http.ResponseListener;
 import org.pollenhoist.serving.request.RequestFormat;
 import org.pollenhoist.serving.request.ResponseHead;
+import org.pollenhoist.serving.request.ResponseLog;
 import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamTable;
 
@@ -192,7 +193,9 @@
         @Override
         public boolean onHead(HttpResponse head, ConnectionUse use) {
             ResponseHead parsed = format.readResponse(head);
-            if (!parsed.belongsTo(identifier, use)) {
+            boolean isAwaited = parsed.belongsTo(identifier, use);
+            ResponseLog.received(identifier, upstream, parsed, use, isAwaited);
+            if (!isAwaited) {
                 return false;
             }
             upstream.recordActivity(clock.get());
--- a/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
@@ -13,10 +13,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.pollenhoist.common.DecisionLog;
 
 /** An HTTP client that buffers each response and delivers it when it is complete. Confined to the event loop. */
 public final class BufferedHttpClient {
 
+    private static final DecisionLog LOG = DecisionLog.of("connection");
+
     /** Maximum size of the body of a response, in bytes. */
     private static final int MAXIMUM_RESPONSE_BYTES = 8 << 20;
 
@@ -118,6 +121,16 @@
         @Override
         public boolean onHead(HttpResponse head, ConnectionUse use) {
             if (!isExpected.test(head)) {
+                LOG.event(
+                        "foreign_answer",
+                        "status",
+                        head.status().code(),
+                        "connection",
+                        use.connection(),
+                        "earlier_exchanges",
+                        use.earlierExchanges(),
+                        "skipped",
+                        use.skippedResponses());
                 return false;
             }
             status = head.status().code();
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -16,11 +17,14 @@
 import java.time.Duration;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.upstream.ResponseDecoder;
 
 /** A client connection, which carries at most one exchange at a time. Confined to the event loop. */
 final class HttpConnection extends ChannelInboundHandlerAdapter {
 
+    private static final DecisionLog LOG = DecisionLog.of("connection");
     private static final String KEEP_ALIVE = "Keep-Alive";
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
@@ -42,13 +46,14 @@
 
     private final HttpConnectionPool connections;
     private final Target target;
+    private final ResponseDecoder decoder;
+    private final long number;
     private ChannelHandlerContext context;
     private HttpExchange exchange;
     private ChannelFuture written;
     private ResponseState state = ResponseState.NONE;
     private final CarriedRequests carriedRequests = new CarriedRequests();
-    private ConnectionUse use = ConnectionUse.NEW;
-    private boolean isUsed;
+    private int exchanges;
     private boolean isSuccess;
     private boolean isReusable = true;
     private boolean isReset;
@@ -58,9 +63,17 @@
     private Duration keepAlive = HttpConnectionPool.DEFAULT_KEEP_ALIVE;
     private MonotonicTime idleSince;
 
-    HttpConnection(HttpConnectionPool connections, Target target) {
+    /**
+     * Creates a connection.
+     *
+     * @param number the number of the connection, for the log
+     * @param decoder the decoder before this handler
+     */
+    HttpConnection(HttpConnectionPool connections, Target target, long number, ResponseDecoder decoder) {
         this.connections = connections;
         this.target = target;
+        this.number = number;
+        this.decoder = decoder;
     }
 
     @Override
@@ -95,13 +108,14 @@
 
     void start(HttpExchange newExchange) {
         exchange = newExchange;
-        use = isUsed ? ConnectionUse.REUSED : ConnectionUse.NEW;
-        isUsed = true;
+        exchanges++;
         state = ResponseState.NONE;
         interimResponses = 0;
         skippedResponses = 0;
         skippedBytes = 0;
-        written = context.writeAndFlush(newExchange.begin(this));
+        FullHttpRequest request = newExchange.begin(this);
+        decoder.awaitResponseTo(request.method());
+        written = context.writeAndFlush(request);
         written.addListener(this::recordWritten);
     }
 
@@ -136,6 +150,9 @@
         try {
             if (exchange == null || exchange.isEnded()) {
                 // The bytes don't belong to any request.
+                if (isOpen()) {
+                    log("unexpected_bytes", "none", "no request is on the connection");
+                }
                 close();
                 return;
             }
@@ -148,7 +165,10 @@
     private void read(Object message) {
         if (message instanceof HttpResponse head) {
             if (head.decoderResult().isFailure()) {
-                fail(ExchangeFailure.MALFORMED_ANSWER, "malformed response head");
+                fail(
+                        ExchangeFailure.MALFORMED_ANSWER,
+                        "malformed response head: "
+                                + head.decoderResult().cause().getMessage());
                 return;
             }
             readHead(head);
@@ -179,7 +199,7 @@
             isReusable = false;
         }
         connections.notifyResponse(target, head);
-        boolean isAccepted = exchange.listener().onHead(head, use);
+        boolean isAccepted = exchange.listener().onHead(head, use());
         isSuccess = head.status().codeClass() == HttpStatusClass.SUCCESS;
         state = isAccepted ? ResponseState.ACCEPTED : ResponseState.SKIPPED;
         if (!isAccepted) {
@@ -205,6 +225,7 @@
         if (!(content instanceof LastHttpContent) || exchange.isEnded()) {
             return;
         }
+        decoder.responseEnded();
         switch (state) {
             case ACCEPTED -> finish();
             case SKIPPED, INTERIM -> state = ResponseState.NONE;
@@ -232,12 +253,40 @@
         ended.end();
     }
 
+    private ConnectionUse use() {
+        return new ConnectionUse(number, exchanges - 1, skippedResponses);
+    }
+
+    private void log(String event, String request, String reason) {
+        LOG.event(
+                event,
+                "request",
+                request,
+                "address",
+                target.address(),
+                "lifetime",
+                target.lifetime(),
+                "connection",
+                number,
+                "earlier_exchanges",
+                Math.max(0, exchanges - 1),
+                "skipped",
+                skippedResponses,
+                "reason",
+                reason,
+                "beginning",
+                decoder.beginning());
+    }
+
     private void fail(ExchangeFailure failure, String reason) {
         HttpExchange failed = exchange;
         exchange = null;
         isReusable = false;
         context.close();
         if (failed != null) {
+            if (failure == ExchangeFailure.MALFORMED_ANSWER) {
+                log("malformed_response", failed.identifier(), reason);
+            }
             failed.fail(failure, reason);
         }
     }
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnectionPool.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnectionPool.java
@@ -8,7 +8,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -24,6 +24,7 @@
 import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.transport.Transport;
+import org.pollenhoist.upstream.ResponseDecoder;
 
 /**
  * A pool of client connections to upstreams, the store and peers, which are kept open between exchanges. A connection
@@ -184,6 +185,7 @@
 
     private ChannelFuture connect(Target target, ConnectionOptions options) {
         openedConnections++;
+        long number = openedConnections;
         Transport transport = Transport.of(loop);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
@@ -194,10 +196,12 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        ResponseDecoder decoder =
+                                new ResponseDecoder(MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES);
                         channel.pipeline()
-                                .addLast(new HttpClientCodec(
-                                        MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES))
-                                .addLast(new HttpConnection(HttpConnectionPool.this, target));
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(decoder)
+                                .addLast(new HttpConnection(HttpConnectionPool.this, target, number, decoder));
                     }
                 });
         transport.limitUnacknowledgedTime(bootstrap, options.unacknowledgedTimeout());
--- a/serving/src/main/java/org/pollenhoist/serving/http/ResponseListener.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/ResponseListener.java
@@ -10,7 +10,7 @@
      * The head of a response was received.
      *
      * @param head status and headers
-     * @param use whether the connection carried other exchanges before
+     * @param use what the connection carried before
      * @return false if the response belongs to another request; it is then discarded, and the next one is awaited
      */
     boolean onHead(HttpResponse head, ConnectionUse use);
--- a/serving/src/main/java/org/pollenhoist/serving/request/ResponseHead.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/ResponseHead.java
@@ -36,11 +36,11 @@
      * Tells whether the response belongs to a request.
      *
      * @param request the identifier of the request
-     * @param use whether the connection carried other requests before
+     * @param use what the connection carried before
      * @return true if it names the request, or is a failure that names none on a connection that carried no other
      */
     public boolean belongsTo(String request, ConnectionUse use) {
-        return requestIdentifier.map(request::equals).orElse(!isSuccess() && use == ConnectionUse.NEW);
+        return requestIdentifier.map(request::equals).orElse(!isSuccess() && use.isFirst());
     }
 
     /**
--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -126,17 +126,9 @@
     public final boolean onHead(HttpResponse responseHead, ConnectionUse use) {
         upstream.recordActivity(environment.clock().get());
         ResponseHead candidate = environment.format().readResponse(responseHead);
-        if (!candidate.belongsTo(request.identifier(), use)) {
-            LOG.event(
-                    "foreign_answer",
-                    "request",
-                    request.identifier(),
-                    "upstream",
-                    upstream.description().identifier(),
-                    "names",
-                    candidate.requestIdentifier().orElse("none"),
-                    "status",
-                    candidate.status());
+        boolean isAwaited = candidate.belongsTo(request.identifier(), use);
+        ResponseLog.received(request.identifier(), upstream, candidate, use, isAwaited);
+        if (!isAwaited) {
             return false;
         }
         head = responseHead;
--- a/serving/src/test/java/org/pollenhoist/serving/http/CutHeadTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/CutHeadTest.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -43,6 +42,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.transport.Transport;
+import org.pollenhoist.upstream.ResponseDecoder;
 
 /** Guards against a response whose head is cut and that is taken for a whole one, with an empty or short body. */
 class CutHeadTest {
@@ -255,12 +255,16 @@
                     List.of(LastHttpContent.EMPTY_LAST_CONTENT));
         }
 
+        private static ResponseDecoder decoder() {
+            return new ResponseDecoder(8_192, 32_768, 65_536);
+        }
+
         private EmbeddedChannel connect() {
             EmbeddedChannel channel = new EmbeddedChannel();
             HttpConnectionPool pool =
                     new HttpConnectionPool(channel.eventLoop(), MonotonicTime::read, (target, head) -> {});
-            HttpConnection connection =
-                    new HttpConnection(pool, new Target(InetSocketAddress.createUnresolved("upstream", 1), "1"));
+            Target target = new Target(InetSocketAddress.createUnresolved("upstream", 1), "1");
+            HttpConnection connection = new HttpConnection(pool, target, 1, decoder());
             channel.pipeline().addLast(connection);
             connection.start(new HttpExchange("a", request(), recorder));
             return channel;
@@ -280,7 +284,7 @@
 
         @Test
         void should_mark_the_head_as_failed_when_the_codec_of_this_version_reads_it() {
-            EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec());
+            EmbeddedChannel channel = new EmbeddedChannel(decoder());
             channel.writeInbound(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nX-Id: a\r\nCo", StandardCharsets.US_ASCII));
 
             channel.finish();
