Close a connection on which bytes come without a request

A copy whose beginning arrived on an idle connection stayed in the decoder until a line was complete, so nothing noticed it, and the connection was used again: what stood there began the head of the response to the next request. Bytes that come before a request was sent, or behind a response, can't belong to the next response. The decoder hands the first ones on undecoded and counts the others, and the connection is closed and logged.

--- a/library/src/main/java/org/pollenhoist/upstream/ResponseDecoder.java
+++ b/library/src/main/java/org/pollenhoist/upstream/ResponseDecoder.java
@@ -50,6 +50,7 @@
     private final byte[] beginning = new byte[BEGINNING_BYTES];
     private int beginningLength;
     private boolean isHeadRequest;
+    private boolean isAwaiting;
 
     /**
      * Creates a decoder for one connection.
@@ -76,6 +77,7 @@
      * @param method the method of the request
      */
     public void awaitResponseTo(HttpMethod method) {
+        isAwaiting = true;
         isHeadRequest = method.equals(HttpMethod.HEAD);
         beginningLength = 0;
     }
@@ -85,6 +87,24 @@
         beginningLength = 0;
     }
 
+    /**
+     * Stops decoding until the next request is sent: bytes that come before that are no response to it, and are handed
+     * on as they are.
+     */
+    public void stopAwaiting() {
+        isAwaiting = false;
+        beginningLength = 0;
+    }
+
+    /**
+     * Returns how many bytes have been received and not decoded.
+     *
+     * @return the number of bytes; more than 0 while a part of a response is awaited, or after a response
+     */
+    public int unreadBytes() {
+        return actualReadableBytes();
+    }
+
     /**
      * Returns the first bytes that were read since the last response, without those of a body.
      *
@@ -144,17 +164,29 @@
         return isHeadRequest || super.isContentAlwaysEmpty(message);
     }
 
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (isAwaiting || !(message instanceof ByteBuf bytes)) {
+            super.channelRead(context, message);
+            return;
+        }
+        keepBeginning(bytes, bytes.readerIndex(), bytes.readableBytes());
+        context.fireChannelRead(bytes);
+    }
+
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
         int first = buffer.readerIndex();
         int decoded = out.size();
         super.decode(context, buffer, out);
         out.subList(decoded, out.size()).forEach(this::check);
-        int kept = Math.min(BEGINNING_BYTES - beginningLength, buffer.readerIndex() - first);
-        if (kept > 0) {
-            buffer.getBytes(first, beginning, beginningLength, kept);
-            beginningLength += kept;
-        }
+        keepBeginning(buffer, first, buffer.readerIndex() - first);
+    }
+
+    private void keepBeginning(ByteBuf buffer, int first, int length) {
+        int kept = Math.min(BEGINNING_BYTES - beginningLength, length);
+        buffer.getBytes(first, beginning, beginningLength, kept);
+        beginningLength += kept;
     }
 
     private void check(Object decoded) {
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -241,7 +241,12 @@
         HttpExchange ended = exchange;
         exchange = null;
         carriedRequests.add(ended.identifier(), isSuccess, connections.now());
+        decoder.stopAwaiting();
         isReusable &= carriedRequests.hasRoom();
+        if (decoder.unreadBytes() > 0) {
+            isReusable = false;
+            log("unexpected_bytes", ended.identifier(), decoder.unreadBytes() + " bytes after the response");
+        }
         // If the other end responded early, the body of the request may not have been written completely yet.
         boolean canBeReused = isReusable && written.isSuccess() && isOpen();
         if (canBeReused) {
--- a/serving/src/test/java/org/pollenhoist/serving/http/CutHeadTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/CutHeadTest.java
@@ -285,7 +285,9 @@
 
         @Test
         void should_mark_the_head_as_failed_when_the_codec_of_this_version_reads_it() {
-            EmbeddedChannel channel = new EmbeddedChannel(decoder());
+            ResponseDecoder decoder = decoder();
+            EmbeddedChannel channel = new EmbeddedChannel(decoder);
+            decoder.awaitResponseTo(HttpMethod.GET);
             channel.writeInbound(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nX-Id: a\r\nCo", StandardCharsets.US_ASCII));
 
             channel.finish();
--- a/serving/src/test/java/org/pollenhoist/serving/http/RunTogetherResponsesTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/RunTogetherResponsesTest.java
@@ -210,6 +210,39 @@
         }
     }
 
+    /** Before a request was sent, the beginning of the response to it can't have come. */
+    @Nested
+    class OnAnIdleConnection {
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.http.RunTogetherResponsesTest#forms")
+        void should_close_it_when_the_beginning_of_a_copy_arrives(Form form) {
+            assertNoneIsKept(form, (used, beginning) -> used.read(beginning));
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.http.RunTogetherResponsesTest#forms")
+        void should_not_keep_it_when_the_beginning_of_a_copy_follows_a_response_at_once(Form form) {
+            assertNoneIsKept(form, (used, beginning) -> {
+                used.send("b");
+                used.read(form.response() + beginning);
+            });
+        }
+
+        private void assertNoneIsKept(Form form, Arrival arrival) {
+            List<Integer> kept = new ArrayList<>();
+            IntStream.range(1, form.copy().length()).forEach(length -> {
+                UsedConnection used = new UsedConnection(form);
+                arrival.arrive(used, form.copy().substring(0, length));
+                if (used.channel.isOpen()) {
+                    kept.add(length);
+                }
+            });
+
+            assertThat(kept).isEmpty();
+        }
+    }
+
     /** Brings the beginning of the copy, and the awaited response. */
     private interface Arrival {
 
