Fail an exchange whose response was lost in the body of a copy

A copy that breaks off within its body contains, by its framing, the response to the request that is on the connection. It was discarded with the copy, and the caller waited until its deadline, or got what came next. The bytes of a body that is discarded are searched for a status line now; with one, the exchange fails at once as after a malformed response.

--- a/library/src/main/java/org/pollenhoist/upstream/ResponseDecoder.java
+++ b/library/src/main/java/org/pollenhoist/upstream/ResponseDecoder.java
@@ -47,10 +47,13 @@
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9] [0-9]{3}");
 
     private final Set<String> singleFields;
+    private final StatusLineSearch search = new StatusLineSearch();
     private final byte[] beginning = new byte[BEGINNING_BYTES];
     private int beginningLength;
     private boolean isHeadRequest;
     private boolean isAwaiting;
+    private boolean isSkipping;
+    private boolean isStatusLineSkipped;
 
     /**
      * Creates a decoder for one connection.
@@ -82,9 +85,29 @@
         beginningLength = 0;
     }
 
-    /** Forgets the first bytes of the current response, so that those of the next one are kept. */
+    /** Ends the current response, so that the next one is read. */
     public void responseEnded() {
         beginningLength = 0;
+        isSkipping = false;
+    }
+
+    /**
+     * Begins to search the body of the current response, which is discarded, for a status line. The body of a copy that
+     * breaks off contains, by its framing, the next response.
+     */
+    public void skipBody() {
+        isSkipping = true;
+        isStatusLineSkipped = false;
+        search.begin();
+    }
+
+    /**
+     * Tells whether the body that is discarded has a status line, so that the response to the request is lost.
+     *
+     * @return true if it does so far
+     */
+    public boolean isStatusLineSkipped() {
+        return isSkipping && isStatusLineSkipped;
     }
 
     /**
@@ -180,7 +203,9 @@
         int decoded = out.size();
         super.decode(context, buffer, out);
         out.subList(decoded, out.size()).forEach(this::check);
-        keepBeginning(buffer, first, buffer.readerIndex() - first);
+        int length = buffer.readerIndex() - first;
+        keepBeginning(buffer, first, length);
+        isStatusLineSkipped |= isSkipping && search.isFoundIn(buffer, first, length);
     }
 
     private void keepBeginning(ByteBuf buffer, int first, int length) {
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -205,6 +205,7 @@
         if (!isAccepted) {
             isReusable = false;
             skippedResponses++;
+            decoder.skipBody();
         }
     }
 
@@ -213,6 +214,10 @@
         if (state == ResponseState.SKIPPED) {
             skippedBytes += bytes.readableBytes();
         }
+        if (decoder.isStatusLineSkipped()) {
+            fail(ExchangeFailure.MALFORMED_ANSWER, "status line within the body of a response to another request");
+            return;
+        }
         if (skippedResponses > MAXIMUM_SKIPPED_RESPONSES || skippedBytes > MAXIMUM_SKIPPED_BYTES) {
             fail(
                     ExchangeFailure.MALFORMED_ANSWER,
--- a/serving/src/test/java/org/pollenhoist/serving/http/RunTogetherResponsesTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/RunTogetherResponsesTest.java
@@ -55,7 +55,7 @@
 
         /** Returns the response to the earlier request. */
         private String copy() {
-            return response(copied, "a", "body of the copy");
+            return response(copied, "a", "body of the copy, ".repeat(16));
         }
 
         private String response() {
@@ -210,6 +210,44 @@
         }
     }
 
+    /** The framing of a copy that breaks off within its body makes the awaited response a part of that body. */
+    @Nested
+    class WithinTheBody {
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.http.RunTogetherResponsesTest#forms")
+        void should_fail_the_exchange_as_soon_as_the_awaited_response_has_come(Form form) {
+            assertNoneIsAwaitedFurther(form, (used, beginning) -> used.read(beginning + form.response()));
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.http.RunTogetherResponsesTest#forms")
+        void should_fail_the_exchange_when_each_byte_comes_alone(Form form) {
+            assertNoneIsAwaitedFurther(
+                    form,
+                    (used, beginning) -> (beginning + form.response()).chars().forEach(character -> {
+                        used.read(String.valueOf((char) character));
+                    }));
+        }
+
+        private void assertNoneIsAwaitedFurther(Form form, Arrival arrival) {
+            List<String> wrong = new ArrayList<>();
+            int headLength = form.copy().indexOf(END_OF_HEAD) + END_OF_HEAD.length();
+            IntStream.range(headLength, form.copy().length()).forEach(length -> {
+                UsedConnection used = new UsedConnection(form);
+                Recorder recorder = used.send("b");
+                arrival.arrive(used, form.copy().substring(0, length));
+                boolean isFailed = List.of("MALFORMED_ANSWER", "BROKEN_ANSWER", "NO_ANSWER")
+                        .contains(recorder.result);
+                if (!isFailed || used.channel.isOpen()) {
+                    wrong.add(recorder.result + " of the first " + length + " bytes");
+                }
+            });
+
+            assertThat(wrong).isEmpty();
+        }
+    }
+
     /** Before a request was sent, the beginning of the response to it can't have come. */
     @Nested
     class OnAnIdleConnection {
