Send HEAD on connections of its own

The response to HEAD has no body whatever its length says. On a used connection the body of a copy before it was read as heads; a copy of it, on a connection that was used again, contained the next response by its length. HEAD now gets a new connection, which is closed after it.

HttpConnectionPoolTest.RequestsForTheHead: 2 of 2 red before, 2 green now.

--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -115,6 +116,7 @@
         skippedBytes = 0;
         FullHttpRequest request = newExchange.begin(this);
         decoder.awaitResponseTo(request.method());
+        isReusable &= !request.method().equals(HttpMethod.HEAD);
         written = context.writeAndFlush(request);
         written.addListener(this::recordWritten);
     }
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnectionPool.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnectionPool.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
@@ -107,7 +108,9 @@
             ConnectionOptions options,
             ResponseListener listener) {
         HttpExchange exchange = new HttpExchange(identifier, request, listener);
-        HttpConnection reused = takeIdle(target, identifier, options.maximumIdle());
+        // The response to HEAD has no body whatever its length, so copies of other responses could not be told from it.
+        HttpConnection reused =
+                request.method().equals(HttpMethod.HEAD) ? null : takeIdle(target, identifier, options.maximumIdle());
         if (reused == null) {
             connect(target, options, exchange);
         } else {
--- a/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
@@ -132,8 +132,18 @@
     }
 
     private String send(String identifier, int port, ByteBuf body) {
+        return send(identifier, port, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/", body));
+    }
+
+    private String sendHead(String identifier) {
+        return send(
+                identifier,
+                server.getLocalPort(),
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.HEAD, "/", Unpooled.EMPTY_BUFFER));
+    }
+
+    private String send(String identifier, int port, FullHttpRequest request) {
         CompletableFuture<String> result = new CompletableFuture<>();
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/", body);
         Target target = new Target(new InetSocketAddress(server.getInetAddress(), port), "1");
         loop.execute(() -> connections.send(
                 target, identifier, request, ConnectionOptions.ANY_IDLE, new Collector(identifier, result)));
@@ -212,6 +222,32 @@
         }
     }
 
+    /** The body of a response to HEAD is empty whatever its length, so a copy of another response can't be skipped. */
+    @Nested
+    class RequestsForTheHead {
+
+        private static final String HEAD =
+                "HTTP/1.1 200 OK\r\nX-Id: %s\r\nKeep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\n";
+
+        @Test
+        void should_not_be_sent_on_a_connection_on_which_a_copy_of_an_earlier_response_may_come() {
+            responses.addAll(List.of(LONG_KEEP_ALIVE.formatted("a"), HEAD.formatted("b")));
+
+            assertThat(send("a")).isEqualTo("ok");
+            assertThat(sendHead("b")).isEmpty();
+            assertThat(accepted).hasValue(2);
+        }
+
+        @Test
+        void should_not_leave_a_connection_on_which_a_copy_of_the_response_contains_the_next_one() {
+            responses.addAll(List.of(HEAD.formatted("a"), LONG_KEEP_ALIVE.formatted("b")));
+
+            assertThat(sendHead("a")).isEmpty();
+            assertThat(send("b")).isEqualTo("ok");
+            assertThat(accepted).hasValue(2);
+        }
+    }
+
     @Nested
     class Refusals {
 
