Fail an exchange when the other end switches protocols

After a 101 that nobody asked for, the decoder hands on bytes undecoded, and the caller waited until its deadline. The response counts as malformed now. The new case of HttpConnectionPoolTest.UnexpectedBytes ran into its time-out before.

--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -185,6 +186,10 @@
     }
 
     private void readHead(HttpResponse head) {
+        if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            fail(ExchangeFailure.MALFORMED_ANSWER, "switch to a protocol that was not requested");
+            return;
+        }
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             state = ResponseState.INTERIM;
             interimResponses++;
--- a/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
@@ -297,6 +297,14 @@
             assertThat(send("b")).isEqualTo("ok");
         }
 
+        @Test
+        void should_fail_when_the_other_end_switches_to_a_protocol_that_was_not_asked_for() {
+            responses.add(
+                    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n" + LONG_KEEP_ALIVE.formatted("a"));
+
+            assertThat(send("a")).isEqualTo("MALFORMED_ANSWER");
+        }
+
         @Test
         void should_fail_when_the_bytes_are_no_response() {
             responses.add("garbage\r\n\r\nContent-Length\r\n\r\n");
