Fail a response into whose body another one was written

A copy that an upstream writes between the parts of a response with a length takes the place of a part of its body, and the rest of the body stands behind the response. The caller got a body that was not the upstream's. A response with a status line within its body, or one that begins there, and further bytes behind it is broken now. Further bytes behind a whole response still don't cost it.

A copy that arrives apart from what stands behind it, and whose size is that of the part that it replaces, is not noticed.

--- a/library/src/main/java/org/pollenhoist/upstream/ResponseDecoder.java
+++ b/library/src/main/java/org/pollenhoist/upstream/ResponseDecoder.java
@@ -52,8 +52,8 @@
     private int beginningLength;
     private boolean isHeadRequest;
     private boolean isAwaiting;
-    private boolean isSkipping;
-    private boolean isStatusLineSkipped;
+    private boolean isSearching;
+    private boolean isStatusLineFound;
 
     /**
      * Creates a decoder for one connection.
@@ -88,26 +88,29 @@
     /** Ends the current response, so that the next one is read. */
     public void responseEnded() {
         beginningLength = 0;
-        isSkipping = false;
+        isSearching = false;
     }
 
     /**
-     * Begins to search the body of the current response, which is discarded, for a status line. The body of a copy that
-     * breaks off contains, by its framing, the next response.
+     * Begins to search the body of the current response for a status line. The body of a copy that breaks off contains,
+     * by its framing, the next response; a copy may also be written into the body of another response.
      */
-    public void skipBody() {
-        isSkipping = true;
-        isStatusLineSkipped = false;
+    public void searchBody() {
+        isSearching = true;
+        isStatusLineFound = false;
         search.begin();
     }
 
     /**
-     * Tells whether the body that is discarded has a status line, so that the response to the request is lost.
+     * Tells whether the body that is searched has a status line.
      *
-     * @return true if it does so far
+     * @return true if one stands in what was read so far, or begins there and goes on in the unread bytes
      */
-    public boolean isStatusLineSkipped() {
-        return isSkipping && isStatusLineSkipped;
+    public boolean isStatusLineInBody() {
+        boolean isSplit = isSearching
+                && unreadBytes() > 0
+                && search.isSplitBefore(internalBuffer(), internalBuffer().readerIndex(), unreadBytes());
+        return isSearching && (isStatusLineFound || isSplit);
     }
 
     /**
@@ -116,7 +119,7 @@
      */
     public void stopAwaiting() {
         isAwaiting = false;
-        beginningLength = 0;
+        responseEnded();
     }
 
     /**
@@ -205,7 +208,7 @@
         out.subList(decoded, out.size()).forEach(this::check);
         int length = buffer.readerIndex() - first;
         keepBeginning(buffer, first, length);
-        isStatusLineSkipped |= isSkipping && search.isFoundIn(buffer, first, length);
+        isStatusLineFound |= isSearching && search.isFoundIn(buffer, first, length);
     }
 
     private void keepBeginning(ByteBuf buffer, int first, int length) {
--- a/library/src/main/java/org/pollenhoist/upstream/StatusLineSearch.java
+++ b/library/src/main/java/org/pollenhoist/upstream/StatusLineSearch.java
@@ -1,10 +1,11 @@
 package org.pollenhoist.upstream;
 
 import io.netty.buffer.ByteBuf;
+import java.util.stream.IntStream;
 
 /**
  * Searches the body of a response for a status line. A body with one may have been cut, so that by its framing it
- * contains the next response. Confined to the event loop.
+ * contains the next response, or another response was written into it. Confined to the event loop.
  */
 final class StatusLineSearch {
 
@@ -23,16 +24,31 @@
 
     /** Returns whether a status line ends in the next part of the body; also one that began in an earlier part. */
     boolean isFoundIn(ByteBuf buffer, int index, int length) {
-        return buffer.forEachByte(index, length, this::goesOnAfter) >= 0;
+        boolean isFound = buffer.forEachByte(index, length, this::goesOnAfter) >= 0;
+        if (isFound) {
+            matched = 0;
+        }
+        return isFound;
+    }
+
+    /** Returns whether a status line that began in the body goes on in the bytes behind it, as far as there are any. */
+    boolean isSplitBefore(ByteBuf buffer, int index, int length) {
+        return matched > 0
+                && IntStream.range(0, Math.min(length, PATTERN.length() - matched))
+                        .allMatch(offset -> isExpected(matched + offset, buffer.getByte(index + offset)));
     }
 
     private boolean goesOnAfter(byte read) {
-        char expected = PATTERN.charAt(matched);
-        if (expected == DIGIT ? read >= '0' && read <= '9' : read == expected) {
+        if (isExpected(matched, read)) {
             matched++;
         } else {
-            matched = read == PATTERN.charAt(0) ? 1 : 0;
+            matched = isExpected(0, read) ? 1 : 0;
         }
         return matched < PATTERN.length();
     }
+
+    private static boolean isExpected(int position, byte read) {
+        char expected = PATTERN.charAt(position);
+        return expected == DIGIT ? read >= '0' && read <= '9' : read == expected;
+    }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -212,7 +212,9 @@
         if (!isAccepted) {
             isReusable = false;
             skippedResponses++;
-            decoder.skipBody();
+        }
+        if (!isAccepted || HttpUtil.isContentLengthSet(head)) {
+            decoder.searchBody();
         }
     }
 
@@ -221,7 +223,7 @@
         if (state == ResponseState.SKIPPED) {
             skippedBytes += bytes.readableBytes();
         }
-        if (decoder.isStatusLineSkipped()) {
+        if (state == ResponseState.SKIPPED && decoder.isStatusLineInBody()) {
             fail(ExchangeFailure.MALFORMED_ANSWER, "status line within the body of a response to another request");
             return;
         }
@@ -237,10 +239,12 @@
         if (!(content instanceof LastHttpContent) || exchange.isEnded()) {
             return;
         }
-        decoder.responseEnded();
         switch (state) {
             case ACCEPTED -> finish();
-            case SKIPPED, INTERIM -> state = ResponseState.NONE;
+            case SKIPPED, INTERIM -> {
+                decoder.responseEnded();
+                state = ResponseState.NONE;
+            }
             case NONE -> fail(ExchangeFailure.MALFORMED_ANSWER, "response body without a head");
         }
     }
@@ -250,14 +254,21 @@
             fail(ExchangeFailure.BROKEN_ANSWER, "connection reset");
             return;
         }
+        int furtherBytes = decoder.unreadBytes();
+        if (furtherBytes > 0 && decoder.isStatusLineInBody()) {
+            fail(
+                    ExchangeFailure.BROKEN_ANSWER,
+                    "status line within the body, and " + furtherBytes + " bytes behind it");
+            return;
+        }
         HttpExchange ended = exchange;
         exchange = null;
         carriedRequests.add(ended.identifier(), isSuccess, connections.now());
         decoder.stopAwaiting();
         isReusable &= carriedRequests.hasRoom();
-        if (decoder.unreadBytes() > 0) {
+        if (furtherBytes > 0) {
             isReusable = false;
-            log("unexpected_bytes", ended.identifier(), decoder.unreadBytes() + " bytes after the response");
+            log("unexpected_bytes", ended.identifier(), furtherBytes + " bytes after the response");
         }
         // If the other end responded early, the body of the request may not have been written completely yet.
         boolean canBeReused = isReusable && written.isSuccess() && isOpen();
--- a/serving/src/test/java/org/pollenhoist/serving/http/RunTogetherResponsesTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/RunTogetherResponsesTest.java
@@ -59,7 +59,7 @@
         }
 
         private String response() {
-            return response(awaited, "b", "awaited");
+            return response(awaited, "b", "the awaited body");
         }
 
         private String response(String status, String request, String body) {
@@ -248,6 +248,41 @@
         }
     }
 
+    /** A copy that is written between the parts of the awaited response takes the place of a part of its body. */
+    @Nested
+    class WithinTheAwaitedBody {
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.http.RunTogetherResponsesTest#forms")
+        void should_not_be_read_as_that_body(Form form) {
+            List<String> wrong = new ArrayList<>();
+            List<String> allowed = List.of("MALFORMED_ANSWER", "BROKEN_ANSWER", alone(form));
+            int headLength = form.response().indexOf(END_OF_HEAD) + END_OF_HEAD.length();
+            IntStream.range(headLength, form.response().length()).forEach(length -> {
+                UsedConnection used = new UsedConnection(form);
+                Recorder recorder = used.send("b");
+                used.read(form.response().substring(0, length));
+                used.read(form.copy() + form.response().substring(length));
+                if (!allowed.contains(recorder.result) || used.channel.isOpen()) {
+                    wrong.add(recorder.result + " of a copy behind " + length + " bytes");
+                }
+            });
+
+            assertThat(wrong).isEmpty();
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.http.RunTogetherResponsesTest#forms")
+        void should_not_cost_a_response_that_it_follows(Form form) {
+            UsedConnection used = new UsedConnection(form);
+            Recorder recorder = used.send("b");
+
+            used.read(form.response() + form.copy());
+
+            assertThat(recorder.result).isEqualTo(alone(form));
+        }
+    }
+
     /** Before a request was sent, the beginning of the response to it can't have come. */
     @Nested
     class OnAnIdleConnection {
