Don't wait for a caller's whole deadline after an unnamed response

What callers saw: 504 at their deadline although the upstream had answered, and, if it answered once more, a success where it had answered with a failure. Cause: on a used connection a response that names no request is discarded, and the next one that names it is awaited without limit. The discarded one may have been the response. A failure that names no request now ends the exchange at once, as does any unnamed success on a new connection: the request may have run, which is what the caller is told. After an unnamed rejection or success on a used connection, which may be a copy of the response to another call (engines' responses name none), another response has to begin within a second. The same holds at a peer.

What remains: an unnamed rejection and a success within that second.

--- a/serving/src/main/java/org/pollenhoist/serving/forwarding/ForwardingServer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/forwarding/ForwardingServer.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetAddress;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
@@ -161,6 +162,7 @@
         private final String identifier;
         private final Upstream upstream;
         private final CallerResponse response;
+        private Optional<Duration> maximumWaitAfterDiscarding = Optional.empty();
         private boolean isBegun;
         private boolean isEnded;
 
@@ -196,6 +198,7 @@
             boolean isAwaited = parsed.belongsTo(identifier, use);
             ResponseLog.received(identifier, upstream, parsed, use, isAwaited);
             if (!isAwaited) {
+                maximumWaitAfterDiscarding = parsed.maximumWaitAfterDiscarding(use);
                 return false;
             }
             upstream.recordActivity(clock.get());
@@ -211,6 +214,11 @@
             return true;
         }
 
+        @Override
+        public Optional<Duration> maximumWaitAfterDiscarding() {
+            return maximumWaitAfterDiscarding;
+        }
+
         @Override
         public void onBody(ByteBuf chunk) {
             response.sendChunk(chunk.retain());
--- a/serving/src/main/java/org/pollenhoist/serving/forwarding/UpstreamConnections.java
+++ b/serving/src/main/java/org/pollenhoist/serving/forwarding/UpstreamConnections.java
@@ -227,6 +227,11 @@
             return sending.listener.onHead(head, use);
         }
 
+        @Override
+        public Optional<Duration> maximumWaitAfterDiscarding() {
+            return sending.listener.maximumWaitAfterDiscarding();
+        }
+
         @Override
         public void onBody(ByteBuf chunk) {
             paths.recordHeard(sending.lifetime, clock.get());
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -17,6 +17,7 @@
 import io.netty.util.concurrent.Future;
 import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.pollenhoist.common.DecisionLog;
@@ -27,6 +28,7 @@
 final class HttpConnection extends ChannelInboundHandlerAdapter {
 
     private static final DecisionLog LOG = DecisionLog.of("connection");
+    private static final String UNNAMED_RESPONSE = "only a response that names no request";
     private static final String KEEP_ALIVE = "Keep-Alive";
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
@@ -212,12 +214,30 @@
         if (!isAccepted) {
             isReusable = false;
             skippedResponses++;
+            HttpExchange current = exchange;
+            current.listener().maximumWaitAfterDiscarding().ifPresent(wait -> failUnlessAnotherBegins(current, wait));
         }
         if (!isAccepted || HttpUtil.isContentLengthSet(head)) {
             decoder.searchBody();
         }
     }
 
+    private void failUnlessAnotherBegins(HttpExchange current, Duration wait) {
+        if (wait.isZero()) {
+            fail(ExchangeFailure.NO_ANSWER, UNNAMED_RESPONSE);
+            return;
+        }
+        context.executor()
+                .schedule(
+                        () -> {
+                            if (exchange == current && state != ResponseState.ACCEPTED) {
+                                fail(ExchangeFailure.NO_ANSWER, UNNAMED_RESPONSE);
+                            }
+                        },
+                        wait.toMillis(),
+                        TimeUnit.MILLISECONDS);
+    }
+
     private void readContent(HttpContent content) {
         ByteBuf bytes = content.content();
         if (state == ResponseState.SKIPPED) {
--- a/serving/src/main/java/org/pollenhoist/serving/http/ResponseListener.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/ResponseListener.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
 
 /** Receives one response on the event loop. {@link #onEnd} or {@link #onFailure} is the last call. */
 public interface ResponseListener {
@@ -15,6 +17,16 @@
      */
     boolean onHead(HttpResponse head, ConnectionUse use);
 
+    /**
+     * Returns how long another response may take to begin after {@link #onHead} has discarded one, which may have been
+     * the awaited one.
+     *
+     * @return the time after which the exchange fails, empty if it is not limited
+     */
+    default Optional<Duration> maximumWaitAfterDiscarding() {
+        return Optional.empty();
+    }
+
     /**
      * A chunk of the body was received.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/request/ResponseHead.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/ResponseHead.java
@@ -32,6 +32,9 @@
 
     private static final int SERVICE_UNAVAILABLE = 503;
 
+    /** Time in which a response has to begin after one that names no request. */
+    private static final Duration WAIT_AFTER_UNNAMED_RESPONSE = Duration.ofSeconds(1);
+
     /**
      * Tells whether the response belongs to a request.
      *
@@ -43,6 +46,23 @@
         return requestIdentifier.map(request::equals).orElse(!isSuccess() && use.isFirst());
     }
 
+    /**
+     * Returns how long another response may take to begin if this one is not taken for the awaited one. A response that
+     * names no request may have been that one; a rejection or a success may also be a copy of the response to another
+     * call.
+     *
+     * @param use what the connection carried before
+     * @return the time, empty if it is not limited since the response names another request
+     */
+    public Optional<Duration> maximumWaitAfterDiscarding(ConnectionUse use) {
+        if (requestIdentifier.isPresent()) {
+            return Optional.empty();
+        }
+        boolean isRejection = isNotRun || status == SERVICE_UNAVAILABLE;
+        boolean mayBeCopy = !use.isFirst() && (isRejection || isSuccess());
+        return Optional.of(mayBeCopy ? WAIT_AFTER_UNNAMED_RESPONSE : Duration.ZERO);
+    }
+
     /**
      * Tells whether the upstream rejected the request for want of room.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
+import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -50,6 +51,7 @@
     private boolean isPrefillDone;
     private boolean isFirstEvent = true;
     private boolean isClosed;
+    private Optional<Duration> maximumWaitAfterDiscarding = Optional.empty();
 
     /**
      * Starts to count as load of the upstream.
@@ -129,6 +131,7 @@
         boolean isAwaited = candidate.belongsTo(request.identifier(), use);
         ResponseLog.received(request.identifier(), upstream, candidate, use, isAwaited);
         if (!isAwaited) {
+            maximumWaitAfterDiscarding = candidate.maximumWaitAfterDiscarding(use);
             return false;
         }
         head = responseHead;
@@ -149,6 +152,11 @@
         return true;
     }
 
+    @Override
+    public final Optional<Duration> maximumWaitAfterDiscarding() {
+        return maximumWaitAfterDiscarding;
+    }
+
     private boolean isTrustworthy() {
         return parsedHead.isGenuine() && !head.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
     }
