Fail an exchange when a discarded response ends its connection

After a response to another request that closes its connection, or that has neither a length nor chunks, no other response can come, but the caller waited until the connection was closed or its deadline passed. The exchange fails at once now; the request may have run.

--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -214,6 +214,10 @@
         if (!isAccepted) {
             isReusable = false;
             skippedResponses++;
+            if (!isFollowedByAnother(head)) {
+                fail(ExchangeFailure.NO_ANSWER, "a response to another request ends the connection");
+                return;
+            }
             HttpExchange current = exchange;
             current.listener().maximumWaitAfterDiscarding().ifPresent(wait -> failUnlessAnotherBegins(current, wait));
         }
@@ -222,6 +226,15 @@
         }
     }
 
+    /** Returns whether another response can come on the connection after the one with this head. */
+    private static boolean isFollowedByAnother(HttpResponse head) {
+        boolean hasEnd = HttpUtil.isContentLengthSet(head)
+                || HttpUtil.isTransferEncodingChunked(head)
+                || head.status().equals(HttpResponseStatus.NO_CONTENT)
+                || head.status().equals(HttpResponseStatus.NOT_MODIFIED);
+        return hasEnd && HttpUtil.isKeepAlive(head);
+    }
+
     private void failUnlessAnotherBegins(HttpExchange current, Duration wait) {
         if (wait.isZero()) {
             fail(ExchangeFailure.NO_ANSWER, UNNAMED_RESPONSE);
--- a/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
@@ -297,6 +297,14 @@
             assertThat(send("b")).isEqualTo("ok");
         }
 
+        @Test
+        void should_not_wait_for_a_response_behind_one_that_ends_the_connection() {
+            isEndedFirst = true;
+            responses.add("HTTP/1.1 200 OK\r\nX-Id: other\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n");
+
+            assertThat(send("a")).isEqualTo("NO_ANSWER");
+        }
+
         @Test
         void should_fail_when_the_other_end_switches_to_a_protocol_that_was_not_asked_for() {
             responses.add(
