Log no bytes of a body, and the bytes behind a response

Found in review: the first bytes of what arrives on an idle connection may be the end of a caller's body, and were logged; the bytes behind a response were not, since the decoder's record was reset before. Only text from a status line on is logged now, otherwise the number of bytes.

--- a/library/src/main/java/org/pollenhoist/upstream/ResponseDecoder.java
+++ b/library/src/main/java/org/pollenhoist/upstream/ResponseDecoder.java
@@ -33,6 +33,7 @@
     /** Number of bytes of a response that are kept for the log. */
     private static final int BEGINNING_BYTES = 200;
 
+    private static final String PROTOCOL = "HTTP/";
     private static final String END_OF_HEAD = "\r\n\r\n";
     private static final Pattern UNPRINTABLE = Pattern.compile("[^\\x20-\\x7e\r\n]");
 
@@ -132,14 +133,34 @@
     }
 
     /**
-     * Returns the first bytes that were read since the last response, without those of a body.
+     * Returns the first bytes of the head that was read last, for the log.
      *
-     * @return at most 200 characters, one for each byte; bytes that can't be printed are question marks
+     * @return at most 200 characters from the status line to the end of the head, one for each byte; bytes that can't
+     *     be printed are question marks. Of bytes without a status line, which may be a caller's data, only the number
      */
     public String beginning() {
-        String text = new String(beginning, 0, beginningLength, StandardCharsets.ISO_8859_1);
-        int end = text.indexOf(END_OF_HEAD);
-        return UNPRINTABLE.matcher(end < 0 ? text : text.substring(0, end)).replaceAll("?");
+        return describe(new String(beginning, 0, beginningLength, StandardCharsets.ISO_8859_1));
+    }
+
+    /**
+     * Returns the first of the unread bytes, for the log.
+     *
+     * @return the same as for a head
+     */
+    public String unreadBeginning() {
+        ByteBuf unread = internalBuffer();
+        int length = Math.min(BEGINNING_BYTES, unread.readableBytes());
+        return describe(unread.toString(unread.readerIndex(), length, StandardCharsets.ISO_8859_1));
+    }
+
+    private static String describe(String text) {
+        int start = text.indexOf(PROTOCOL);
+        if (start < 0) {
+            return text.length() + " bytes without a status line";
+        }
+        int end = text.indexOf(END_OF_HEAD, start);
+        String head = text.substring(start, end < 0 ? text.length() : end);
+        return UNPRINTABLE.matcher(head).replaceAll("?");
     }
 
     @Override
--- a/library/src/test/java/org/pollenhoist/upstream/ResponseDecoderTest.java
+++ b/library/src/test/java/org/pollenhoist/upstream/ResponseDecoderTest.java
@@ -81,6 +81,15 @@
             assertThat(decoder.beginning()).isEqualTo("HTTP/1.1 200 OHTTP/1.1 500 Failed\r\nX-Id: ??");
         }
 
+        @Test
+        void should_not_hold_bytes_that_may_be_those_of_a_body() {
+            decoder.stopAwaiting();
+
+            channel.writeInbound(Unpooled.copiedBuffer("confidential", StandardCharsets.ISO_8859_1));
+
+            assertThat(decoder.beginning()).isEqualTo("12 bytes without a status line");
+        }
+
         @Test
         void should_not_be_longer_than_two_hundred_bytes() {
             read("HTTP/1.1 200 " + "x".repeat(300) + "HTTP/1.1 500 Failed\r\n\r\n");
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnection.java
@@ -156,7 +156,7 @@
             if (exchange == null || exchange.isEnded()) {
                 // The bytes don't belong to any request.
                 if (isOpen()) {
-                    log("unexpected_bytes", "none", "no request is on the connection");
+                    log("unexpected_bytes", "none", "no request is on the connection", decoder.beginning());
                 }
                 close();
                 return;
@@ -301,7 +301,11 @@
         isReusable &= carriedRequests.hasRoom();
         if (furtherBytes > 0) {
             isReusable = false;
-            log("unexpected_bytes", ended.identifier(), furtherBytes + " bytes after the response");
+            log(
+                    "unexpected_bytes",
+                    ended.identifier(),
+                    furtherBytes + " bytes after the response",
+                    decoder.unreadBeginning());
         }
         // If the other end responded early, the body of the request may not have been written completely yet.
         boolean canBeReused = isReusable && written.isSuccess() && isOpen();
@@ -318,7 +322,7 @@
         return new ConnectionUse(number, exchanges - 1, skippedResponses);
     }
 
-    private void log(String event, String request, String reason) {
+    private void log(String event, String request, String reason, String beginning) {
         LOG.event(
                 event,
                 "request",
@@ -336,7 +340,7 @@
                 "reason",
                 reason,
                 "beginning",
-                decoder.beginning());
+                beginning);
     }
 
     private void fail(ExchangeFailure failure, String reason) {
@@ -346,7 +350,7 @@
         context.close();
         if (failed != null) {
             if (failure == ExchangeFailure.MALFORMED_ANSWER) {
-                log("malformed_response", failed.identifier(), reason);
+                log("malformed_response", failed.identifier(), reason, decoder.beginning());
             }
             failed.fail(failure, reason);
         }
