Read two answers of an engine that run together in one head as none

The engine connection of the library read responses with Netty's codec, which accepts a status line within a reason or a value. A copy of an earlier answer that breaks off within its head, and the next answer, were read as one, with the status of the copy and the body of the next answer. It uses ResponseDecoder now, as the connections of the serving process do.

EngineConnectionTest.LateCopies, 3 orders of fields, each cut of the copy's head: 3 of 3 cases red before (53 heads with 200 where the engine answered 503), 3 green now; EngineConnectionTest.Answers (2) passes before and now.

--- a/library/src/main/java/org/pollenhoist/upstream/EngineConnection.java
+++ b/library/src/main/java/org/pollenhoist/upstream/EngineConnection.java
@@ -13,14 +13,15 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -30,6 +31,9 @@
 final class EngineConnection {
 
     private static final int LARGEST_ANSWER_BYTES = 4 * 1024 * 1024;
+    private static final int MAXIMUM_LINE_BYTES = 4_096;
+    private static final int MAXIMUM_HEADER_BYTES = 8_192;
+    private static final int MAXIMUM_CHUNK_BYTES = 65_536;
 
     private final Channel channel;
     private final String host;
@@ -53,7 +57,9 @@
 
     static CompletableFuture<EngineConnection> open(
             EventLoopGroup group, String address, int port, Duration connectTimeout) {
-        Answers answers = new Answers();
+        ResponseDecoder decoder =
+                new ResponseDecoder(MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES, Set.of());
+        Answers answers = new Answers(decoder);
         Bootstrap bootstrap = new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -62,7 +68,8 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec());
+                        channel.pipeline().addLast(new HttpRequestEncoder());
+                        channel.pipeline().addLast(decoder);
                         channel.pipeline().addLast(new HttpObjectAggregator(LARGEST_ANSWER_BYTES));
                         channel.pipeline().addLast(answers);
                     }
@@ -99,7 +106,7 @@
                 answer.completeExceptionally(new IOException("connection is closed or in use"));
                 return;
             }
-            answers.awaited = answer;
+            answers.await(method, answer);
             channel.writeAndFlush(request);
         });
         return answer;
@@ -108,8 +115,18 @@
     /** Used by the channel's event loop alone. */
     private static final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
 
+        private final ResponseDecoder decoder;
         private CompletableFuture<Answer> awaited;
 
+        private Answers(ResponseDecoder decoder) {
+            this.decoder = decoder;
+        }
+
+        private void await(HttpMethod method, CompletableFuture<Answer> answer) {
+            awaited = answer;
+            decoder.awaitResponseTo(method);
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
             CompletableFuture<Answer> answered = awaited;
--- a/library/src/test/java/org/pollenhoist/upstream/EngineConnectionTest.java
+++ b/library/src/test/java/org/pollenhoist/upstream/EngineConnectionTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.BufferedReader;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
@@ -29,6 +30,7 @@
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private ServerSocket server;
     private volatile String response = "";
+    private volatile String secondResponse = "";
     private volatile boolean isReset;
 
     @BeforeEach
@@ -50,17 +52,30 @@
             try (Socket connection = server.accept()) {
                 BufferedReader lines = new BufferedReader(
                         new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
-                while (!lines.readLine().isEmpty()) {
-                    // Bytes of a request that was not read would turn a close into a reset.
-                }
-                connection.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+                respond(connection, lines, response);
                 connection.setSoLinger(isReset, 0);
+                if (!secondResponse.isEmpty()) {
+                    respond(connection, lines, secondResponse);
+                    lines.readLine();
+                }
             } catch (IOException closed) {
                 // The client closed first, or the test has ended.
             }
         }
     }
 
+    private static void respond(Socket connection, BufferedReader lines, String bytes) throws IOException {
+        String line = lines.readLine();
+        while (line != null && !line.isEmpty()) {
+            // Bytes of a request that was not read would turn a close into a reset.
+            line = lines.readLine();
+        }
+        if (line == null) {
+            throw new EOFException("closed before a request");
+        }
+        connection.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
+    }
+
     /** Returns the status of the answer, or "failed". */
     private String request() {
         return EngineConnection.open(group, "127.0.0.1", server.getLocalPort(), Duration.ofSeconds(10))
@@ -94,4 +109,55 @@
             assertThat(request()).isEqualTo("200");
         }
     }
+
+    @Nested
+    class LateCopies {
+
+        private static final String COPY_BODY = "{\"earlier\": 1}";
+        private static final String ANSWER = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
+                + "Content-Length: 12\r\n\r\n{\"later\": 2}";
+        private static final String ANSWERED = "503 {\"later\": 2}";
+
+        /** Returns the status and body of the answer to a second request on a connection, "failed" or "waiting". */
+        private String secondAnswer(String first, String second) {
+            response = first;
+            secondResponse = second;
+            EngineConnection connection = EngineConnection.open(
+                            group, "127.0.0.1", server.getLocalPort(), Duration.ofSeconds(10))
+                    .join();
+            try {
+                connection.request(HttpMethod.GET, "/", new byte[0]).join();
+                return connection
+                        .request(HttpMethod.GET, "/", new byte[0])
+                        .thenApply(answer ->
+                                answer.status() + " " + new String(answer.content(), StandardCharsets.US_ASCII))
+                        .completeOnTimeout("waiting", 20, TimeUnit.SECONDS)
+                        .exceptionally(failure -> "failed")
+                        .join();
+            } finally {
+                connection.close();
+            }
+        }
+
+        /** Guards against two answers in one head, with the status of the first and the body of the second. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "Content-Type: application/json\r\nContent-Length: 14\r\n",
+                    "Content-Length: 14\r\nContent-Type: application/json\r\n",
+                    "X-Kind: report\r\nContent-Type: application/json\r\nContent-Length: 14\r\n"
+                })
+        void should_not_be_read_with_the_next_answer_when_they_break_off_in_their_head(String fields) {
+            String head = "HTTP/1.1 200 OK\r\n" + fields + "\r\n";
+            List<String> wrong = new ArrayList<>();
+            for (int cut = 0; cut < head.length(); cut++) {
+                String result = secondAnswer(head + COPY_BODY, head.substring(0, cut) + ANSWER);
+                if (!result.equals(cut == 0 ? ANSWERED : "failed")) {
+                    wrong.add(result + " after a copy of " + cut + " bytes");
+                }
+            }
+
+            assertThat(wrong).isEmpty();
+        }
+    }
 }
