Close an engine connection on which bytes come unasked

The engine connection of the library kept bytes that came on an idle connection, or behind an answer, in its decoder, so that the next answer began with them. Answers of engines name no request, so nothing showed it. It stops decoding between requests now; bytes without a request, bytes behind an answer and a status line within the body of an answer end the request and close the connection.

What remains possible: a whole copy that arrives alone, after the next request was sent and before its answer, is taken for that answer; so is one that breaks off in its body if the next answer's bytes that complete it arrive without any others and without a status line.

--- a/library/src/main/java/org/pollenhoist/upstream/EngineConnection.java
+++ b/library/src/main/java/org/pollenhoist/upstream/EngineConnection.java
@@ -1,7 +1,6 @@
 package org.pollenhoist.upstream;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -12,13 +11,16 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Set;
@@ -27,6 +29,10 @@
 /**
  * One TCP connection to one engine, which carries one request at a time. It is never replaced under a caller: once
  * closed, it stays closed, so that what is sent over it reaches the process that accepted it or none.
+ *
+ * <p>Answers don't name their request. The connection is closed, and the request fails, once anything arrives that is
+ * not exactly one answer to the current request. A whole copy of an earlier answer that arrives alone, after the next
+ * request was sent and before its answer, can't be told from that answer.
  */
 final class EngineConnection {
 
@@ -70,7 +76,6 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpRequestEncoder());
                         channel.pipeline().addLast(decoder);
-                        channel.pipeline().addLast(new HttpObjectAggregator(LARGEST_ANSWER_BYTES));
                         channel.pipeline().addLast(answers);
                     }
                 });
@@ -113,10 +118,12 @@
     }
 
     /** Used by the channel's event loop alone. */
-    private static final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private static final class Answers extends SimpleChannelInboundHandler<Object> {
 
         private final ResponseDecoder decoder;
         private CompletableFuture<Answer> awaited;
+        private HttpResponse head;
+        private ByteArrayOutputStream body;
 
         private Answers(ResponseDecoder decoder) {
             this.decoder = decoder;
@@ -128,21 +135,57 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            CompletableFuture<Answer> answered = awaited;
-            awaited = null;
-            if (answered == null) {
-                context.close();
+        protected void channelRead0(ChannelHandlerContext context, Object message) throws IOException {
+            if (awaited == null || !(message instanceof HttpObject part)) {
+                end(context, "bytes that don't belong to an answer");
+                return;
+            }
+            if (part.decoderResult().isFailure()) {
+                end(context, "answer is malformed or cut");
+                return;
+            }
+            if (part instanceof HttpResponse begun) {
+                head = begun;
+                body = new ByteArrayOutputStream();
+                decoder.skipBody();
+            }
+            if (part instanceof HttpContent content) {
+                readContent(context, content);
+            }
+        }
+
+        private void readContent(ChannelHandlerContext context, HttpContent content) throws IOException {
+            int length = content.content().readableBytes();
+            if (body.size() + length > LARGEST_ANSWER_BYTES) {
+                end(context, "answer has more than " + LARGEST_ANSWER_BYTES + " bytes");
                 return;
             }
-            if (response.decoderResult().isFailure()) {
-                // The aggregator completes a head that was cut, as if it had no body.
-                context.close();
-                answered.completeExceptionally(new IOException("answer is malformed or cut"));
+            content.content().readBytes(body, length);
+            if (decoder.isStatusLineSkipped()) {
+                end(context, "another answer begins within the answer");
                 return;
             }
-            byte[] content = ByteBufUtil.getBytes(response.content());
-            answered.complete(new Answer(response.status().code(), content, HttpUtil.isKeepAlive(response)));
+            if (content instanceof LastHttpContent) {
+                complete(context);
+            }
+        }
+
+        private void complete(ChannelHandlerContext context) {
+            if (decoder.unreadBytes() > 0) {
+                // One of the two is a copy of an earlier answer, and nothing tells which.
+                end(context, "another answer begins behind the answer");
+                return;
+            }
+            CompletableFuture<Answer> answered = awaited;
+            awaited = null;
+            decoder.responseEnded();
+            decoder.stopAwaiting();
+            answered.complete(new Answer(head.status().code(), body.toByteArray(), HttpUtil.isKeepAlive(head)));
+        }
+
+        private void end(ChannelHandlerContext context, String reason) {
+            context.close();
+            fail(new IOException(reason));
         }
 
         @Override
--- a/library/src/main/java/org/pollenhoist/upstream/ResponseDecoder.java
+++ b/library/src/main/java/org/pollenhoist/upstream/ResponseDecoder.java
@@ -92,8 +92,8 @@
     }
 
     /**
-     * Begins to search the body of the current response, which is discarded, for a status line. The body of a copy that
-     * breaks off contains, by its framing, the next response.
+     * Begins to search the body of the current response for a status line, which it can't have or which is discarded
+     * with it. The body of a copy that breaks off contains, by its framing, the next response.
      */
     public void skipBody() {
         isSkipping = true;
--- a/library/src/test/java/org/pollenhoist/upstream/EngineConnectionTest.java
+++ b/library/src/test/java/org/pollenhoist/upstream/EngineConnectionTest.java
@@ -16,10 +16,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -28,9 +32,15 @@
     private static final String WHOLE = "HTTP/1.1 200 OK\r\nX-Kind: report\r\nContent-Length: 2\r\n\r\n{}";
 
     private final EventLoopGroup group = new NioEventLoopGroup(1);
+    private final Semaphore isIdle = new Semaphore(0);
+
+    /** What the engine reads after the bytes that it sends without a request: "null" if the connection was closed. */
+    private final BlockingQueue<String> idleEnds = new LinkedBlockingQueue<>();
+
     private ServerSocket server;
     private volatile String response = "";
     private volatile String secondResponse = "";
+    private volatile String idleBytes = "";
     private volatile boolean isReset;
 
     @BeforeEach
@@ -54,6 +64,11 @@
                         new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
                 respond(connection, lines, response);
                 connection.setSoLinger(isReset, 0);
+                if (!idleBytes.isEmpty()) {
+                    isIdle.acquireUninterruptibly();
+                    connection.getOutputStream().write(idleBytes.getBytes(StandardCharsets.US_ASCII));
+                    idleEnds.add(nextLine(lines));
+                }
                 if (!secondResponse.isEmpty()) {
                     respond(connection, lines, secondResponse);
                     lines.readLine();
@@ -64,6 +79,14 @@
         }
     }
 
+    private static String nextLine(BufferedReader lines) {
+        try {
+            return String.valueOf(lines.readLine());
+        } catch (IOException reset) {
+            return "null";
+        }
+    }
+
     private static void respond(Socket connection, BufferedReader lines, String bytes) throws IOException {
         String line = lines.readLine();
         while (line != null && !line.isEmpty()) {
@@ -113,22 +136,24 @@
     @Nested
     class LateCopies {
 
+        private static final String COPY_HEAD =
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 14\r\n\r\n";
         private static final String COPY_BODY = "{\"earlier\": 1}";
         private static final String ANSWER = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
                 + "Content-Length: 12\r\n\r\n{\"later\": 2}";
         private static final String ANSWERED = "503 {\"later\": 2}";
 
         /** Returns the status and body of the answer to a second request on a connection, "failed" or "waiting". */
-        private String secondAnswer(String first, String second) {
-            response = first;
-            secondResponse = second;
+        private String secondAnswer(String firstBytes, String secondBytes) {
+            response = firstBytes;
+            secondResponse = secondBytes;
             EngineConnection connection = EngineConnection.open(
                             group, "127.0.0.1", server.getLocalPort(), Duration.ofSeconds(10))
                     .join();
             try {
-                connection.request(HttpMethod.GET, "/", new byte[0]).join();
                 return connection
                         .request(HttpMethod.GET, "/", new byte[0])
+                        .thenCompose(first -> connection.request(HttpMethod.GET, "/", new byte[0]))
                         .thenApply(answer ->
                                 answer.status() + " " + new String(answer.content(), StandardCharsets.US_ASCII))
                         .completeOnTimeout("waiting", 20, TimeUnit.SECONDS)
@@ -159,5 +184,66 @@
 
             assertThat(wrong).isEmpty();
         }
+
+        /** Guards against an answer that consists of the head of the copy and of bytes of the next answer. */
+        @Test
+        void should_not_be_read_with_the_next_answer_when_they_break_off_in_their_body() {
+            List<String> wrong = new ArrayList<>();
+            for (int cut = 0; cut <= COPY_BODY.length(); cut++) {
+                String result = secondAnswer(COPY_HEAD + COPY_BODY, COPY_HEAD + COPY_BODY.substring(0, cut) + ANSWER);
+                if (!"failed".equals(result)) {
+                    wrong.add(result + " after a copy with " + cut + " bytes of its body");
+                }
+            }
+
+            assertThat(wrong).isEmpty();
+        }
+
+        /** Guards against an answer that is part of the body of the copy, for which the caller waits. */
+        @Test
+        void should_end_the_request_when_their_body_contains_the_next_answer() {
+            String head = "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n";
+
+            assertThat(secondAnswer(head + " ".repeat(1_000), head + "{" + ANSWER))
+                    .isEqualTo("failed");
+        }
+
+        /** Guards against bytes on an idle connection with which the next answer would begin. */
+        @Test
+        void should_close_the_connection_when_they_begin_without_a_request() throws InterruptedException {
+            String copy = COPY_HEAD + COPY_BODY;
+            response = copy;
+            List<String> ends = new ArrayList<>();
+            for (int cut = 1; cut <= copy.length() && ends.isEmpty(); cut++) {
+                idleBytes = copy.substring(0, cut);
+                EngineConnection connection = EngineConnection.open(
+                                group, "127.0.0.1", server.getLocalPort(), Duration.ofSeconds(10))
+                        .join();
+                connection.request(HttpMethod.GET, "/", new byte[0]).join();
+                isIdle.release();
+                String end = idleEnds.poll(10, TimeUnit.SECONDS);
+                connection.close();
+                if (!"null".equals(end)) {
+                    ends.add("open after " + cut + " bytes");
+                }
+            }
+
+            assertThat(ends).isEmpty();
+        }
+
+        /** Guards against bytes behind an answer with which the next answer would begin. */
+        @Test
+        void should_not_be_read_with_the_next_answer_when_they_begin_behind_an_answer() {
+            String copy = COPY_HEAD + COPY_BODY;
+            List<String> wrong = new ArrayList<>();
+            for (int cut = 1; cut <= copy.length(); cut++) {
+                String result = secondAnswer(copy + copy.substring(0, cut), ANSWER);
+                if (!"failed".equals(result)) {
+                    wrong.add(result + " after " + cut + " bytes behind the first answer");
+                }
+            }
+
+            assertThat(wrong).isEmpty();
+        }
     }
 }
