Refuse a request in which a value ends with a request line

Where a request breaks off in a value before any field that it has once, nothing stands twice: the path was the first request's, all else the second's. The line of the second ends the value then. Such a head is refused with 400, not run, and its connection closed; a request line elsewhere in a value, and other text before a version, are handed on.

What remains possible: a cut within the method leaves the next request whole with a method that doesn't exist (PPOST); a cut within a body leaves, by its framing, a body with the beginning of the next request, whose rest is refused; a target that doesn't begin with a slash isn't recognized as a request line; a caller whose value legitimately ends with "GET /path HTTP/1.1" is refused.

RunTogetherRequestsTest, the head with Accept and User-Agent before Host: 13 requests handed on before, none now. PipelinedRefusalTest (9), ForwardingServerTest (5), CutPeerHeadTest (12), PlatformFormatsTest (76), ServingNodeTest (24), CutAnswerTest (6) pass.

--- a/library/src/main/java/org/pollenhoist/caller/RequestGuard.java
+++ b/library/src/main/java/org/pollenhoist/caller/RequestGuard.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -22,8 +23,10 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.ErrorCode;
 
@@ -42,6 +45,9 @@
 
     private static final DecisionLog LOG = DecisionLog.of("caller");
 
+    /** The end of a method, a path and a version at the end of a value. */
+    private static final Pattern LAST_LINE = Pattern.compile("[A-Z] /\\S* HTTP/1\\.[01]$");
+
     private final StrictRequestDecoder decoder;
     private final Set<String> singleFields;
 
@@ -85,11 +91,10 @@
             refuse(context, Refusal.notRun(ErrorCode.INVALID_REQUEST, "the request's framing is ambiguous"));
             return;
         }
-        if (part instanceof HttpRequest request && doubledField(request).isPresent()) {
-            String reason =
-                    "the request is malformed: field " + doubledField(request).get() + " stands in it twice";
+        Optional<String> defect = part instanceof HttpRequest request ? defect(request.headers()) : Optional.empty();
+        if (defect.isPresent()) {
             ReferenceCountUtil.release(part);
-            refuse(context, Refusal.notRun(ErrorCode.INVALID_REQUEST, reason));
+            refuse(context, Refusal.notRun(ErrorCode.INVALID_REQUEST, "the request is malformed: " + defect.get()));
             return;
         }
         boolean isLastPart = part instanceof LastHttpContent;
@@ -113,14 +118,25 @@
     }
 
     /**
-     * Returns a field that stands twice in the head. Two requests run together where the first breaks off within its
-     * head, and neither of the values then proves whose request it is.
+     * Returns why a head can't be that of one request. Two requests run together where the first breaks off within its
+     * head: the line of the second ends a value of the first, and neither of two values proves whose request it is.
      */
-    private Optional<String> doubledField(HttpRequest request) {
+    private Optional<String> defect(HttpHeaders headers) {
+        for (Map.Entry<String, String> field : headers) {
+            if (endsWithRequestLine(field.getValue())) {
+                return Optional.of("field " + field.getKey() + " ends with a request line");
+            }
+        }
         return singleFields.stream()
-                .filter(name -> request.headers().getAll(name).size() > 1)
+                .filter(name -> headers.getAll(name).size() > 1)
                 .sorted()
-                .findFirst();
+                .findFirst()
+                .map(name -> "field " + name + " stands in it twice");
+    }
+
+    private static boolean endsWithRequestLine(String value) {
+        boolean endsWithVersion = value.endsWith(" HTTP/1.1") || value.endsWith(" HTTP/1.0");
+        return endsWithVersion && LAST_LINE.matcher(value).find();
     }
 
     private static Refusal malformed(DecoderResult result) {
--- a/serving/src/test/java/org/pollenhoist/serving/http/RunTogetherRequestsTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/RunTogetherRequestsTest.java
@@ -15,10 +15,12 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.pollenhoist.caller.RequestGuard;
 import org.pollenhoist.caller.StrictRequestDecoder;
+import org.pollenhoist.serving.forwarding.ForwardingServer;
 
 /** Guards against a request that breaks off and that is read, with the next one on its connection, as one. */
 class RunTogetherRequestsTest {
@@ -28,14 +30,16 @@
 
     private static final Set<String> SINGLE_FIELDS = Set.of("x-request-id", "x-deadline-ms");
 
+    private static final Set<String> PEER_FIELDS = ForwardingServer.singleFields(SINGLE_FIELDS);
+
     private final List<HttpRequest> heads = new ArrayList<>();
 
-    private EmbeddedChannel connection() {
+    private EmbeddedChannel connection(Set<String> singleFields) {
         StrictRequestDecoder decoder = new StrictRequestDecoder(8_192, 32_768, 65_536);
         return new EmbeddedChannel(
                 new HttpResponseEncoder(),
                 decoder,
-                new RequestGuard(decoder, SINGLE_FIELDS),
+                new RequestGuard(decoder, singleFields),
                 new SimpleChannelInboundHandler<HttpObject>() {
                     @Override
                     protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
@@ -47,9 +51,9 @@
     }
 
     /** Returns the first line of the refusal, or what is handed on of the head. */
-    private String result(String bytes) {
+    private String result(Set<String> singleFields, String bytes) {
         heads.clear();
-        EmbeddedChannel connection = connection();
+        EmbeddedChannel connection = connection(singleFields);
         connection.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
         ByteBuf refusal = connection.readOutbound();
         if (!heads.isEmpty()) {
@@ -72,6 +76,7 @@
                     "Host: first\r\nX-Request-Id: first\r\nX-Deadline-Ms: 1000\r\n",
                     "X-Request-Id: first\r\nX-Deadline-Ms: 1000\r\nHost: first\r\n",
                     "X-Deadline-Ms: 1000\r\nAccept: */*\r\nX-Request-Id: first\r\nHost: first\r\n",
+                    "Accept: */*\r\nUser-Agent: caller\r\nHost: first\r\nX-Request-Id: first\r\n",
                     "Host: first\r\nContent-Length: 2\r\nX-Request-Id: first\r\n"
                 })
         void should_be_refused_when_the_next_request_follows(String fields) {
@@ -79,7 +84,7 @@
             List<String> wrong = new ArrayList<>();
             // A cut within the method leaves the next request whole, with a method that doesn't exist.
             for (int cut = "POST ".length(); cut <= head.length(); cut++) {
-                String result = result(head.substring(0, cut) + SECOND);
+                String result = result(SINGLE_FIELDS, head.substring(0, cut) + SECOND);
                 if (!"HTTP/1.1 400 Bad Request".equals(result)) {
                     wrong.add("cut " + cut + ": " + result);
                 }
@@ -87,5 +92,33 @@
 
             assertThat(wrong).isEmpty();
         }
+
+        @Test
+        void should_be_refused_when_a_peer_names_two_upstreams() {
+            String fields =
+                    "Forwarding-Upstream: %s\r\nForwarding-Upstream-Started: %s\r\nForwarding-Repeatable: %s\r\n";
+            String head = "POST /first/1 HTTP/1.1\r\n" + fields.formatted("first", 1, true);
+            String second = SECOND.replace("Host:", fields.formatted("second", 2, false) + "Host:");
+            List<String> wrong = new ArrayList<>();
+            for (int cut = "POST ".length(); cut <= head.length(); cut++) {
+                String result = result(PEER_FIELDS, head.substring(0, cut) + second);
+                if (!"HTTP/1.1 400 Bad Request".equals(result)) {
+                    wrong.add("cut " + cut + ": " + result);
+                }
+            }
+
+            assertThat(wrong).isEmpty();
+        }
+    }
+
+    @Nested
+    class Values {
+
+        @ParameterizedTest
+        @ValueSource(strings = {"see GET /a HTTP/1.1 there", "speaks HTTP/1.1", "a /b HTTP/2.0", "/b HTTP/1.1"})
+        void should_be_handed_on_when_they_do_not_end_with_a_request_line(String value) {
+            assertThat(result(SINGLE_FIELDS, "GET /a HTTP/1.1\r\nUser-Agent: " + value + "\r\n\r\n"))
+                    .isEqualTo("GET /a [User-Agent=" + value + "]");
+        }
     }
 }
