Leave evacuated failure domains and spare cold upstreams

Cause: nothing followed op/evacuate/ or read coldLeftMs and coldPerS.

Change: an evacuation is an item of the store and follows the same way as a configuration does (watch, relay, eras). Upstreams of an evacuated domain are in no selection and no placement view; what runs there ends. A cold upstream has a limit beside the one that it may state in responses; both are divided by RequestRateShare, and while it is cold among the registered VMs, whether or not they are heard of. A VM sends nothing to a cold upstream before it knows its share.

--- a/serving/src/main/java/org/pollenhoist/serving/limit/RequestRateLimit.java
+++ b/serving/src/main/java/org/pollenhoist/serving/limit/RequestRateLimit.java
@@ -8,8 +8,9 @@
  * The request rate that one lifetime of an upstream accepts from all VMs together, and this VM's share of it. A VM
  * sends at most one request ahead of its share, so that the sum over all VMs stays close to the limit.
  *
- * <p>The limit was observed in a response, by this VM or by a peer; of two observations the later one applies. Confined
- * to the event loop.
+ * <p>The limit was observed in a response, by this VM or by a peer; of two observations the later one applies. Beside
+ * it, a cold upstream accepts no more than its service's configuration says; the lower of the two applies. Confined to
+ * the event loop.
  */
 public final class RequestRateLimit {
 
@@ -20,6 +21,8 @@
     private static final double MILLISECONDS_PER_SECOND = 1_000;
 
     private final ObservedLimit stated = new ObservedLimit();
+    private double coldPerSecond;
+    private MonotonicTime coldUntil;
     private double sharePerSecond;
     private double level;
     private MonotonicTime filledAt;
@@ -31,6 +34,34 @@
      */
     public RequestRateLimit(MonotonicTime now) {
         this.filledAt = now;
+        this.coldUntil = now;
+    }
+
+    /**
+     * Limits the requests of a cold upstream. Until this VM's share of the limit is set, it sends nothing.
+     *
+     * @param perSecond the requests a second that the upstream accepts from all VMs together while it is cold
+     * @param until when it is no longer cold, at the latest; the current time if it is not cold
+     * @param now the current time
+     */
+    public void limitWhileCold(double perSecond, MonotonicTime until, MonotonicTime now) {
+        boolean wasLimited = isLimited(now);
+        coldPerSecond = perSecond;
+        coldUntil = until;
+        if (!wasLimited && isLimited(now)) {
+            level = 0;
+            sharePerSecond = 0;
+        }
+    }
+
+    /**
+     * Returns whether the upstream is cold and limits its requests for that reason.
+     *
+     * @param now the current time
+     * @return true until it is no longer cold
+     */
+    public boolean isCold(MonotonicTime now) {
+        return now.isBefore(coldUntil);
     }
 
     /**
@@ -96,7 +127,21 @@
      * @return the requests a second that the upstream accepts from all VMs together, empty if it is not limited
      */
     public Optional<Double> limitPerSecond(MonotonicTime now) {
-        return stated.perSecond(now);
+        Optional<Double> observed = stated.perSecond(now);
+        if (!isCold(now)) {
+            return observed;
+        }
+        return Optional.of(observed.map(limit -> Math.min(limit, coldPerSecond)).orElse(coldPerSecond));
+    }
+
+    /**
+     * Returns whether responses of the upstream state a limit, which lasts, other than that of a cold upstream.
+     *
+     * @param now the current time
+     * @return true from the first observation of a limit until its end
+     */
+    public boolean isObservedLimited(MonotonicTime now) {
+        return stated.isLimited(now);
     }
 
     /**
--- a/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -15,6 +16,7 @@
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.PollenhoistException;
 import org.pollenhoist.serving.catalog.Catalog;
+import org.pollenhoist.serving.catalog.Service;
 import org.pollenhoist.serving.peer.PeerExchange;
 import org.pollenhoist.serving.placement.Leadership;
 import org.pollenhoist.serving.store.Store;
@@ -91,6 +93,8 @@
             installCatalog(item);
         } else if (item.key().startsWith(binding.upstreamPrefix())) {
             installUpstream(item);
+        } else if (item.key().startsWith(binding.evacuationPrefix())) {
+            upstreams.setEvacuated(evacuatedDomain(item.key()), true, clock.get());
         } else if (item.key().startsWith(VM_PREFIX)) {
             installPeer(item);
         } else if (item.key().equals(LEADER_KEY)) {
@@ -112,6 +116,8 @@
             String identifier = key.substring(binding.upstreamPrefix().length());
             unreadableUpstreams.remove(identifier);
             upstreams.remove(identifier, "entry removed");
+        } else if (key.startsWith(binding.evacuationPrefix())) {
+            upstreams.setEvacuated(evacuatedDomain(key), false, clock.get());
         } else if (key.startsWith(VM_PREFIX)) {
             String vm = key.substring(VM_PREFIX.length());
             peers.removePeer(vm);
@@ -169,6 +175,8 @@
         }
         MonotonicTime decodedAt = clock.get();
         catalog = Optional.of(read);
+        upstreams.limitColdUpstreams(service ->
+                read.service(service).map(Service::coldRequestsPerSecond).orElse(OptionalDouble.empty()));
         try {
             onCatalog.accept(read);
         } finally {
@@ -211,6 +219,10 @@
         }
     }
 
+    private String evacuatedDomain(String key) {
+        return key.substring(binding.evacuationPrefix().length());
+    }
+
     private void installPeer(StoreItem item) {
         String vm = item.key().substring(VM_PREFIX.length());
         String entry = new String(item.value(), StandardCharsets.UTF_8);
--- a/serving/src/main/java/org/pollenhoist/serving/node/PlatformBinding.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/PlatformBinding.java
@@ -76,6 +76,14 @@
      */
     Catalog readCatalog(byte[] value);
 
+    /**
+     * Returns the prefix of the store keys by which operators evacuate failure domains: the rest of a key names one,
+     * and it is evacuated as long as the item exists.
+     *
+     * @return the prefix
+     */
+    String evacuationPrefix();
+
     /**
      * Returns the prefix of the store keys under which upstreams register.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/node/RateShares.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/RateShares.java
@@ -3,8 +3,8 @@
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -106,10 +106,17 @@
     }
 
     private double share(Upstream upstream, double limitPerSecond, MonotonicTime now) {
-        List<String> others = digests.activePeers(HOLDER_TIMEOUT, now);
+        // While an upstream is cold, a share counts until its holder is no longer registered: a VM that is cut off from
+        // its peers may still reach the upstream, and what dead VMs leave unused lasts for seconds only.
+        Collection<String> others =
+                upstream.rateLimit().isCold(now) ? registeredPeers() : digests.activePeers(HOLDER_TIMEOUT, now);
         return RequestRateShare.of(upstream.description().identifier(), limitPerSecond, vm, others);
     }
 
+    private Collection<String> registeredPeers() {
+        return digests.isFullMesh() ? peers.peerNames() : peers.peerNamesIn(failureDomain);
+    }
+
     private boolean isDividedHere(Upstream upstream) {
         String domain = upstream.description().failureDomain();
         boolean hasOwnVms = domain.equals(failureDomain) || peers.countPeersIn(domain) > 0;
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -350,6 +350,7 @@
     private void begin() {
         eras.register(registry);
         rateShares.register(registry, bootClock::read);
+        EvacuationMetrics.register(registry, upstreams, bootClock::read);
         eras.onChange(() -> leadership.onNewEra(bootClock.read()));
         eras.onChange(() -> mirror.onNewEra(bootClock.read()));
         mirror.start();
--- a/serving/src/main/java/org/pollenhoist/serving/peer/PeerExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/peer/PeerExchange.java
@@ -220,9 +220,20 @@
      * @return the number of peers
      */
     public int countPeersIn(String failureDomain) {
-        return (int) peers.values().stream()
-                .filter(peer -> peer.failureDomain().equals(failureDomain))
-                .count();
+        return peerNamesIn(failureDomain).size();
+    }
+
+    /**
+     * Returns the names of the known peers in a failure domain, responsive or not.
+     *
+     * @param failureDomain the failure domain
+     * @return the names
+     */
+    public List<String> peerNamesIn(String failureDomain) {
+        return peers.entrySet().stream()
+                .filter(peer -> peer.getValue().failureDomain().equals(failureDomain))
+                .map(Map.Entry::getKey)
+                .toList();
     }
 
     /**
--- a/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
@@ -247,7 +247,7 @@
                 upstream.description().localCopies(),
                 isFree,
                 tracker.isModelOrderRunning(),
-                upstream.rateLimit().isLimited(now));
+                upstream.rateLimit().isObservedLimited(now));
     }
 
     private void planAdapters(
--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -149,7 +149,8 @@
         String reason = isLimited ? "upstreams_rate_limited" : "upstreams_paused";
         return isTooLate(request, wait, now)
                 ? new Selection.Refuse(reason, isLimited ? wait.plus(spread(request, wait)) : wait)
-                : new Selection.Wait(reason, isLimited && isPlacementUseful);
+                : new Selection.Wait(
+                        reason, isPlacementUseful && first.rateLimit().isObservedLimited(now));
     }
 
     /** Spreads the callers that are told to return, since the upstream accepts them one at a time. */
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamTable.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamTable.java
@@ -1,12 +1,16 @@
 package org.pollenhoist.serving.upstream;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
@@ -21,6 +25,8 @@
     private final Map<String, Upstream> upstreams = new LinkedHashMap<>();
     private final Map<Integer, Upstream> byTag = new HashMap<>();
     private final Consumer<Upstream> onUnexpectedEnd;
+    private final Set<String> evacuatedDomains = new TreeSet<>();
+    private Function<String, OptionalDouble> coldRates = service -> OptionalDouble.empty();
     private long lifetimeChanges;
 
     /** Creates an empty table. */
@@ -51,6 +57,7 @@
                 LOG.event("upstream_leaving", "upstream", description.identifier());
             }
             known.updateDescription(description);
+            limitIfCold(known, now);
             return;
         }
         if (known != null) {
@@ -60,6 +67,7 @@
         lifetimeChanges++;
         upstreams.put(description.identifier(), joined);
         byTag.put(joined.tag(), joined);
+        limitIfCold(joined, now);
         LOG.event(
                 "upstream_joined",
                 "upstream",
@@ -74,6 +82,94 @@
                 description.models().size());
     }
 
+    /**
+     * Sets how many requests cold upstreams accept. It applies to the descriptions that come from then on.
+     *
+     * @param requestsPerSecond returns the limit of each upstream of a service by the service's name, empty for none
+     */
+    public void limitColdUpstreams(Function<String, OptionalDouble> requestsPerSecond) {
+        coldRates = requestsPerSecond;
+    }
+
+    private void limitIfCold(Upstream upstream, MonotonicTime now) {
+        UpstreamDescription description = upstream.description();
+        OptionalDouble limit = coldRates.apply(description.service());
+        if (limit.isEmpty()) {
+            return;
+        }
+        boolean wasCold = upstream.rateLimit().isCold(now);
+        upstream.rateLimit().limitWhileCold(limit.getAsDouble(), now.plus(description.coldRemaining()), now);
+        if (!wasCold && upstream.rateLimit().isCold(now)) {
+            LOG.event(
+                    "upstream_cold",
+                    "upstream",
+                    description.identifier(),
+                    "for_ms",
+                    description.coldRemaining().toMillis(),
+                    "requests_per_second",
+                    limit.getAsDouble());
+        }
+    }
+
+    /**
+     * Stops or resumes sending new requests to the upstreams of a failure domain, as its operators asked for.
+     *
+     * @param failureDomain the failure domain
+     * @param isEvacuated true to stop, false to resume
+     * @param now the current time
+     */
+    public void setEvacuated(String failureDomain, boolean isEvacuated, MonotonicTime now) {
+        boolean isChange = isEvacuated ? evacuatedDomains.add(failureDomain) : evacuatedDomains.remove(failureDomain);
+        if (isChange) {
+            LOG.event(
+                    isEvacuated ? "evacuation_begun" : "evacuation_ended",
+                    "failure_domain",
+                    failureDomain,
+                    "upstreams",
+                    in(failureDomain).count(),
+                    "running",
+                    runningIn(failureDomain, now));
+        }
+    }
+
+    private Stream<Upstream> in(String failureDomain) {
+        return upstreams.values().stream()
+                .filter(upstream -> upstream.description().failureDomain().equals(failureDomain));
+    }
+
+    /**
+     * Returns the failure domains that are evacuated.
+     *
+     * @return their names in alphabetical order
+     */
+    public Set<String> evacuatedDomains() {
+        return Collections.unmodifiableSet(evacuatedDomains);
+    }
+
+    /**
+     * Counts the requests of this VM that run in a failure domain, which end there when it is evacuated.
+     *
+     * @param failureDomain the failure domain
+     * @param now the current time
+     * @return the number of requests
+     */
+    public int runningIn(String failureDomain, MonotonicTime now) {
+        return in(failureDomain)
+                .mapToInt(upstream -> upstream.ownLoad(now).running())
+                .sum();
+    }
+
+    /**
+     * Returns whether new requests may be sent to an upstream.
+     *
+     * @param upstream the upstream
+     * @return false if it has ended or is leaving, or if its failure domain is evacuated
+     */
+    public boolean isUsable(Upstream upstream) {
+        return upstream.isUsable()
+                && !evacuatedDomains.contains(upstream.description().failureDomain());
+    }
+
     private void end(Upstream ended) {
         if (ended.markEnded()) {
             onUnexpectedEnd.accept(ended);
@@ -161,7 +257,7 @@
     public Stream<Upstream> usable(String service) {
         return upstreams.values().stream()
                 .filter(upstream ->
-                        upstream.isUsable() && upstream.description().service().equals(service));
+                        isUsable(upstream) && upstream.description().service().equals(service));
     }
 
     /**
--- a/serving/src/test/java/org/pollenhoist/serving/limit/RequestRateLimitTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/limit/RequestRateLimitTest.java
@@ -65,6 +65,46 @@
         }
     }
 
+    /** An upstream that has just started bears few requests; all VMs learn of it at about the same time. */
+    @Nested
+    class ColdStart {
+
+        @Test
+        void should_stop_sending_until_the_share_is_known() {
+            limit.limitWhileCold(8, at(3_000), at(0));
+
+            assertThat(limit.mayReceive(at(2_999))).isFalse();
+        }
+
+        @Test
+        void should_allow_the_share_of_the_limit() {
+            limit.limitWhileCold(8, at(3_000), at(0));
+            limit.setShare(2, at(0));
+
+            assertThat(limit.limitPerSecond(at(0))).contains(8.0);
+            assertThat(limit.mayReceive(at(499))).isFalse();
+            assertThat(limit.mayReceive(at(500))).isTrue();
+        }
+
+        @Test
+        void should_end_with_the_time_that_the_upstream_names() {
+            limit.limitWhileCold(8, at(3_000), at(0));
+
+            assertThat(limit.isLimited(at(3_000))).isFalse();
+            assertThat(limit.mayReceive(at(3_000))).isTrue();
+        }
+
+        @Test
+        void should_apply_beside_a_limit_that_responses_state_and_the_lower_one_counts() {
+            limitTo(1);
+            limit.limitWhileCold(0.5, at(3_000), at(100));
+
+            assertThat(limit.limitPerSecond(at(200))).contains(0.5);
+            assertThat(limit.limitPerSecond(at(3_000))).contains(2.0);
+            assertThat(limit.isObservedLimited(at(200))).isTrue();
+        }
+    }
+
     @Nested
     class Observations {
 
