End a request at a peer when its time is up

Cause: a VM that sends requests for a peer knew no deadline of them. It ended one only when the peer's connection closed, which it doesn't hear of on a link that is cut, so that a request waiting for a connection ran after its caller had left.

Change: the peer's part ends at the time that the request names, and says whether the upstream may have run it.

Test: ForwardingServerTest.Deadlines, red with the check taken out.

--- a/serving/src/main/java/org/pollenhoist/serving/forwarding/ForwardingServer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/forwarding/ForwardingServer.java
@@ -14,6 +14,7 @@
 import java.net.InetAddress;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -30,6 +31,7 @@
 import org.pollenhoist.serving.http.HttpExchange;
 import org.pollenhoist.serving.http.IncomingRequest;
 import org.pollenhoist.serving.http.ResponseListener;
+import org.pollenhoist.serving.request.CallerRequest;
 import org.pollenhoist.serving.request.RequestFormat;
 import org.pollenhoist.serving.request.ResponseHead;
 import org.pollenhoist.serving.request.ResponseLog;
@@ -47,6 +49,10 @@
     private static final int MAXIMUM_REQUESTS = 64;
 
     private static final int OK = 200;
+
+    /** Time after which a request is given up that names no time budget; peers always name one. */
+    private static final Duration LONGEST_TIME_BUDGET = Duration.ofMinutes(10);
+
     private static final DecisionLog LOG = DecisionLog.of("peer");
 
     private final HttpConnectionPool pool;
@@ -55,6 +61,9 @@
     private final Supplier<MonotonicTime> clock;
     private final BooleanSupplier isAccepting;
     private final Predicate<InetAddress> isPeer;
+    /** The requests that have not ended, in the order of their arrival. */
+    private final Set<Passing> passing = new LinkedHashSet<>();
+
     private int running;
 
     /**
@@ -113,27 +122,38 @@
         return running;
     }
 
+    /**
+     * Cancels the requests whose callers' time is up. The peer has given them up by then, but what it sends about that
+     * may be lost on a link that is cut.
+     *
+     * @param now the current time
+     */
+    public void expire(MonotonicTime now) {
+        passing.stream().filter(each -> !now.isBefore(each.deadline)).toList().forEach(Passing::expire);
+    }
+
     @Override
     public Runnable onRequest(IncomingRequest request, CallerResponse response) {
         Optional<Upstream> upstream = upstream(request.head().headers());
         boolean isPossible = isPeer.test(request.sender()) && isAccepting.getAsBoolean() && running < MAXIMUM_REQUESTS;
         if (!isPossible || upstream.isEmpty()) {
             request.body().release();
-            fail(response, isPossible ? ForwardingOutcome.NOT_SENT : ForwardingOutcome.DECLINED);
+            answer(response, isPossible ? ForwardingOutcome.NOT_SENT : ForwardingOutcome.DECLINED);
             return () -> {};
         }
         running++;
         boolean isRepeatable = request.head().headers().contains(ForwardingHeaders.REPEATABLE, "true", true);
-        String identifier = format.read(request.head()).identifier();
-        Passing passing = new Passing(identifier, upstream.get(), response);
-        HttpExchange started = pool.send(
+        CallerRequest read = format.read(request.head());
+        MonotonicTime deadline = clock.get().plus(read.timeBudget().orElse(LONGEST_TIME_BUDGET));
+        Passing started = new Passing(read.identifier(), upstream.get(), response, deadline);
+        passing.add(started);
+        started.attach(pool.send(
                 UpstreamConnections.target(upstream.get()),
-                identifier,
+                read.identifier(),
                 toUpstream(request),
                 UpstreamConnections.options(isRepeatable),
-                passing);
-        response.onWritabilityChanged(started::setReading);
-        return () -> passing.cancel(started);
+                started));
+        return started::cancel;
     }
 
     /** Returns the upstream that a request names, if this VM may send it a request now. */
@@ -144,7 +164,7 @@
                 .find(headers.get(ForwardingHeaders.UPSTREAM))
                 .filter(found -> String.valueOf(found.description().startedMilliseconds())
                         .equals(started))
-                .filter(found -> found.isUsable() && !found.isBackingOff(now));
+                .filter(found -> upstreams.isUsable(found) && !found.isBackingOff(now));
     }
 
     private static FullHttpRequest toUpstream(IncomingRequest request) {
@@ -160,7 +180,7 @@
         return forwarded;
     }
 
-    private static void fail(CallerResponse response, ForwardingOutcome outcome) {
+    private static void answer(CallerResponse response, ForwardingOutcome outcome) {
         HttpHeaders headers = new DefaultHttpHeaders();
         headers.set(ForwardingHeaders.OUTCOME, outcome.text());
         response.sendFull(OK, headers, Unpooled.EMPTY_BUFFER);
@@ -176,24 +196,47 @@
         private final String identifier;
         private final Upstream upstream;
         private final CallerResponse response;
+        private final MonotonicTime deadline;
+        private HttpExchange exchange;
         private Optional<Duration> maximumWaitAfterDiscarding = Optional.empty();
         private boolean isBegun;
         private boolean isEnded;
 
-        private Passing(String identifier, Upstream upstream, CallerResponse response) {
+        private Passing(String identifier, Upstream upstream, CallerResponse response, MonotonicTime deadline) {
             this.identifier = identifier;
             this.upstream = upstream;
             this.response = response;
+            this.deadline = deadline;
+        }
+
+        private void attach(HttpExchange started) {
+            exchange = started;
+            response.onWritabilityChanged(started::setReading);
         }
 
-        private void cancel(HttpExchange started) {
+        private void cancel() {
             end("cancelled", ForwardingServer.this::finished);
-            started.cancel();
+            exchange.cancel();
+        }
+
+        private void expire() {
+            exchange.cancel();
+            fail(exchange.isSent(), "deadline");
+        }
+
+        private void fail(boolean mayHaveRun, String reason) {
+            end(reason, ForwardingServer.this::finished);
+            if (isBegun) {
+                response.abort();
+            } else {
+                answer(response, mayHaveRun ? ForwardingOutcome.NO_ANSWER : ForwardingOutcome.NOT_SENT);
+            }
         }
 
         private void end(String result, Runnable action) {
             if (!isEnded) {
                 isEnded = true;
+                passing.remove(this);
                 LOG.event(
                         "forwarded",
                         "request",
@@ -245,12 +288,7 @@
 
         @Override
         public void onFailure(ExchangeFailure failure, String reason) {
-            end(reason, ForwardingServer.this::finished);
-            if (isBegun) {
-                response.abort();
-            } else {
-                fail(response, failure.isSent() ? ForwardingOutcome.NO_ANSWER : ForwardingOutcome.NOT_SENT);
-            }
+            fail(failure.isSent(), reason);
         }
     }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/node/RequestForwarding.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/RequestForwarding.java
@@ -108,8 +108,9 @@
         notices.handleResponse(upstream.description().identifier(), format.readResponse(head), clock.get());
     }
 
-    /** Opens a trial connection if one is due. */
+    /** Ends what peers have asked for whose time is up, and opens a trial connection if one is due. */
     void tick(MonotonicTime now) {
+        server.expire(now);
         paths.nextTrial(upstreams.all().stream().map(Upstream::lifetime).toList(), now)
                 .flatMap(lifetime -> upstreams.find(lifetime.upstream().value()))
                 .filter(Upstream::isUsable)
--- a/serving/src/test/java/org/pollenhoist/serving/forwarding/ForwardingServerTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/forwarding/ForwardingServerTest.java
@@ -1,6 +1,7 @@
 package org.pollenhoist.serving.forwarding;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -47,6 +48,7 @@
 /** Sends requests for a peer to an upstream that writes scripted responses. */
 class ForwardingServerTest {
 
+    private static final Duration TIME_BUDGET = Duration.ofSeconds(5);
     private static final String IDENTIFIER = "X-Id";
     private static final String KEPT = "Keep-Alive: timeout=60\r\nContent-Length: 0\r\n\r\n";
     private static final String REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nX-Id: a\r\n" + KEPT;
@@ -68,6 +70,9 @@
     /** For each connection in turn, the responses to its requests. */
     private final List<List<String>> scripts = new CopyOnWriteArrayList<>();
 
+    /** Completes when the VM has closed a connection to the upstream. */
+    private final CompletableFuture<Boolean> closedByVm = new CompletableFuture<>();
+
     private ServerSocket upstream;
 
     @BeforeEach
@@ -112,7 +117,7 @@
         }
     }
 
-    private static void respond(Socket connection, List<String> script) {
+    private void respond(Socket connection, List<String> script) {
         try (connection) {
             BufferedReader reader =
                     new BufferedReader(new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
@@ -127,6 +132,7 @@
         } catch (IOException closed) {
             // The connection was closed, as in tests of responses that belong to no request.
         }
+        closedByVm.complete(true);
     }
 
     /** Returns the status that the peer gets. */
@@ -150,6 +156,34 @@
         return loop.submit(forwarding::runningRequests).syncUninterruptibly().getNow();
     }
 
+    @Nested
+    class Deadlines {
+
+        private static final String SILENCE = "";
+
+        /** Guards against a request that runs, or begins to run, after its caller has left a VM that is cut off. */
+        @Test
+        void should_end_a_request_at_its_upstream_when_its_time_is_up() {
+            scripts.add(List.of(SILENCE));
+            Collector collector = start("a");
+            await().until(() -> scripts.isEmpty() && runningRequests() == 1);
+
+            expireAfter(TIME_BUDGET.minusSeconds(1));
+            assertThat(runningRequests()).isEqualTo(1);
+            expireAfter(TIME_BUDGET.plusSeconds(1));
+
+            assertThat(collector.outcome.orTimeout(10, TimeUnit.SECONDS).join())
+                    .isEqualTo(ForwardingOutcome.NO_ANSWER.text());
+            assertThat(runningRequests()).isZero();
+            assertThat(closedByVm.orTimeout(10, TimeUnit.SECONDS).join()).isTrue();
+        }
+
+        private void expireAfter(Duration elapsed) {
+            loop.submit(() -> forwarding.expire(MonotonicTime.read().plus(elapsed)))
+                    .syncUninterruptibly();
+        }
+    }
+
     @Nested
     class Refusals {
 
@@ -207,9 +241,11 @@
 
         private final CompletableFuture<Integer> status = new CompletableFuture<>();
         private final CompletableFuture<Runnable> sent = new CompletableFuture<>();
+        private final CompletableFuture<String> outcome = new CompletableFuture<>();
 
         @Override
         public void sendFull(int code, HttpHeaders headers, ByteBuf body) {
+            outcome.complete(headers.get(ForwardingHeaders.OUTCOME));
             status.completeExceptionally(new IllegalStateException(headers.toString()));
         }
 
@@ -252,7 +288,7 @@
             return new CallerRequest(
                     head.headers().get(IDENTIFIER),
                     Optional.empty(),
-                    Optional.of(Duration.ofSeconds(5)),
+                    Optional.of(TIME_BUDGET),
                     "",
                     "",
                     0,
