--- a/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
@@ -49,13 +49,23 @@
 
     private static final double MILLISECONDS_PER_SECOND = 1_000;
 
+    private static final Comparator<Move> ORDER = Comparator.comparingDouble(Move::gain)
+            .thenComparing(Move::model)
+            .thenComparing(move -> move.view().identifier());
+
     private record Move(EngineView view, String model, Optional<String> victim, double gain) {}
 
+    /** A model that may get a further copy, with what that copy is worth wherever it is loaded at no cost. */
+    private record Candidate(String model, boolean isRequested, double gain) {}
+
+    private record Place(String model, String failureDomain) {}
+
     private final Engine engine;
     private final CopyValue value;
     private final Map<String, Integer> copies = new HashMap<>();
     private final Map<String, EngineView> engines = new HashMap<>();
     private final Map<String, Integer> readyCopies = new HashMap<>();
+    private final Map<Place, Integer> copiesByPlace = new HashMap<>();
     private final Set<String> enginesWithOrder = new HashSet<>();
     private final List<PlannedOrder> orders = new ArrayList<>();
     private int storeLoads;
@@ -81,6 +91,8 @@
         enginesWithOrder.addAll(reservedModels.keySet());
         for (EngineView view : views) {
             engines.put(view.identifier(), view);
+            view.readyOrLoadingModels()
+                    .forEach(model -> copiesByPlace.merge(new Place(model, view.failureDomain()), 1, Integer::sum));
             view.readyOrLoadingModels().stream()
                     .filter(model -> countsAsCopy(view, model))
                     .forEach(model -> copies.merge(model, 1, Integer::sum));
@@ -134,21 +146,35 @@
                 && AdapterPlan.usedMegabytes(engine, view) + definition.weightMegabytes() <= engine.weightMegabytes();
     }
 
+    /**
+     * Finds the move with the greatest gain. Costs only lower a gain, so the models are searched by the value of a further
+     * copy until it is less than the gain of a move that was found.
+     */
     private Optional<Move> bestMove(Set<String> requestedModels, int maximumStoreLoads) {
-        return engine.models().keySet().stream()
-                .flatMap(model -> candidateMoves(model, requestedModels, maximumStoreLoads))
-                .filter(move -> move.gain() >= MINIMUM_GAIN)
-                .max(Comparator.comparingDouble(Move::gain)
-                        .thenComparing(Move::model)
-                        .thenComparing(move -> move.view().identifier()));
+        List<Candidate> candidates = engine.models().keySet().stream()
+                .flatMap(model -> candidate(model, requestedModels.contains(model)).stream())
+                .sorted(Comparator.comparingDouble(Candidate::gain).reversed())
+                .toList();
+        Optional<Move> best = Optional.empty();
+        for (Candidate candidate : candidates) {
+            if (best.isPresent() && candidate.gain() < best.get().gain()) {
+                break;
+            }
+            best = Stream.concat(best.stream(), moves(candidate, maximumStoreLoads))
+                    .filter(move -> move.gain() >= MINIMUM_GAIN)
+                    .max(ORDER);
+        }
+        return best;
     }
 
-    private Stream<Move> candidateMoves(String model, Set<String> requestedModels, int maximumStoreLoads) {
-        boolean isRequested = requestedModels.contains(model);
+    private Optional<Candidate> candidate(String model, boolean isRequested) {
         double gain = value.ofNextCopy(model, copyCount(model), isRequested);
-        if (gain < MINIMUM_GAIN || !(isRequested || isUrgent(model) || isSpeculationAllowed())) {
-            return Stream.empty();
-        }
+        boolean isUseful = gain >= MINIMUM_GAIN && (isRequested || isUrgent(model) || isSpeculationAllowed());
+        return isUseful ? Optional.of(new Candidate(model, isRequested, gain)) : Optional.empty();
+    }
+
+    private Stream<Move> moves(Candidate candidate, int maximumStoreLoads) {
+        String model = candidate.model();
         return engines.values().stream()
                 .filter(view -> view.isOrderPossible()
                         && !view.isRateLimited()
@@ -156,7 +182,10 @@
                         && !view.possibleResidents().containsKey(model)
                         && isLoadAllowed(view, model, maximumStoreLoads))
                 .flatMap(view -> movesToEngine(
-                        view, model, isRequested, gain * usefulFraction(view, model) - cost(view, model)));
+                        view,
+                        model,
+                        candidate.isRequested(),
+                        candidate.gain() * usefulFraction(view, model) - cost(view, model)));
     }
 
     private boolean isUrgent(String model) {
@@ -203,11 +232,8 @@
                 + copiesInDomain(model, view.failureDomain()) * SAME_DOMAIN_COST;
     }
 
-    private long copiesInDomain(String model, String failureDomain) {
-        return engines.values().stream()
-                .filter(view -> view.failureDomain().equals(failureDomain)
-                        && view.readyOrLoadingModels().contains(model))
-                .count();
+    private int copiesInDomain(String model, String failureDomain) {
+        return copiesByPlace.getOrDefault(new Place(model, failureDomain), 0);
     }
 
     private int copyCount(String model) {
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamTable.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamTable.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -23,6 +24,7 @@
     private static final DecisionLog LOG = DecisionLog.of("upstream");
 
     private final Map<String, Upstream> upstreams = new LinkedHashMap<>();
+    private final Map<String, Set<Upstream>> byService = new HashMap<>();
     private final Map<Integer, Upstream> byTag = new HashMap<>();
     private final Consumer<Upstream> onUnexpectedEnd;
     private final Set<String> evacuatedDomains = new TreeSet<>();
@@ -61,11 +63,15 @@
             return;
         }
         if (known != null) {
+            removeFromService(known);
             end(known);
         }
         Upstream joined = new Upstream(description, now);
         lifetimeChanges++;
         upstreams.put(description.identifier(), joined);
+        byService
+                .computeIfAbsent(description.service(), service -> new LinkedHashSet<>())
+                .add(joined);
         byTag.put(joined.tag(), joined);
         limitIfCold(joined, now);
         LOG.event(
@@ -202,12 +208,17 @@
         Upstream removed = upstreams.remove(identifier);
         if (removed != null) {
             lifetimeChanges++;
+            removeFromService(removed);
             end(removed);
             byTag.remove(removed.tag(), removed);
             LOG.event("upstream_gone", "upstream", identifier, "reason", reason);
         }
     }
 
+    private void removeFromService(Upstream upstream) {
+        byService.get(upstream.description().service()).remove(upstream);
+    }
+
     /**
      * Finds an upstream.
      *
@@ -255,9 +266,7 @@
      * @return the upstreams
      */
     public Stream<Upstream> usable(String service) {
-        return upstreams.values().stream()
-                .filter(upstream ->
-                        isUsable(upstream) && upstream.description().service().equals(service));
+        return byService.getOrDefault(service, Set.of()).stream().filter(this::isUsable);
     }
 
     /**
