Choose upstreams by the pace that they state

Cause: all upstreams of a service counted as equally fast.

Change: an upstream's pace is smoothed over 300 ms, fades within 2 s and is passed on within the failure domain with the loads. It multiplies the expected prefill and the running requests of an engine, and the queue of a plain service. Where no upstream states a pace, choices are as before.

--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
@@ -180,7 +180,7 @@
         unreadAhead = chosen.load(now).tokensAwaitingPrefill();
         chosen.begin(asked.promptTokens(), asked.totalTokens());
         if (!asked.adapter().isEmpty()) {
-            chosen.recordAdapterUse(asked.model() + "/" + asked.adapter(), now);
+            chosen.adapterUses().record(asked.model() + "/" + asked.adapter(), now);
         }
         sentAt = fleet.milliseconds();
         run = new EngineRun(
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.pollenhoist.common.MonotonicTime;
@@ -35,6 +36,8 @@
 /** Converts between the state of this VM and digests. */
 final class DigestCodec {
 
+    private static final double PERCENT = 100;
+
     /** Identifies one lifetime of an upstream. */
     record UpstreamKey(String identifier, long startedMilliseconds) {}
 
@@ -148,8 +151,10 @@
 
     private static void addLoad(VmDigest.Builder digest, Upstream upstream, MonotonicTime now) {
         LoadSnapshot ownLoad = upstream.ownLoad(now);
-        if (ownLoad.running() > 0) {
-            digest.addUpstreamUses(toUpstreamUse(upstream, ownLoad));
+        OptionalDouble pace = upstream.pace().reportable(now);
+        if (ownLoad.running() > 0 || pace.isPresent()) {
+            UpstreamUse use = toUpstreamUse(upstream, ownLoad);
+            digest.addUpstreamUses(pace.isPresent() ? withPace(use, pace.getAsDouble()) : use);
         }
     }
 
@@ -162,6 +167,17 @@
                 .build();
     }
 
+    private static UpstreamUse withPace(UpstreamUse use, double pace) {
+        return use.toBuilder()
+                .setPacePercent((int) Math.max(1, Math.round(pace * PERCENT)))
+                .build();
+    }
+
+    /** Reads what an upstream stated to the sender of its pace, empty if it stated nothing of late. */
+    static OptionalDouble pace(UpstreamUse use) {
+        return use.getPacePercent() > 0 ? OptionalDouble.of(use.getPacePercent() / PERCENT) : OptionalDouble.empty();
+    }
+
     private static TeamSpending toTeamSpending(FleetRateLimiter.Spending spending) {
         return TeamSpending.newBuilder()
                 .setTeam(spending.team())
--- a/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/PlacementDriver.java
@@ -258,7 +258,8 @@
         Map<String, EngineTracker> byIdentifier = byIdentifier(engines);
         AdapterPlan plan = new AdapterPlan(
                 engine,
-                (identifier, adapter) -> byIdentifier.get(identifier).upstream().lastAdapterUse(adapter));
+                (identifier, adapter) ->
+                        byIdentifier.get(identifier).upstream().adapterUses().last(adapter));
         List<EngineView> views =
                 engines.stream().map(tracker -> view(tracker, now)).toList();
         plan.plan(modelRequests, views).forEach(order -> send(byIdentifier.get(order.engine()), order, engine, now));
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -263,7 +263,7 @@
         upstream.rateLimit().recordSent(now);
         RequestLog.sent(identifier, request, send, load, attemptCount, now.since(arrivedAt));
         if (!request.adapter().isEmpty()) {
-            upstream.recordAdapterUse(request.model() + "/" + request.adapter(), now);
+            upstream.adapterUses().record(request.model() + "/" + request.adapter(), now);
         }
         suspicion.recordSent(now);
         continuity.recordAttempt();
--- a/serving/src/main/java/org/pollenhoist/serving/request/ResponseHead.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/ResponseHead.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.pollenhoist.serving.http.ConnectionUse;
 import org.pollenhoist.serving.limit.RateLimitNotice;
 
@@ -18,6 +19,7 @@
  * @param rateLimit whether the upstream limits the requests that it accepts from all VMs together
  * @param rejectionLimit whether the upstream is brittle, that is, falls over when it has to reject more than a number
  *     of requests in a second
+ * @param pace how long work takes at the upstream now, as a multiple of its usual time, empty if it does not say so
  */
 public record ResponseHead(
         int status,
@@ -28,13 +30,50 @@
         boolean isLeaving,
         Optional<Duration> retryAfter,
         RateLimitNotice rateLimit,
-        RateLimitNotice rejectionLimit) {
+        RateLimitNotice rejectionLimit,
+        OptionalDouble pace) {
 
     private static final int SERVICE_UNAVAILABLE = 503;
 
     /** Time in which a response has to begin after one that names no request. */
     private static final Duration WAIT_AFTER_UNNAMED_RESPONSE = Duration.ofSeconds(1);
 
+    /**
+     * Creates the metadata of a response that says nothing of the upstream's pace.
+     *
+     * @param status the HTTP status
+     * @param requestIdentifier the request that it belongs to, empty if the response does not name one
+     * @param isGenuine whether it has the header that only upstreams add
+     * @param isNotRun whether it states that the request was not run
+     * @param upstreamIdentifier the upstream that sent it, empty if the response does not name one
+     * @param isLeaving whether the upstream announces that it is leaving
+     * @param retryAfter the back-off period that the upstream asks this VM for when it rejects the request
+     * @param rateLimit whether the upstream limits the requests that it accepts from all VMs together
+     * @param rejectionLimit whether the upstream is brittle
+     */
+    public ResponseHead(
+            int status,
+            Optional<String> requestIdentifier,
+            boolean isGenuine,
+            boolean isNotRun,
+            Optional<String> upstreamIdentifier,
+            boolean isLeaving,
+            Optional<Duration> retryAfter,
+            RateLimitNotice rateLimit,
+            RateLimitNotice rejectionLimit) {
+        this(
+                status,
+                requestIdentifier,
+                isGenuine,
+                isNotRun,
+                upstreamIdentifier,
+                isLeaving,
+                retryAfter,
+                rateLimit,
+                rejectionLimit,
+                OptionalDouble.empty());
+    }
+
     /**
      * Tells whether the response belongs to a request.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -10,6 +10,7 @@
 import org.pollenhoist.serving.catalog.Service;
 import org.pollenhoist.serving.upstream.LoadSnapshot;
 import org.pollenhoist.serving.upstream.Upstream;
+import org.pollenhoist.serving.upstream.UpstreamPace;
 import org.pollenhoist.serving.upstream.UpstreamTable;
 
 /**
@@ -39,6 +40,9 @@
     /** Fraction of slots in use up to which an upstream of a plain service is considered as fast as an idle one. */
     private static final double UNCONTENDED_SLOT_FRACTION = 0.5;
 
+    /** Part of the latency objective of a plain service that its work takes at the usual pace. */
+    private static final double WORK_FRACTION = 0.2;
+
     /** Penalty for an upstream whose failure rate is 1; smaller failure rates are charged in proportion. */
     private static final double FAILURE_PENALTY_MILLISECONDS = 2_000;
 
@@ -175,7 +179,11 @@
             // of the whole latency objective.
             double utilization = Math.max(0, running - slots * UNCONTENDED_SLOT_FRACTION)
                     / (slots * (1 - UNCONTENDED_SLOT_FRACTION));
-            double cost = utilization * request.latencyObjective().toMillis() + penalty(candidate, request, now);
+            double pace = candidate.pace().at(now);
+            double slowdown = (pace - UpstreamPace.USUAL) * WORK_FRACTION;
+            double cost =
+                    (utilization * pace + slowdown) * request.latencyObjective().toMillis()
+                            + penalty(candidate, request, now);
             if (cost < bestCost) {
                 bestCost = cost;
                 best = candidate;
@@ -209,9 +217,11 @@
             if (!hasCapacity(load, request, engine)) {
                 continue;
             }
-            Backlog backlog = backlog(candidate, load, request);
+            Backlog backlog = backlog(candidate, load, request, now);
             double cost = backlog.untilFirstToken().toMillis()
-                    + load.running() * MILLISECONDS_PER_RUNNING_REQUEST
+                    + load.running()
+                            * MILLISECONDS_PER_RUNNING_REQUEST
+                            * candidate.pace().at(now)
                     + penalty(candidate, request, now);
             if (cost < bestCost) {
                 bestCost = cost;
@@ -249,12 +259,18 @@
         }
     }
 
-    private Backlog backlog(Upstream candidate, LoadSnapshot load, SelectionRequest request) {
+    private Backlog backlog(Upstream candidate, LoadSnapshot load, SelectionRequest request, MonotonicTime now) {
         long cached = candidate.promptCache().cachedTokens(request.model(), request.promptSegments());
+        double pace = candidate.pace().at(now);
         return new Backlog(
-                prefillRates.estimate(request.model(), load.tokensAwaitingPrefill()),
-                prefillRates.estimate(request.model(), request.promptTokens() - cached),
-                prefillRates.estimate(request.model(), request.meanPromptTokens() - cached));
+                prefillTime(request.model(), load.tokensAwaitingPrefill(), pace),
+                prefillTime(request.model(), request.promptTokens() - cached, pace),
+                prefillTime(request.model(), request.meanPromptTokens() - cached, pace));
+    }
+
+    private Duration prefillTime(String model, long tokens, double pace) {
+        Duration usual = prefillRates.estimate(model, tokens);
+        return pace == UpstreamPace.USUAL ? usual : fractionOf(usual, pace);
     }
 
     /**
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
@@ -23,10 +23,11 @@
     private static final Duration UNREACHABLE_PERIOD = Duration.ofSeconds(1);
 
     private final Map<String, Set<String>> adaptersByModel = new HashMap<>();
-    private final Map<String, MonotonicTime> adapterUses = new HashMap<>();
+    private final AdapterUses adapterUses = new AdapterUses();
     private final LoadReports peerLoads = new LoadReports();
     private final LoadReports domainLoads = new LoadReports();
     private final PromptCache promptCache = new PromptCache();
+    private final UpstreamPace pace = new UpstreamPace();
     private final Map<String, MonotonicTime> loadingModels = new HashMap<>();
     private UpstreamDescription description;
     private boolean hasEnded;
@@ -433,25 +434,14 @@
         return promptCache;
     }
 
-    /**
-     * Records the use of an adapter.
-     *
-     * @param modelAndAdapter the adapter as {@code model/adapter}
-     * @param now the current time
-     */
-    public void recordAdapterUse(String modelAndAdapter, MonotonicTime now) {
-        adapterUses.put(modelAndAdapter, now);
+    /** Returns how long work takes there now compared with its usual. */
+    public UpstreamPace pace() {
+        return pace;
     }
 
-    /**
-     * Returns when this VM last used an adapter.
-     *
-     * @param modelAndAdapter the adapter as {@code model/adapter}
-     * @return a number that is greater for a later use; the smallest one if the adapter has not been used
-     */
-    public long lastAdapterUse(String modelAndAdapter) {
-        MonotonicTime used = adapterUses.get(modelAndAdapter);
-        return used == null ? Long.MIN_VALUE : used.nanoseconds();
+    /** Returns when this VM used which adapters there. */
+    public AdapterUses adapterUses() {
+        return adapterUses;
     }
 
     /**
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamNoticeHandler.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamNoticeHandler.java
@@ -45,6 +45,7 @@
     public void handleResponse(String identifier, ResponseHead response, MonotonicTime now) {
         boolean isNotice = response.isLeaving()
                 || response.retryAfter().isPresent()
+                || response.pace().isPresent()
                 || response.rateLimit() instanceof RateLimitNotice.Limited
                 || response.rejectionLimit() instanceof RateLimitNotice.Limited;
         Optional<Upstream> found = isNotice ? upstreams.find(identifier) : Optional.empty();
@@ -63,6 +64,7 @@
             observeRejectionLimit(upstream, limited, now, now);
             recordRejection(upstream, response, now);
         }
+        response.pace().ifPresent(pace -> upstream.pace().observe(pace, now));
         response.retryAfter().ifPresent(backOff -> {
             upstream.backOffUntil(now.plus(backOff));
             LOG.event("upstream_paused", "upstream", identifier, "for_ms", backOff.toMillis());
