Rank patient requests behind urgent ones at engines

Cause: priorities are the teams' or the routes', so patient and urgent kinds of one team went to engines with the same rank, and engines read their prompts in the order of arrival.

Change: a request whose latency objective is at least eight times that of the most urgent kind of its service ranks four ranks lower at the engine until half of its objective has passed. Other requests rank as before.

--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
@@ -4,15 +4,18 @@
 import java.util.Collections;
 import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.catalog.Catalog;
 import org.pollenhoist.serving.catalog.Route;
+import org.pollenhoist.serving.catalog.Service;
 import org.pollenhoist.serving.forwarding.UpstreamConnections;
 import org.pollenhoist.serving.limit.FleetRateLimiter;
 import org.pollenhoist.serving.placement.DemandTracker;
+import org.pollenhoist.serving.routing.EngineRank;
 import org.pollenhoist.serving.routing.PrefillRateEstimator;
 import org.pollenhoist.serving.routing.PromptLengthTracker;
 import org.pollenhoist.serving.routing.UpstreamSelector;
@@ -72,6 +75,18 @@
                 .orElse(Collections.emptyNavigableMap());
     }
 
+    /** Returns the rank of a request for an engine that is sent to it now, empty for a plain service. */
+    OptionalInt engineRank(Service service, Route route, int priority, MonotonicTime arrivedAt) {
+        return service.engine().isEmpty()
+                ? OptionalInt.empty()
+                : OptionalInt.of(EngineRank.of(
+                        priority,
+                        route.latencyObjective(),
+                        shortestObjectives(service.name()),
+                        arrivedAt,
+                        clock.get()));
+    }
+
     /** Records the demand and the prompt size of a request that has arrived. */
     void recordArrival(Route route, CallerRequest request, MonotonicTime now) {
         if (request.lastEventIdentifier().isPresent()) {
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -360,7 +360,7 @@
                 upstream.description().identifier(),
                 deadline.since(environment.clock().get()),
                 team.map(Team::name),
-                service.engine().isPresent() ? OptionalInt.of(priority()) : OptionalInt.empty(),
+                environment.engineRank(service, route, priority(), arrivedAt),
                 continuity.resumeAfter());
         return Messages.toUpstream(incoming, forwarding, environment.format());
     }
