Send no request once its caller has left while a connection was opened

Cause: an event loop that is late reads in one turn that a connection to an upstream is open and, behind it, that the caller has left, and sent the request in between.

Change: a connection that opens after the request's deadline is kept for another one.

Test: HttpConnectionPoolTest.LateRequests.

--- a/serving/src/main/java/org/pollenhoist/serving/forwarding/ForwardingServer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/forwarding/ForwardingServer.java
@@ -151,7 +151,7 @@
                 UpstreamConnections.target(upstream.get()),
                 read.identifier(),
                 toUpstream(request),
-                UpstreamConnections.options(isRepeatable),
+                UpstreamConnections.options(isRepeatable).startingBefore(deadline),
                 started));
         return started::cancel;
     }
--- a/serving/src/main/java/org/pollenhoist/serving/forwarding/UpstreamConnections.java
+++ b/serving/src/main/java/org/pollenhoist/serving/forwarding/UpstreamConnections.java
@@ -77,6 +77,7 @@
      * @param upstream the upstream
      * @param request creates the request, once for each path that is tried
      * @param isRepeatable whether the request may be repeated; otherwise only recently used connections are reused
+     * @param deadline time from which it is no longer sent; the caller of this method ends the exchange then
      * @param listener receives the response
      * @return the exchange, by which the request can be cancelled
      */
@@ -85,8 +86,10 @@
             Upstream upstream,
             Supplier<FullHttpRequest> request,
             boolean isRepeatable,
+            MonotonicTime deadline,
             ResponseListener listener) {
-        Sending sending = new Sending(identifier, upstream, request, isRepeatable, listener);
+        ConnectionOptions options = options(isRepeatable).startingBefore(deadline);
+        Sending sending = new Sending(identifier, upstream, request, isRepeatable, options, listener);
         sending.start(clock.get());
         return sending.exchange;
     }
@@ -136,6 +139,7 @@
         private final UpstreamLifetime lifetime;
         private final Supplier<FullHttpRequest> request;
         private final boolean isRepeatable;
+        private final ConnectionOptions options;
         private final ResponseListener listener;
         private final UpstreamExchange exchange = new UpstreamExchange();
         private int askedPeers;
@@ -145,19 +149,20 @@
                 Upstream upstream,
                 Supplier<FullHttpRequest> request,
                 boolean isRepeatable,
+                ConnectionOptions options,
                 ResponseListener listener) {
             this.identifier = identifier;
             this.upstream = upstream;
             this.lifetime = upstream.lifetime();
             this.request = request;
             this.isRepeatable = isRepeatable;
+            this.options = options;
             this.listener = listener;
         }
 
         private void start(MonotonicTime now) {
-            boolean hasOpenConnection = !paths.isHanging()
-                    && pool.hasReusable(
-                            target(upstream), identifier, options(isRepeatable).maximumIdle());
+            boolean hasOpenConnection =
+                    !paths.isHanging() && pool.hasReusable(target(upstream), identifier, options.maximumIdle());
             boolean isDirect = hasOpenConnection || !paths.isDoubtful(lifetime);
             if (isDirect || !tryForward("path_doubtful", now)) {
                 sendDirectly(now);
@@ -166,8 +171,7 @@
 
         private void sendDirectly(MonotonicTime now) {
             paths.recordSent(lifetime, now);
-            exchange.attach(pool.send(
-                    target(upstream), identifier, request.get(), options(isRepeatable), new DirectListener(this)));
+            exchange.attach(pool.send(target(upstream), identifier, request.get(), options, new DirectListener(this)));
         }
 
         /** Asks a peer to send the request, if one can be asked; returns whether it does. */
@@ -202,8 +206,7 @@
             forwarded.headers().set(ForwardingHeaders.REPEATABLE, isRepeatable);
             peers.begin(peer.get());
             Target target = new Target(peer.get().address(), "peer");
-            exchange.attach(
-                    pool.send(target, forwarded, options(isRepeatable), new ForwardedListener(this, peer.get())));
+            exchange.attach(pool.send(target, forwarded, options, new ForwardedListener(this, peer.get())));
             return true;
         }
 
--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnectionPool.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnectionPool.java
@@ -227,7 +227,7 @@
                 return;
             }
             HttpConnection connection = connected.channel().pipeline().get(HttpConnection.class);
-            if (exchange.isEnded()) {
+            if (exchange.isEnded() || options.isTooLate(clock.get())) {
                 release(connection);
             } else {
                 connection.start(exchange);
--- a/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
+++ b/serving/src/main/java/org/pollenhoist/serving/placement/ModelPlan.java
@@ -147,8 +147,8 @@
     }
 
     /**
-     * Finds the move with the greatest gain. Costs only lower a gain, so the models are searched by the value of a further
-     * copy until it is less than the gain of a move that was found.
+     * Finds the move with the greatest gain. Costs only lower a gain, so the models are searched by the value of a
+     * further copy until it is less than the gain of a move that was found.
      */
     private Optional<Move> bestMove(Set<String> requestedModels, int maximumStoreLoads) {
         List<Candidate> candidates = engine.models().keySet().stream()
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -377,7 +377,7 @@
         private void begin() {
             UpstreamExchange started = environment
                     .connections()
-                    .send(identifier, upstream, () -> upstreamRequest(upstream), route.isRepeatable(), this);
+                    .send(identifier, upstream, () -> upstreamRequest(upstream), route.isRepeatable(), deadline, this);
             attach(started);
             response.onWritabilityChanged(started::setReading);
         }
--- a/serving/src/test/java/org/pollenhoist/serving/forwarding/CutPeerHeadTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/forwarding/CutPeerHeadTest.java
@@ -44,6 +44,8 @@
 /** Sends requests through peers that end within the head of the response that they pass on. */
 class CutPeerHeadTest {
 
+    private static final MonotonicTime DEADLINE = MonotonicTime.read().plus(Duration.ofMinutes(1));
+
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
     private static final String ANSWERED =
             "HTTP/1.1 200 OK\r\nX-Id: a\r\nForwarding-Outcome: answered\r\nForwarding-Explicit-End: %s\r\n" + CHUNKED;
@@ -138,7 +140,7 @@
     private String send(String forwarded) {
         response = forwarded;
         Recorder recorder = new Recorder();
-        loop.execute(() -> connections.send("a", upstream, CutPeerHeadTest::request, false, recorder));
+        loop.execute(() -> connections.send("a", upstream, CutPeerHeadTest::request, false, DEADLINE, recorder));
         return recorder.result.orTimeout(60, TimeUnit.SECONDS).join();
     }
 
--- a/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
@@ -1,6 +1,7 @@
 package org.pollenhoist.serving.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -154,6 +155,37 @@
         }
     }
 
+    /** Requests whose callers have left while connections were being opened for them. */
+    @Nested
+    class LateRequests {
+
+        private Target target() {
+            return new Target(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), "1");
+        }
+
+        private boolean hasIdleConnection() {
+            return loop.submit(() -> connections.hasReusable(target(), "b", Duration.ofHours(1)))
+                    .syncUninterruptibly()
+                    .getNow();
+        }
+
+        /** Guards against a request that an event loop that is late sends before it reads that the caller has left. */
+        @Test
+        void should_not_be_sent_once_the_connection_is_open() {
+            responses.add(LONG_KEEP_ALIVE.formatted("b"));
+            CompletableFuture<String> late = new CompletableFuture<>();
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+            ConnectionOptions options = ConnectionOptions.ANY_IDLE.startingBefore(MonotonicTime.read());
+            loop.execute(() -> connections.send(target(), "a", request, options, new Collector("a", late)));
+            await().until(this::hasIdleConnection);
+
+            assertThat(send("b")).isEqualTo("ok");
+
+            assertThat(late).isNotDone();
+            assertThat(accepted).hasValue(1);
+        }
+    }
+
     private static final class Collector implements ResponseListener {
 
         private final String identifier;
