Space the runs of the placement that changes ask for

Cause: each digest with a request for a model, and each change of an engine, ran the placement at once, and each run makes a view of every engine. That the placement kept its event loop busy is inferred from samples of the loop, half of which were in it.

--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -89,6 +89,7 @@
     private final StoreSynchronizer synchronizer;
     private final Leadership leadership;
     private final PlacementDriver placement;
+    private final PlacementTrigger placementTrigger;
     private final CrashTracking crashes;
     private final StreamTracking streams;
     private final InconclusiveAttempts inconclusive;
@@ -150,6 +151,7 @@
                 upstreams,
                 prefillRates,
                 this::residentModelsChanged);
+        placementTrigger = new PlacementTrigger(this::after, bootClock::read, this::place);
         digests = new DigestExchange(
                 this::after, bootClock::read, peers, upstreams, notices, limits, demandRates, crashes, localVmState());
         presence = new FleetPresence(peers, digests, limits);
@@ -225,7 +227,7 @@
                 crashes,
                 this::isStopping,
                 this::isForwarding,
-                this::place);
+                now -> placementTrigger.request());
     }
 
     private StoreStanding storeStanding(MonotonicTime now) {
@@ -433,7 +435,7 @@
 
     private void modelRequested() {
         if (placement.isSendingOrders(bootClock.read())) {
-            loop.execute(() -> place(bootClock.read()));
+            placementTrigger.request();
         } else {
             digests.notifyPlacementLeader();
         }
@@ -442,11 +444,8 @@
     private void residentModelsChanged(Upstream engine) {
         if (placement.isSendingOrders(bootClock.read())) {
             digests.announceResidentModels(engine);
-            loop.execute(() -> {
-                MonotonicTime now = bootClock.read();
-                queue.tryStartAll(now);
-                place(now);
-            });
+            loop.execute(() -> queue.tryStartAll(bootClock.read()));
+            placementTrigger.request();
         }
     }
 
