Weigh what engines keep of prompts by memory, age and use

Cause: an engine was assumed to keep the last 512 segments that this VM had sent there, for as long as it lived: behind any beginning, for any adapter, after its model had been unloaded and its memory used by other VMs' requests. Queues and the time of a token were counted over whole prompts, kept parts included.

Change: KeptPrompts holds chains by model and adapter, which yield to memory, drop with their model or adapter, and count by the likelihood that MemoryTurnover estimates from the load of other VMs. PrefillSaving brings that into the cost of an engine. The interfaces between VMs and the placement's code are as before.

--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
@@ -65,6 +65,7 @@
     private EngineRun run;
     private long sentAt;
     private long unreadAhead;
+    private long unreadTokens;
     private long lastTokenAt;
     private boolean isLate;
 
@@ -131,7 +132,7 @@
                 excluded,
                 Set.of());
         switch (vm.selector.select(request, fleet.service(), vm.upstreams, now)) {
-            case Selection.Send send -> send(send.upstream(), now);
+            case Selection.Send send -> send(send, now);
             case Selection.Wait wait -> enqueue(wait);
             case Selection.Refuse refusal -> {
                 leaveQueue();
@@ -170,7 +171,8 @@
         }
     }
 
-    private void send(Upstream chosen, MonotonicTime now) {
+    private void send(Selection.Send send, MonotonicTime now) {
+        Upstream chosen = send.upstream();
         leaveQueue();
         want = Optional.empty();
         if (upstream == null) {
@@ -178,7 +180,8 @@
         }
         upstream = chosen;
         unreadAhead = chosen.load(now).tokensAwaitingPrefill();
-        chosen.begin(asked.promptTokens(), asked.totalTokens());
+        unreadTokens = asked.promptTokens() - send.saving().keptTokens();
+        chosen.begin(unreadTokens, asked.totalTokens());
         if (!asked.adapter().isEmpty()) {
             chosen.recordAdapterUse(asked.model() + "/" + asked.adapter(), now);
         }
@@ -208,7 +211,7 @@
 
     private void finish() {
         isEnded = true;
-        upstream.end(run.madeTokens == 0 ? asked.promptTokens() : 0, asked.totalTokens());
+        upstream.end(run.madeTokens == 0 ? unreadTokens : 0, asked.totalTokens());
     }
 
     @Override
@@ -218,9 +221,9 @@
         }
         long at = fleet.milliseconds();
         if (isFirst) {
-            upstream.recordFirstToken(asked.promptTokens());
-            vm.pace.observe(asked.model(), unreadAhead + asked.promptTokens(), Duration.ofMillis(at - sentAt));
-            upstream.promptCache().add(asked.model(), asked.parts());
+            upstream.recordFirstToken(unreadTokens);
+            vm.pace.observe(asked.model(), unreadAhead + unreadTokens, Duration.ofMillis(at - sentAt));
+            upstream.promptCache().add(asked.model(), asked.adapter(), asked.parts(), fleet.now());
             isLate = at - asked.firstAskedAt() > asked.kind().goalMilliseconds();
         } else if (at - lastTokenAt > GAP_GOAL_MILLISECONDS) {
             isLate = true;
@@ -242,7 +245,7 @@
         if (isEnded) {
             return;
         }
-        upstream.end(asked.promptTokens(), asked.totalTokens());
+        upstream.end(unreadTokens, asked.totalTokens());
         upstream.markMissing(asked.model(), asked.adapter());
         excluded.add(upstream.description().identifier());
         tryStart(fleet.now());
@@ -260,7 +263,7 @@
     @Override
     public void onUnreachable() {
         if (!isEnded) {
-            upstream.end(asked.promptTokens(), asked.totalTokens());
+            upstream.end(unreadTokens, asked.totalTokens());
             upstream.markUnreachable(fleet.now());
             excluded.add(upstream.description().identifier());
             tryStart(fleet.now());
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestLog.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestLog.java
@@ -99,6 +99,8 @@
                 load.running(),
                 "unread_tokens",
                 load.tokensAwaitingPrefill(),
+                "kept_tokens",
+                send.saving().keptTokens(),
                 "expected_ms",
                 send.expectedWait().toMillis(),
                 "waited_ms",
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestMetrics.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestMetrics.java
@@ -16,6 +16,8 @@
     private final Counter suspicions;
     private final Counter selections;
     private final Counter resumptions;
+    private final Counter promptTokens;
+    private final Counter keptTokens;
     private final Histogram queueing;
     private final Histogram timeToFirstByte;
 
@@ -50,6 +52,14 @@
                 .help("Resumed streams, by how the software version that began the stream is known.")
                 .labelNames("source")
                 .register(registry);
+        promptTokens = Counter.builder()
+                .name("pollenhoist_prompt_tokens_total")
+                .help("Prompt tokens of requests with prompt segments, by decision to send.")
+                .register(registry);
+        keptTokens = Counter.builder()
+                .name("pollenhoist_prompt_tokens_kept_total")
+                .help("Those of them that the chosen upstream was expected to keep, weighted by likelihood.")
+                .register(registry);
         queueing = Histogram.builder()
                 .name("pollenhoist_queue_seconds")
                 .help("Time from a request's arrival to its first attempt, in seconds.")
@@ -81,8 +91,11 @@
 
     void countSelection(Selection selection) {
         switch (selection) {
-            case Selection.Send send ->
+            case Selection.Send send -> {
                 selections.labelValues("send", send.reason()).inc();
+                promptTokens.inc(send.saving().promptTokens());
+                keptTokens.inc(send.saving().keptTokens());
+            }
             case Selection.Wait wait ->
                 selections.labelValues("wait", wait.reason()).inc();
             case Selection.Refuse refusal ->
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -267,7 +267,7 @@
         }
         suspicion.recordSent(now);
         continuity.recordAttempt();
-        attempt = new Attempt(upstream, load.tokensAwaitingPrefill(), now);
+        attempt = new Attempt(send, load.tokensAwaitingPrefill(), now);
         attempt.begin();
     }
 
@@ -369,8 +369,8 @@
 
         private final long tokensAwaitingPrefill;
 
-        private Attempt(Upstream upstream, long tokensAwaitingPrefill, MonotonicTime now) {
-            super(environment, upstream, request, continuity.resumeAfter(), now);
+        private Attempt(Selection.Send send, long tokensAwaitingPrefill, MonotonicTime now) {
+            super(environment, send, request, continuity.resumeAfter(), now);
             this.tokensAwaitingPrefill = tokensAwaitingPrefill;
         }
 
@@ -398,8 +398,8 @@
             if (isFirstEvent()) {
                 environment
                         .prefillRates()
-                        .observe(request.model(), tokensAwaitingPrefill + request.promptTokens(), now.since(startedAt));
-                upstream.promptCache().add(request.model(), request.promptSegments());
+                        .observe(request.model(), tokensAwaitingPrefill + unreadTokens, now.since(startedAt));
+                upstream.promptCache().add(request.model(), request.adapter(), request.promptSegments(), now);
             } else {
                 suspicion.recordContinuedAnswer(now);
             }
--- a/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/UpstreamAttempt.java
@@ -16,6 +16,7 @@
 import org.pollenhoist.serving.http.ConnectionUse;
 import org.pollenhoist.serving.http.ExchangeFailure;
 import org.pollenhoist.serving.http.ResponseListener;
+import org.pollenhoist.serving.routing.Selection;
 import org.pollenhoist.serving.upstream.Upstream;
 
 /**
@@ -36,6 +37,9 @@
     protected final Upstream upstream;
     protected final MonotonicTime startedAt;
 
+    /** Prompt tokens that the upstream is expected to read, without those that it still keeps. */
+    protected final long unreadTokens;
+
     /** Whether a further attempt after this one has to be withdrawn from the retry budget. */
     protected boolean needsRetryBudget = true;
 
@@ -56,20 +60,22 @@
     /**
      * Starts to count as load of the upstream.
      *
+     * @param send the decision to send the request
      * @param resumedAfter the last event that the caller has received in the same response, empty if there is none
      */
     UpstreamAttempt(
             RequestEnvironment environment,
-            Upstream upstream,
+            Selection.Send send,
             CallerRequest request,
             Optional<Long> resumedAfter,
             MonotonicTime now) {
         this.resumedAfter = resumedAfter;
         this.environment = environment;
-        this.upstream = upstream;
+        this.upstream = send.upstream();
         this.request = request;
         this.startedAt = now;
-        upstream.begin(request.promptTokens(), request.totalTokens());
+        this.unreadTokens = request.promptTokens() - send.saving().keptTokens();
+        upstream.begin(unreadTokens, request.totalTokens());
     }
 
     /** Sets the exchange of this attempt, and cancels it if the attempt has already ended. */
@@ -114,7 +120,7 @@
 
     private void close(String result) {
         isClosed = true;
-        upstream.end(isPrefillDone ? 0 : request.promptTokens(), request.totalTokens());
+        upstream.end(isPrefillDone ? 0 : unreadTokens, request.totalTokens());
         environment.metrics().countAttempt(result);
         if (eventStream != null) {
             eventStream.dropPartialEvent();
@@ -194,7 +200,7 @@
     private void markPrefillDone() {
         if (!isPrefillDone) {
             isPrefillDone = true;
-            upstream.recordFirstToken(request.promptTokens());
+            upstream.recordFirstToken(unreadTokens);
         }
     }
 
--- a/serving/src/main/java/org/pollenhoist/serving/routing/Selection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/Selection.java
@@ -12,8 +12,9 @@
      * @param upstream the upstream
      * @param expectedWait estimated time to first token
      * @param reason why this upstream was chosen, for the log
+     * @param saving what the upstream is expected to save of the prefill
      */
-    record Send(Upstream upstream, Duration expectedWait, String reason) implements Selection {}
+    record Send(Upstream upstream, Duration expectedWait, String reason, PrefillSaving saving) implements Selection {}
 
     /**
      * The request waits in the queue of this VM.
--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -186,7 +186,7 @@
                     ? new Selection.Refuse("upstreams_full", CAPACITY_RETRY)
                     : new Selection.Wait("upstreams_full", false);
         }
-        return new Selection.Send(best, Duration.ofMillis((long) bestCost), "least_cost");
+        return new Selection.Send(best, Duration.ofMillis((long) bestCost), "least_cost", PrefillSaving.NONE);
     }
 
     private Selection selectEngine(
@@ -209,7 +209,7 @@
             if (!hasCapacity(load, request, engine)) {
                 continue;
             }
-            Backlog backlog = backlog(candidate, load, request);
+            Backlog backlog = backlog(load, request, PrefillSaving.at(candidate, load, request, engine, now));
             double cost = backlog.untilFirstToken().toMillis()
                     + load.running() * MILLISECONDS_PER_RUNNING_REQUEST
                     + penalty(candidate, request, now);
@@ -230,7 +230,7 @@
         if (yieldsToUrgentRequests(bestBacklog, request, now)) {
             return new Selection.Wait("engines_backlogged", false);
         }
-        return new Selection.Send(best, bestBacklog.untilFirstToken(), "least_cost");
+        return new Selection.Send(best, bestBacklog.untilFirstToken(), "least_cost", bestBacklog.saving());
     }
 
     /**
@@ -239,22 +239,24 @@
      * @param ahead prefill time of the prompts ahead of it
      * @param own prefill time of its own prompt
      * @param mean prefill time of a prompt with the mean length of its kind
+     * @param saving what its own prefill is expected to lack because the engine keeps the beginning of its prompt
      */
-    private record Backlog(Duration ahead, Duration own, Duration mean) {
+    private record Backlog(Duration ahead, Duration own, Duration mean, PrefillSaving saving) {
 
-        private static final Backlog NONE = new Backlog(Duration.ZERO, Duration.ZERO, Duration.ZERO);
+        private static final Backlog NONE =
+                new Backlog(Duration.ZERO, Duration.ZERO, Duration.ZERO, PrefillSaving.NONE);
 
         private Duration untilFirstToken() {
             return ahead.plus(own);
         }
     }
 
-    private Backlog backlog(Upstream candidate, LoadSnapshot load, SelectionRequest request) {
-        long cached = candidate.promptCache().cachedTokens(request.model(), request.promptSegments());
+    private Backlog backlog(LoadSnapshot load, SelectionRequest request, PrefillSaving saving) {
         return new Backlog(
                 prefillRates.estimate(request.model(), load.tokensAwaitingPrefill()),
-                prefillRates.estimate(request.model(), request.promptTokens() - cached),
-                prefillRates.estimate(request.model(), request.meanPromptTokens() - cached));
+                prefillRates.estimate(request.model(), request.promptTokens() - saving.keptTokens()),
+                prefillRates.estimate(request.model(), request.meanPromptTokens() - saving.keptTokens()),
+                saving);
     }
 
     /**
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.UpstreamName;
 import org.pollenhoist.request.UpstreamLifetime;
@@ -26,7 +27,7 @@
     private final Map<String, MonotonicTime> adapterUses = new HashMap<>();
     private final LoadReports peerLoads = new LoadReports();
     private final LoadReports domainLoads = new LoadReports();
-    private final PromptCache promptCache = new PromptCache();
+    private final KeptPrompts promptCache;
     private final Map<String, MonotonicTime> loadingModels = new HashMap<>();
     private UpstreamDescription description;
     private boolean hasEnded;
@@ -45,6 +46,7 @@
     private boolean hasResponded;
 
     Upstream(UpstreamDescription description, MonotonicTime now) {
+        this.promptCache = new KeptPrompts(now);
         this.failures = new DecayingFailureRate(now);
         this.unreachableUntil = now;
         this.backOffEnd = now;
@@ -64,18 +66,15 @@
         // An upstream that is leaving does not change its mind; an older entry may come back with a copy of the store.
         hasRegisteredLeaving |= newDescription.isLeaving();
         Set<String> after = names(newDescription);
-        for (HeldModel model : newDescription.models()) {
-            if (!before.contains(model.name())) {
-                adaptersByModel.computeIfAbsent(model.name(), name -> new HashSet<>(model.adapters()));
-            }
-        }
+        newDescription.models().stream()
+                .filter(model -> !before.contains(model.name()))
+                .forEach(model -> adaptersByModel.putIfAbsent(model.name(), new HashSet<>(model.adapters())));
         before.stream().filter(name -> !after.contains(name)).forEach(adaptersByModel::remove);
+        promptCache.retain(adaptersByModel);
     }
 
     private static Set<String> names(UpstreamDescription described) {
-        Set<String> names = new HashSet<>();
-        described.models().forEach(model -> names.add(model.name()));
-        return names;
+        return described.models().stream().map(HeldModel::name).collect(Collectors.toSet());
     }
 
     /** Marks the lifetime as ended; returns whether it ended unexpectedly, without any notice that it is leaving. */
@@ -275,6 +274,7 @@
     public void replaceResidentModels(Map<String, Set<String>> residents) {
         adaptersByModel.clear();
         residents.forEach((model, adapters) -> adaptersByModel.put(model, new HashSet<>(adapters)));
+        promptCache.retain(adaptersByModel);
     }
 
     /**
@@ -303,10 +303,9 @@
      * @param adapter the adapter
      */
     public void addAdapter(String model, String adapter) {
-        adaptersByModel.computeIfPresent(model, (name, adapters) -> {
-            adapters.add(adapter);
-            return adapters;
-        });
+        if (adaptersByModel.containsKey(model)) {
+            adaptersByModel.get(model).add(adapter);
+        }
     }
 
     /**
@@ -321,12 +320,13 @@
         } else if (adaptersByModel.containsKey(model)) {
             adaptersByModel.get(model).remove(adapter);
         }
+        promptCache.retain(adaptersByModel);
     }
 
     /**
      * Adds the load of a request that is sent to the upstream.
      *
-     * @param promptTokens the length of its prompt in tokens
+     * @param promptTokens the prompt tokens that need prefill
      * @param totalTokens its prompt and output tokens together
      */
     public void begin(long promptTokens, long totalTokens) {
@@ -338,7 +338,7 @@
     /**
      * Records the first token of a request: its prompt no longer awaits prefill.
      *
-     * @param promptTokens the length of its prompt in tokens
+     * @param promptTokens the prompt tokens that needed prefill
      */
     public void recordFirstToken(long promptTokens) {
         tokensAwaitingPrefill -= promptTokens;
@@ -347,7 +347,7 @@
     /**
      * Removes the load of a request that has ended.
      *
-     * @param pendingPromptTokens the length of its prompt if no token was received, otherwise 0
+     * @param pendingPromptTokens the prompt tokens that need prefill if no token was received, otherwise 0
      * @param totalTokens its prompt and output tokens together
      */
     public void end(long pendingPromptTokens, long totalTokens) {
@@ -425,11 +425,11 @@
     }
 
     /**
-     * Returns the prompt segments that the upstream is assumed to cache.
+     * Returns the beginnings of prompts that the upstream is assumed to keep.
      *
-     * @return the cache as known to this VM
+     * @return what is assumed from the requests of this VM
      */
-    public PromptCache promptCache() {
+    public KeptPrompts promptCache() {
         return promptCache;
     }
 
