--- a/serving/src/main/java/org/pollenhoist/serving/routing/EngineRank.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/EngineRank.java
@@ -7,10 +7,10 @@
 /**
  * Decides how urgent an engine takes a request to be: engines admit and keep requests of a lower rank first.
  *
- * <p>Answers the load of patient and urgent kinds of requests that compete for the same engines under the same priority.
- * By their priority alone, an engine reads the prompts of both in the order of their arrival, so that requests that may
- * take many seconds delay those that are late after half a second. A patient request ranks behind them while it has time,
- * and as its priority says once it has waited for a part of that time, so that it is not starved.
+ * <p>Answers the load of patient and urgent kinds of requests that compete for the same engines under the same
+ * priority. By their priority alone, an engine reads the prompts of both in the order of their arrival, so that requests
+ * that may take many seconds delay those that are late after half a second. A patient request ranks behind them while it
+ * has time, and as its priority says once it has waited for a part of that time, so that it is not starved.
  */
 public final class EngineRank {
 
--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -194,7 +194,7 @@
                     ? new Selection.Refuse("upstreams_full", CAPACITY_RETRY)
                     : new Selection.Wait("upstreams_full", false);
         }
-        return new Selection.Send(best, Duration.ofMillis((long) bestCost), "least_cost");
+        return new Selection.Send(best, Duration.ofMillis((long) bestCost), "least_cost", PrefillSaving.NONE);
     }
 
     private Selection selectEngine(
@@ -217,7 +217,8 @@
             if (!hasCapacity(load, request, engine)) {
                 continue;
             }
-            Backlog backlog = backlog(candidate, load, request, now);
+            PrefillSaving saving = PrefillSaving.at(candidate, load, request, engine, now);
+            Backlog backlog = backlog(load, request, saving, candidate.pace().at(now));
             double cost = backlog.untilFirstToken().toMillis()
                     + load.running()
                             * MILLISECONDS_PER_RUNNING_REQUEST
@@ -240,7 +241,7 @@
         if (yieldsToUrgentRequests(bestBacklog, request, now)) {
             return new Selection.Wait("engines_backlogged", false);
         }
-        return new Selection.Send(best, bestBacklog.untilFirstToken(), "least_cost");
+        return new Selection.Send(best, bestBacklog.untilFirstToken(), "least_cost", bestBacklog.saving());
     }
 
     /**
@@ -249,23 +250,24 @@
      * @param ahead prefill time of the prompts ahead of it
      * @param own prefill time of its own prompt
      * @param mean prefill time of a prompt with the mean length of its kind
+     * @param saving what its own prefill is expected to lack because the engine keeps the beginning of its prompt
      */
-    private record Backlog(Duration ahead, Duration own, Duration mean) {
+    private record Backlog(Duration ahead, Duration own, Duration mean, PrefillSaving saving) {
 
-        private static final Backlog NONE = new Backlog(Duration.ZERO, Duration.ZERO, Duration.ZERO);
+        private static final Backlog NONE =
+                new Backlog(Duration.ZERO, Duration.ZERO, Duration.ZERO, PrefillSaving.NONE);
 
         private Duration untilFirstToken() {
             return ahead.plus(own);
         }
     }
 
-    private Backlog backlog(Upstream candidate, LoadSnapshot load, SelectionRequest request, MonotonicTime now) {
-        long cached = candidate.promptCache().cachedTokens(request.model(), request.promptSegments());
-        double pace = candidate.pace().at(now);
+    private Backlog backlog(LoadSnapshot load, SelectionRequest request, PrefillSaving saving, double pace) {
         return new Backlog(
                 prefillTime(request.model(), load.tokensAwaitingPrefill(), pace),
-                prefillTime(request.model(), request.promptTokens() - cached, pace),
-                prefillTime(request.model(), request.meanPromptTokens() - cached, pace));
+                prefillTime(request.model(), request.promptTokens() - saving.keptTokens(), pace),
+                prefillTime(request.model(), request.meanPromptTokens() - saving.keptTokens(), pace),
+                saving);
     }
 
     private Duration prefillTime(String model, long tokens, double pace) {
--- a/serving/src/test/java/org/pollenhoist/serving/routing/PacedSelectionTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/routing/PacedSelectionTest.java
@@ -122,7 +122,7 @@
         private static final long WORK_MILLISECONDS = 40;
         private static final double SLOW = 5;
 
-        /** Plays requests before single-slot servers of which one is slow; returns how many end within the objective. */
+        /** Plays requests before single-slot servers of which one is slow; returns how many end in time. */
         private int endedInTime(boolean isPaceStated, long seed) {
             Random random = new Random(seed);
             UpstreamTable servers = new UpstreamTable();
