Promise callers refused for want of room a time of their own

Cause: callers refused with engines_full or upstreams_full were all told 700 ms, by each VM by itself, so that a crowd refused at once returned at once and most of it was refused again.

Change: a ledger of promised returns on each VM (serving.returns) reckons, at the rate at which the VM has lately started requests in the pool, the first slot at or after the former Retry-After that is promised to no caller of the same or a higher priority, at most a third of the caller's time left away. Without that, the caller is told the reckoned time and that there is no room in its time. Without recent starts, and for other refusals, all is as before.

--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -32,6 +32,7 @@
 import org.pollenhoist.serving.request.RequestMetrics;
 import org.pollenhoist.serving.request.RequestQueue;
 import org.pollenhoist.serving.request.ResponseBufferBudget;
+import org.pollenhoist.serving.returns.ReturnLedger;
 import org.pollenhoist.serving.routing.PrefillRateEstimator;
 import org.pollenhoist.serving.routing.PromptLengthTracker;
 import org.pollenhoist.serving.routing.UpstreamSelector;
@@ -57,9 +58,6 @@
     /** Interval of the periodic task that checks deadlines and queued requests. */
     private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
 
-    /** Maximum total size of buffered responses and incomplete events: an eighth of the process's heap. */
-    private static final long RESPONSE_BUFFER_BYTES = 20L << 20;
-
     /** Interval of the periodic task that closes idle connections, and reconciles verdicts and the registration. */
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
@@ -174,6 +172,7 @@
                 prefillRates,
                 new PromptLengthTracker(),
                 queue,
+                new ReturnLedger(),
                 forwarding.connections(),
                 binding.requestFormat(),
                 retryBudgets::of,
@@ -182,7 +181,7 @@
                 crashes.recorder(),
                 streams.registry(),
                 inconclusive,
-                new ResponseBufferBudget(RESPONSE_BUFFER_BYTES),
+                ResponseBufferBudget.ofProcess(),
                 new RequestMetrics(registry),
                 this::modelRequested);
     }
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
@@ -13,6 +13,8 @@
 import org.pollenhoist.serving.forwarding.UpstreamConnections;
 import org.pollenhoist.serving.limit.FleetRateLimiter;
 import org.pollenhoist.serving.placement.DemandTracker;
+import org.pollenhoist.serving.returns.Pool;
+import org.pollenhoist.serving.returns.ReturnLedger;
 import org.pollenhoist.serving.routing.PrefillRateEstimator;
 import org.pollenhoist.serving.routing.PromptLengthTracker;
 import org.pollenhoist.serving.routing.UpstreamSelector;
@@ -32,6 +34,7 @@
  * @param prefillRates estimates the prefill rates of engines
  * @param promptLengths estimates the lengths of prompts
  * @param queue the requests that wait
+ * @param returns the returns promised to callers that were refused for want of room
  * @param connections the connections to upstreams
  * @param format reads and writes the headers of callers and upstreams
  * @param retryBudgets returns the retry budget of a service by name
@@ -54,6 +57,7 @@
         PrefillRateEstimator prefillRates,
         PromptLengthTracker promptLengths,
         RequestQueue queue,
+        ReturnLedger returns,
         UpstreamConnections connections,
         RequestFormat format,
         Function<String, FleetRetryBudget> retryBudgets,
@@ -83,8 +87,9 @@
         }
     }
 
-    /** Records the demand of a request that is sent to an upstream for the first time. */
-    void recordSent(CallerRequest request, MonotonicTime now) {
+    /** Records the start and the demand of a request that is sent to an upstream for the first time. */
+    void recordSent(String service, CallerRequest request, MonotonicTime now) {
+        returns.recordStart(new Pool(service, request.model()), now);
         if (!request.model().isEmpty()) {
             demand.recordSent(request.model(), workMicroseconds(request), now);
         }
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestLog.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestLog.java
@@ -14,30 +14,32 @@
 
     private RequestLog() {}
 
-    static void refused(String identifier, CallerRequest request, String reason) {
-        route(identifier, request, "refuse", reason);
-    }
-
-    static void waiting(String identifier, CallerRequest request, String reason) {
-        route(identifier, request, "wait", reason);
-    }
-
-    static void suspected(String identifier, String fingerprint, String decision, String reason) {
+    static void refused(String identifier, CallerRequest request, String reason, ReturnOffer offer) {
         LOG.event(
-                "suspicion", "request", identifier, "fingerprint", fingerprint, "decision", decision, "reason", reason);
-    }
-
-    static void suspectedSegments(String identifier, Set<SegmentKey> segments, String decision) {
-        LOG.event("suspicion", "request", identifier, "segments", segments, "decision", decision);
+                "route",
+                "request",
+                identifier,
+                "decision",
+                "refuse",
+                "model",
+                request.model(),
+                "adapter",
+                request.adapter(),
+                "reason",
+                reason,
+                "retry_ms",
+                offer.retryAfter().toMillis(),
+                "promised",
+                offer.promised());
     }
 
-    private static void route(String identifier, CallerRequest request, String decision, String reason) {
+    static void waiting(String identifier, CallerRequest request, String reason) {
         LOG.event(
                 "route",
                 "request",
                 identifier,
                 "decision",
-                decision,
+                "wait",
                 "model",
                 request.model(),
                 "adapter",
@@ -46,6 +48,15 @@
                 reason);
     }
 
+    static void suspected(String identifier, String fingerprint, String decision, String reason) {
+        LOG.event(
+                "suspicion", "request", identifier, "fingerprint", fingerprint, "decision", decision, "reason", reason);
+    }
+
+    static void suspectedSegments(String identifier, Set<SegmentKey> segments, String decision) {
+        LOG.event("suspicion", "request", identifier, "segments", segments, "decision", decision);
+    }
+
     static void resumed(CallerRequest request) {
         LOG.event(
                 "resumption",
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestMetrics.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestMetrics.java
@@ -16,6 +16,8 @@
     private final Counter suspicions;
     private final Counter selections;
     private final Counter resumptions;
+    private final Counter returns;
+    private final Histogram promisedReturn;
     private final Histogram queueing;
     private final Histogram timeToFirstByte;
 
@@ -50,6 +52,17 @@
                 .help("Resumed streams, by how the software version that began the stream is known.")
                 .labelNames("source")
                 .register(registry);
+        returns = Counter.builder()
+                .name("pollenhoist_reckoned_returns_total")
+                .help("Refusals for want of room, by kind of pool and by what the time of return rests on.")
+                .labelNames("pool", "promised")
+                .register(registry);
+        promisedReturn = Histogram.builder()
+                .name("pollenhoist_reckoned_return_seconds")
+                .help("Time after which callers refused for want of room are told to return, in seconds.")
+                .labelNames("pool", "promised")
+                .classicOnly()
+                .register(registry);
         queueing = Histogram.builder()
                 .name("pollenhoist_queue_seconds")
                 .help("Time from a request's arrival to its first attempt, in seconds.")
@@ -90,6 +103,11 @@
         }
     }
 
+    void observeReturn(String poolKind, String promised, Duration after) {
+        returns.labelValues(poolKind, promised).inc();
+        promisedReturn.labelValues(poolKind, promised).observe(after.toMillis() / MILLISECONDS_PER_SECOND);
+    }
+
     void observeQueueing(Duration waited) {
         queueing.observe(waited.toMillis() / MILLISECONDS_PER_SECOND);
     }
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -13,7 +13,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.pollenhoist.caller.Refusal;
-import org.pollenhoist.common.ErrorCode;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.UpstreamName;
 import org.pollenhoist.serving.catalog.RequestKind;
@@ -39,12 +38,6 @@
     /** How long an upstream is excluded for a request that it rejected; loading an adapter takes much less. */
     private static final Duration REJECTION_EXCLUSION = Duration.ofMillis(150);
 
-    /** Retry-After without a better estimate. The load balancer and the store pass on changes in less time. */
-    private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
-
-    /** Retry-After while this process stops. Short, since the load balancer sends the retry to another process. */
-    private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(50);
-
     /** Maximum number of attempts for one request, including those that were rejected or not sent. */
     private static final int MAXIMUM_ATTEMPTS = 6;
 
@@ -145,7 +138,7 @@
     }
 
     void refuseStopping(MonotonicTime now) {
-        refuse(Refusal.notRunRetryAfter(ErrorCode.NOT_READY, "the process is stopping", STOPPING_RETRY_AFTER), now);
+        refuse(Refusals.stopping(), now);
     }
 
     private void dispatch(MonotonicTime now) {
@@ -160,9 +153,8 @@
         if (!mayRun(now)) {
             return;
         }
-        Selection selection = environment
-                .selector()
-                .select(selectionRequest(softwareVersions, now), service, environment.upstreams(), now);
+        SelectionRequest wanted = selectionRequest(softwareVersions, now);
+        Selection selection = environment.selector().select(wanted, service, environment.upstreams(), now);
         environment.metrics().countSelection(selection);
         boolean isWaitUseful = triedUpstreams.hasTemporaryExclusion(now);
         switch (selection) {
@@ -170,8 +162,11 @@
             case Selection.Wait wait -> enqueue(wait);
             case Selection.Refuse refusal when isWaitUseful -> enqueue(new Selection.Wait(refusal.reason(), false));
             case Selection.Refuse refusal -> {
-                RequestLog.refused(identifier, request, refusal.reason());
-                fail(refusal.reason(), refusal.retryAfter(), now);
+                ReturnOffer offer = isResponseStarted || mayHaveRun
+                        ? ReturnOffer.unpromised(refusal)
+                        : ReturnOffer.of(refusal, wanted, environment, now);
+                RequestLog.refused(identifier, request, refusal.reason(), offer);
+                fail(offer.reason(), offer.retryAfter(), now);
             }
         }
     }
@@ -249,12 +244,12 @@
         boolean isRetry = attemptCount > 0;
         boolean isBudgetNeeded = isRetry && attempt != null && attempt.needsRetryBudget;
         if (isBudgetNeeded && !environment.tryWithdrawRetry(service.name(), now)) {
-            fail("retry_budget_exhausted", DEFAULT_RETRY_AFTER, now);
+            fail("retry_budget_exhausted", Refusals.DEFAULT_RETRY_AFTER, now);
             return;
         }
         if (!isRetry) {
             environment.metrics().observeQueueing(now.since(arrivedAt));
-            environment.recordSent(request, now);
+            environment.recordSent(service.name(), request, now);
         }
         leaveQueue();
         attemptCount++;
@@ -278,7 +273,7 @@
         if (mayRepeat && hasRunsLeft && attemptCount < MAXIMUM_ATTEMPTS && now.isBefore(deadline)) {
             dispatch(now);
         } else {
-            fail(reason, DEFAULT_RETRY_AFTER, now);
+            fail(reason, Refusals.DEFAULT_RETRY_AFTER, now);
         }
     }
 
@@ -286,13 +281,8 @@
         if (isResponseStarted) {
             end("cut", reason, now);
             response.abort();
-        } else if (mayHaveRun) {
-            refuse(Refusal.outcomeUnknown(ErrorCode.OUTCOME_UNKNOWN, "the request may have run: " + reason), now);
         } else {
-            refuse(
-                    Refusal.notRunRetryAfter(
-                            ErrorCode.UPSTREAM_UNAVAILABLE, "the request can't be served now: " + reason, retryAfter),
-                    now);
+            refuse(Refusals.failed(reason, mayHaveRun, retryAfter), now);
         }
     }
 
@@ -321,13 +311,9 @@
             return;
         }
         if (isResponseStarted) {
-            fail("deadline", DEFAULT_RETRY_AFTER, now);
-        } else if (mayHaveRun || (attempt != null && attempt.isOpen())) {
-            refuse(Refusal.outcomeUnknown(ErrorCode.DEADLINE_EXCEEDED, "no response before the deadline"), now);
+            fail("deadline", Refusals.DEFAULT_RETRY_AFTER, now);
         } else {
-            refuse(
-                    Refusal.notRunRetryAfter(ErrorCode.OVERLOADED, "no upstream was free in time", DEFAULT_RETRY_AFTER),
-                    now);
+            refuse(Refusals.expired(mayHaveRun || (attempt != null && attempt.isOpen())), now);
         }
     }
 
@@ -448,7 +434,7 @@
             if (isResponseStarted) {
                 // The upstream did not resume the stream, so the response that has been started can't be completed.
                 body.release();
-                fail("resume_failed", DEFAULT_RETRY_AFTER, now);
+                fail("resume_failed", Refusals.DEFAULT_RETRY_AFTER, now);
                 return;
             }
             observeFirstByte(now);
--- a/serving/src/main/java/org/pollenhoist/serving/request/ResponseBufferBudget.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/ResponseBufferBudget.java
@@ -13,6 +13,9 @@
  */
 public final class ResponseBufferBudget {
 
+    /** Maximum total size of buffered responses and incomplete events: an eighth of the process's heap. */
+    private static final long PROCESS_BYTES = 20L << 20;
+
     /** A response that is buffered. */
     interface Holder {
 
@@ -29,6 +32,15 @@
     private final Map<Holder, Long> heldBytes = new LinkedHashMap<>();
     private long usedBytes;
 
+    /**
+     * Creates the budget of a serving process.
+     *
+     * @return the budget
+     */
+    public static ResponseBufferBudget ofProcess() {
+        return new ResponseBufferBudget(PROCESS_BYTES);
+    }
+
     /**
      * Creates a budget of which nothing is used.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/routing/Selection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/Selection.java
@@ -28,6 +28,29 @@
      *
      * @param reason why it is refused, for the log and the caller
      * @param retryAfter estimated time after which a retry may succeed
+     * @param isForRoom whether it is refused only because other requests have taken the room
      */
-    record Refuse(String reason, Duration retryAfter) implements Selection {}
+    record Refuse(String reason, Duration retryAfter, boolean isForRoom) implements Selection {
+
+        /**
+         * Creates a refusal for another cause than want of room.
+         *
+         * @param reason why the request is refused, for the log and the caller
+         * @param retryAfter estimated time after which a retry may succeed
+         */
+        public Refuse(String reason, Duration retryAfter) {
+            this(reason, retryAfter, false);
+        }
+
+        /**
+         * Creates a refusal for want of room.
+         *
+         * @param reason why the request is refused, for the log and the caller
+         * @param earliest estimated time before which there is no room
+         * @return the refusal
+         */
+        public static Refuse forRoom(String reason, Duration earliest) {
+            return new Refuse(reason, earliest, true);
+        }
+    }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -81,7 +81,7 @@
     /** Fraction of its latency objective after which a latency-tolerant request is no longer held back. */
     private static final double TOLERANT_WAIT_FRACTION = 0.5;
 
-    /** Retry time for a caller whose request did not get capacity at an upstream in time. */
+    /** Earliest return of a caller whose request did not get capacity at an upstream in time. */
     private static final Duration CAPACITY_RETRY = Duration.ofMillis(700);
 
     /** How much later than expected a load of a model may complete. */
@@ -183,7 +183,7 @@
         }
         if (best == null) {
             return isTooLate(request, Duration.ZERO, now)
-                    ? new Selection.Refuse("upstreams_full", CAPACITY_RETRY)
+                    ? Selection.Refuse.forRoom("upstreams_full", CAPACITY_RETRY)
                     : new Selection.Wait("upstreams_full", false);
         }
         return new Selection.Send(best, Duration.ofMillis((long) bestCost), "least_cost");
@@ -221,11 +221,11 @@
         }
         if (best == null) {
             return isTooLate(request, Duration.ZERO, now)
-                    ? new Selection.Refuse("engines_full", CAPACITY_RETRY)
+                    ? Selection.Refuse.forRoom("engines_full", CAPACITY_RETRY)
                     : new Selection.Wait("engines_full", false);
         }
         if (isTooLateBehind(bestBacklog, request, now)) {
-            return new Selection.Refuse("too_late_for_all_engines", bestBacklog.untilFirstToken());
+            return Selection.Refuse.forRoom("too_late_for_all_engines", bestBacklog.untilFirstToken());
         }
         if (yieldsToUrgentRequests(bestBacklog, request, now)) {
             return new Selection.Wait("engines_backlogged", false);
