--- a/serving/src/test/java/org/pollenhoist/serving/returns/ReturningCrowdTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/returns/ReturningCrowdTest.java
@@ -27,31 +27,46 @@
 
     private static final Duration CONSTANT_RETRY = Duration.ofMillis(700);
 
+    /** Before the burst, the pool starts as many requests as it can. */
+    private static final int BUSY = 1;
+
+    /** Before the burst, the pool starts one in so many of the requests that it could. */
+    private static final int QUIET = 5;
+
     @Test
     void should_serve_more_at_the_first_return_when_many_are_refused_at_once() {
         int callers = 100;
-        List<Integer> withLedger = servedBySeed(callers, Crowd::ledgerReturn);
-        List<Integer> withConstant = servedBySeed(callers, caller -> CONSTANT_RETRY);
+        List<Integer> withLedger = servedBySeed(callers, BUSY, Crowd::ledgerReturn);
+        List<Integer> withConstant = servedBySeed(callers, BUSY, caller -> CONSTANT_RETRY);
 
-        System.out.println("served at the first return, ledger: " + withLedger + ", constant: " + withConstant);
-        assertThat(sum(withLedger)).isGreaterThan(sum(withConstant));
+        assertThat(sum(withLedger))
+                .as("served by seed, ledger %s, constant %s", withLedger, withConstant)
+                .isGreaterThan(sum(withConstant));
         assertNoSeedWorse(withLedger, withConstant, callers);
     }
 
     @Test
     void should_serve_as_many_when_few_are_refused() {
         int callers = 5;
-        List<Integer> withLedger = servedBySeed(callers, Crowd::ledgerReturn);
-        List<Integer> withConstant = servedBySeed(callers, caller -> CONSTANT_RETRY);
+        List<Integer> withLedger = servedBySeed(callers, BUSY, Crowd::ledgerReturn);
+        List<Integer> withConstant = servedBySeed(callers, BUSY, caller -> CONSTANT_RETRY);
+
+        assertNoSeedWorse(withLedger, withConstant, callers);
+    }
+
+    @Test
+    void should_serve_no_fewer_when_little_was_asked_of_the_pool_before() {
+        int callers = 100;
+        List<Integer> withLedger = servedBySeed(callers, QUIET, Crowd::ledgerReturn);
+        List<Integer> withConstant = servedBySeed(callers, QUIET, caller -> CONSTANT_RETRY);
 
-        System.out.println("served at the first return, ledger: " + withLedger + ", constant: " + withConstant);
         assertNoSeedWorse(withLedger, withConstant, callers);
     }
 
     private static void assertNoSeedWorse(List<Integer> withLedger, List<Integer> withConstant, int callers) {
         assertThat(IntStream.range(0, SEEDS))
                 .allSatisfy(seed -> assertThat(withLedger.get(seed) + callers * TOLERATED_PERCENT / 100)
-                        .as("seed %s", seed)
+                        .as("seed %s; served by seed, ledger %s, constant %s", seed, withLedger, withConstant)
                         .isGreaterThanOrEqualTo(withConstant.get(seed)));
     }
 
@@ -59,9 +74,9 @@
         return counts.stream().mapToInt(Integer::intValue).sum();
     }
 
-    private static List<Integer> servedBySeed(int callers, Function<Crowd.Refused, Duration> policy) {
+    private static List<Integer> servedBySeed(int callers, int load, Function<Crowd.Refused, Duration> policy) {
         return IntStream.range(0, SEEDS)
-                .mapToObj(seed -> new Crowd(seed, policy).servedReturners(callers))
+                .mapToObj(seed -> new Crowd(seed, policy).servedReturners(callers, load))
                 .toList();
     }
 
@@ -74,6 +89,9 @@
         private static final long BETWEEN_STARTS = SECOND / STARTS_PER_SECOND;
         private static final long LONGEST_WAIT = Duration.ofMillis(720).toNanos();
         private static final long BURST_AT = 60 * SECOND;
+        /** Callers are refused only once they have waited, so the pool has been full for a while by then. */
+        private static final long FULL_FROM = BURST_AT - LONGEST_WAIT;
+
         private static final long BURST_LENGTH = Duration.ofMillis(300).toNanos();
         private static final long END = BURST_AT + 10 * SECOND;
 
@@ -107,8 +125,8 @@
             return caller.ledger().promise(request, now).after();
         }
 
-        private int servedReturners(int callers) {
-            for (long at = 0; at < BURST_AT; at += BETWEEN_STARTS) {
+        private int servedReturners(int callers, int load) {
+            for (long at = 0; at < BURST_AT; at += at < FULL_FROM ? load * BETWEEN_STARTS : BETWEEN_STARTS) {
                 schedule(at, now -> arrive(now, false));
             }
             long at = BURST_AT;
