--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestMetrics.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestMetrics.java
@@ -18,6 +18,8 @@
     private final Counter resumptions;
     private final Counter promptTokens;
     private final Counter keptTokens;
+    private final Counter returns;
+    private final Histogram promisedReturn;
     private final Histogram queueing;
     private final Histogram timeToFirstByte;
 
@@ -60,6 +62,17 @@
                 .name("pollenhoist_prompt_tokens_kept_total")
                 .help("Those of them that the chosen upstream was expected to keep, weighted by likelihood.")
                 .register(registry);
+        returns = Counter.builder()
+                .name("pollenhoist_reckoned_returns_total")
+                .help("Refusals for want of room, by kind of pool and by what the time of return rests on.")
+                .labelNames("pool", "promised")
+                .register(registry);
+        promisedReturn = Histogram.builder()
+                .name("pollenhoist_reckoned_return_seconds")
+                .help("Time after which callers refused for want of room are told to return, in seconds.")
+                .labelNames("pool", "promised")
+                .classicOnly()
+                .register(registry);
         queueing = Histogram.builder()
                 .name("pollenhoist_queue_seconds")
                 .help("Time from a request's arrival to its first attempt, in seconds.")
@@ -103,6 +116,11 @@
         }
     }
 
+    void observeReturn(String poolKind, String promised, Duration after) {
+        returns.labelValues(poolKind, promised).inc();
+        promisedReturn.labelValues(poolKind, promised).observe(after.toMillis() / MILLISECONDS_PER_SECOND);
+    }
+
     void observeQueueing(Duration waited) {
         queueing.observe(waited.toMillis() / MILLISECONDS_PER_SECOND);
     }
