Limit the memory of all heads of requests that a process holds

Cause: a header line of four bytes costs some 250 bytes once decoded, and nothing counted them: a few dozen heads of legal size used up the heap. The event loop ended with OutOfMemoryError and the process answered nobody.

Change: StrictRequestDecoder counts the memory of the head that is read, CallerConnection that of waiting and running requests, until their response ends.

--- a/library/src/main/java/org/pollenhoist/caller/RequestGuard.java
+++ b/library/src/main/java/org/pollenhoist/caller/RequestGuard.java
@@ -43,6 +43,9 @@
      */
     public record OversizedBody(int maximumBytes) {}
 
+    /** Tells the guard of a connection that its heads are given up, since those of all connections need too much. */
+    public record HeaderMemoryFull() {}
+
     private static final DecisionLog LOG = DecisionLog.of("caller");
 
     /** The end of a method, a path and a version at the end of a value. */
@@ -158,6 +161,10 @@
             refuse(context, Refusal.notRun(ErrorCode.REQUEST_TOO_LARGE, message));
             return;
         }
+        if (event instanceof HeaderMemoryFull) {
+            refuse(context, Refusal.notRun(ErrorCode.OVERLOADED, "the headers of all requests need too much memory"));
+            return;
+        }
         super.userEventTriggered(context, event);
     }
 
--- a/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
@@ -36,7 +36,15 @@
 import org.pollenhoist.common.MonotonicTime;
 
 /** A caller's connection, whose requests are served one after another. Confined to the event loop. */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements HeaderMemoryBudget.Holder {
+
+    /**
+     * A request that was read whole.
+     *
+     * @param request the request
+     * @param headBytes the memory of its head, in bytes
+     */
+    private record ReadRequest(IncomingRequest request, long headBytes) {}
 
     /** Maximum number of requests that wait while another one is served; the connection is closed beyond it. */
     private static final int MAXIMUM_PIPELINED_REQUESTS = 8;
@@ -49,7 +57,7 @@
 
     private final CallerServer server;
     private final StrictRequestDecoder decoder;
-    private final Deque<IncomingRequest> pipelinedRequests = new ArrayDeque<>();
+    private final Deque<ReadRequest> pipelinedRequests = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private HttpRequest head;
     private CompositeByteBuf body;
@@ -58,12 +66,41 @@
     private MonotonicTime lastProgress;
     private long lastUnsentBytes;
     private boolean isClosing;
+    private boolean hasReleasedHeads;
 
     CallerConnection(CallerServer server, StrictRequestDecoder decoder) {
         this.server = server;
         this.decoder = decoder;
         this.lastActivity = server.now();
         this.lastProgress = lastActivity;
+        decoder.afterRead(this::recordHeads);
+    }
+
+    private void recordHeads() {
+        if (!hasReleasedHeads) {
+            long waitingBytes =
+                    pipelinedRequests.stream().mapToLong(ReadRequest::headBytes).sum();
+            long runningBytes = currentResponse == null ? 0 : currentResponse.headBytes;
+            server.headerMemory().hold(this, decoder.headMemoryBytes() + waitingBytes + runningBytes);
+        }
+    }
+
+    @Override
+    public String address() {
+        return String.valueOf(context.channel().remoteAddress());
+    }
+
+    @Override
+    public void giveUp() {
+        hasReleasedHeads = true;
+        isClosing = true;
+        if (currentResponse == null && pipelinedRequests.isEmpty() && unsentBytes() == 0) {
+            context.pipeline().fireUserEventTriggered(new RequestGuard.HeaderMemoryFull());
+        }
+        // The event loop tells of the end only after it has read from all others, which need the memory.
+        decoder.dropHead();
+        abandonRequests();
+        context.close();
     }
 
     @Override
@@ -148,7 +185,7 @@
             context.close();
             return;
         }
-        pipelinedRequests.addLast(request);
+        pipelinedRequests.addLast(new ReadRequest(request, decoder.takeHeadMemoryBytes()));
         if (currentResponse == null) {
             // After an event loop that was late has read a request, it reads whether the caller has left meanwhile.
             context.executor().execute(this::handleNext);
@@ -160,14 +197,15 @@
         if (isServing || isClosing || !context.channel().isActive()) {
             return;
         }
-        IncomingRequest next = pipelinedRequests.pollFirst();
+        ReadRequest next = pipelinedRequests.pollFirst();
         if (next != null) {
             handle(next);
         }
     }
 
-    private void handle(IncomingRequest request) {
-        PendingResponse started = new PendingResponse(request.head());
+    private void handle(ReadRequest read) {
+        IncomingRequest request = read.request();
+        PendingResponse started = new PendingResponse(request.head(), read.headBytes());
         currentResponse = started;
         Runnable onDisconnect = server.listener().onRequest(request, started);
         if (currentResponse == started) {
@@ -181,13 +219,15 @@
         if (!keepsConnection) {
             isClosing = true;
             releasePipelinedRequests();
+            recordHeads();
             return;
         }
+        recordHeads();
         handleNext();
     }
 
     private void releasePipelinedRequests() {
-        pipelinedRequests.forEach(request -> request.body().release());
+        pipelinedRequests.forEach(read -> read.request().body().release());
         pipelinedRequests.clear();
     }
 
@@ -240,7 +280,13 @@
     @Override
     public void channelInactive(ChannelHandlerContext closedContext) {
         isClosing = true;
+        hasReleasedHeads = true;
+        server.headerMemory().release(this);
         server.closed(this);
+        abandonRequests();
+    }
+
+    private void abandonRequests() {
         releasePipelinedRequests();
         if (body != null) {
             body.release();
@@ -266,11 +312,13 @@
 
         private final boolean isHeadRequest;
         private final boolean isKeepAliveRequested;
+        private final long headBytes;
         private Runnable onDisconnect;
         private Consumer<Boolean> onWritabilityChanged;
         private boolean keepsConnection;
 
-        private PendingResponse(HttpRequest request) {
+        private PendingResponse(HttpRequest request, long headBytes) {
+            this.headBytes = headBytes;
             isHeadRequest = request.method().equals(HttpMethod.HEAD);
             isKeepAliveRequested = HttpUtil.isKeepAlive(request);
         }
--- a/serving/src/main/java/org/pollenhoist/serving/http/CallerServer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/CallerServer.java
@@ -7,6 +7,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -31,6 +34,7 @@
     private final Supplier<CallerLimits> limits;
     private final Set<String> singleFields;
     private final CallerListener listener;
+    private final HeaderMemoryBudget headerMemory;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private boolean isStopping;
 
@@ -49,11 +53,59 @@
             Supplier<CallerLimits> limits,
             Set<String> singleFields,
             CallerListener listener) {
+        this(
+                loop,
+                clock,
+                limits,
+                singleFields,
+                listener,
+                HeaderMemoryBudget.ofHeap(Runtime.getRuntime().maxMemory()));
+    }
+
+    private CallerServer(
+            EventLoop loop,
+            Supplier<MonotonicTime> clock,
+            Supplier<CallerLimits> limits,
+            Set<String> singleFields,
+            CallerListener listener,
+            HeaderMemoryBudget headerMemory) {
         this.loop = loop;
         this.clock = clock;
         this.limits = limits;
         this.singleFields = singleFields;
         this.listener = listener;
+        this.headerMemory = headerMemory;
+    }
+
+    /**
+     * Creates a further server of the same process, which doesn't listen yet. Both share the memory for headers.
+     *
+     * @param otherLimits returns the current limits on the requests of its callers
+     * @param otherSingleFields names of the fields that such a request has at most once, beside those of HTTP
+     * @param otherListener receives the requests
+     * @return the server
+     */
+    public CallerServer beside(
+            Supplier<CallerLimits> otherLimits, Set<String> otherSingleFields, CallerListener otherListener) {
+        return new CallerServer(loop, clock, otherLimits, otherSingleFields, otherListener, headerMemory);
+    }
+
+    /**
+     * Registers the metrics of the memory for headers.
+     *
+     * @param registry the registry of this process
+     */
+    public void register(PrometheusRegistry registry) {
+        GaugeWithCallback.builder()
+                .name("pollenhoist_header_memory_bytes")
+                .help("Memory of the heads of all requests that are being read, waiting or running.")
+                .callback(gauge -> gauge.call((double) headerMemory.usedBytes()))
+                .register(registry);
+        CounterWithCallback.builder()
+                .name("pollenhoist_header_memory_connections_closed_total")
+                .help("Connections that were closed since the heads of all requests needed too much memory.")
+                .callback(counter -> counter.call((double) headerMemory.connectionsGivenUp()))
+                .register(registry);
     }
 
     /**
@@ -93,6 +145,10 @@
         return listener;
     }
 
+    HeaderMemoryBudget headerMemory() {
+        return headerMemory;
+    }
+
     CallerLimits limits() {
         return limits.get();
     }
--- a/serving/src/main/java/org/pollenhoist/serving/node/InternalEndpoints.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/InternalEndpoints.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -34,19 +33,18 @@
     private static final int NOT_FOUND = 404;
     private static final int NOT_READY = 503;
 
-    private final EventLoop loop;
-    private final Supplier<MonotonicTime> clock;
+    private final CallerServer callers;
     private final Set<String> singleFields;
     private final List<CallerServer> servers = new ArrayList<>();
 
     /**
      * Creates endpoints that don't listen yet.
      *
+     * @param callers the server of callers, on whose event loop and with whose memory for headers these endpoints run
      * @param singleFields names, in lower case, of the fields that a caller's request has at most once
      */
-    InternalEndpoints(EventLoop loop, Supplier<MonotonicTime> clock, Set<String> singleFields) {
-        this.loop = loop;
-        this.clock = clock;
+    InternalEndpoints(CallerServer callers, Set<String> singleFields) {
+        this.callers = callers;
         this.singleFields = ForwardingServer.singleFields(singleFields);
     }
 
@@ -73,7 +71,7 @@
     }
 
     private ChannelFuture listen(InetSocketAddress address, Supplier<CallerLimits> limits, CallerListener listener) {
-        CallerServer server = new CallerServer(loop, clock, limits, singleFields, listener);
+        CallerServer server = callers.beside(limits, singleFields, listener);
         servers.add(server);
         return server.listen(address);
     }
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -159,7 +159,7 @@
         forwarding.register(registry);
         handler = new RequestHandler(environment());
         callers = new CallerServer(loop, bootClock::read, this::callerLimits, binding.singleRequestFields(), handler);
-        endpoints = new InternalEndpoints(loop, bootClock::read, binding.singleRequestFields());
+        endpoints = new InternalEndpoints(callers, binding.singleRequestFields());
         stop = new PlannedStop(handler, callers, forwarding.server(), () -> Transport.shutDown(loop));
     }
 
@@ -349,6 +349,7 @@
 
     private void begin() {
         eras.register(registry);
+        callers.register(registry);
         rateShares.register(registry, bootClock::read);
         EvacuationMetrics.register(registry, upstreams, bootClock::read);
         eras.onChange(() -> leadership.onNewEra(bootClock.read()));
