--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -87,7 +87,7 @@
     private final StoreSynchronizer synchronizer;
     private final Leadership leadership;
     private final PlacementDriver placement;
-    private final PlacementTrigger placementTrigger;
+    private final PlacementTrigger placementTrigger = new PlacementTrigger(this::after, bootClock::read, this::place);
     private final CrashTracking crashes;
     private final StreamTracking streams;
     private final InconclusiveAttempts inconclusive;
@@ -149,7 +149,6 @@
                 upstreams,
                 prefillRates,
                 this::residentModelsChanged);
-        placementTrigger = new PlacementTrigger(this::after, bootClock::read, this::place);
         digests = new DigestExchange(
                 this::after, bootClock::read, peers, upstreams, notices, limits, demandRates, crashes, localVmState());
         presence = new FleetPresence(peers, digests, limits);
@@ -159,7 +158,7 @@
         forwarding.register(registry);
         handler = new RequestHandler(environment());
         callers = new CallerServer(loop, bootClock::read, this::callerLimits, binding.singleRequestFields(), handler);
-        endpoints = new InternalEndpoints(loop, bootClock::read, binding.singleRequestFields());
+        endpoints = new InternalEndpoints(callers, binding.singleRequestFields());
         stop = new PlannedStop(handler, callers, forwarding.server(), () -> Transport.shutDown(loop));
     }
 
@@ -350,6 +349,7 @@
 
     private void begin() {
         eras.register(registry);
+        callers.register(registry);
         rateShares.register(registry, bootClock::read);
         EvacuationMetrics.register(registry, upstreams, bootClock::read);
         eras.onChange(() -> leadership.onNewEra(bootClock.read()));
