Measure first tokens at the usual pace of their engine

Cause: the pace of an engine multiplied a prefill time that was learned from slow engines too, so slowness counted twice and waits were overestimated.

Change: a time to the first token is divided by the engine's pace before it is learned from. Where none is stated nothing changes.

Tests: UpstreamPaceTest.MeasuredTimes.

--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -382,9 +382,8 @@
         protected void onEvents(HttpResponse head, ByteBuf events, OptionalLong lastIdentifier) {
             MonotonicTime now = environment.clock().get();
             if (isFirstEvent()) {
-                environment
-                        .prefillRates()
-                        .observe(request.model(), tokensAwaitingPrefill + unreadTokens, now.since(startedAt));
+                Duration atUsualPace = upstream.pace().atUsualPace(now.since(startedAt), now);
+                environment.prefillRates().observe(request.model(), tokensAwaitingPrefill + unreadTokens, atUsualPace);
                 upstream.promptCache().add(request.model(), request.adapter(), request.promptSegments(), now);
             } else {
                 suspicion.recordContinuedAnswer(now);
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamPace.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamPace.java
@@ -86,6 +86,18 @@
         return smoothed.map(last -> faded(last, now)).orElse(USUAL);
     }
 
+    /**
+     * Returns how long work would have taken at the usual pace, for estimates that the pace is applied to later.
+     *
+     * @param elapsed how long it took
+     * @param now the time at which it ended
+     * @return the time at the usual pace
+     */
+    public Duration atUsualPace(Duration elapsed, MonotonicTime now) {
+        double pace = at(now);
+        return pace == USUAL ? elapsed : Duration.ofNanos(Math.round(elapsed.toNanos() / pace));
+    }
+
     private static double faded(Statement statement, MonotonicTime now) {
         double age = Math.max(0, now.since(statement.at()).toNanos());
         double remaining = Math.max(0, 1 - age / VALIDITY.toNanos());
--- a/serving/src/test/java/org/pollenhoist/serving/upstream/UpstreamPaceTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/upstream/UpstreamPaceTest.java
@@ -63,6 +63,23 @@
         }
     }
 
+    @Nested
+    class MeasuredTimes {
+
+        /** Guards against counting slowness twice: in a measured time, and in the pace that it is multiplied by. */
+        @Test
+        void should_be_told_as_at_the_usual_pace() {
+            pace.observe(2, at(0));
+
+            assertThat(pace.atUsualPace(Duration.ofMillis(500), at(0))).isEqualTo(Duration.ofMillis(250));
+        }
+
+        @Test
+        void should_be_told_as_they_are_where_no_pace_is_stated() {
+            assertThat(pace.atUsualPace(Duration.ofMillis(500), at(0))).isEqualTo(Duration.ofMillis(500));
+        }
+    }
+
     @Nested
     class Reports {
 
