Read the pace of an upstream once, and drop what kept prompts had only for a test

Found in the read of the whole change. The selector read a candidate's pace twice, each digest was walked twice for loads and for paces, and a use of an upstream was built twice to add the pace. Two special cases for the usual pace gave what the general case gives. KeptPrompts had a method and a field that only UpstreamSelectorTest used; it calls the general method now, with the same expectations.

Behaviour is the same.

--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/SimulatedRequest.java
@@ -223,7 +223,7 @@
         if (isFirst) {
             upstream.recordFirstToken(unreadTokens);
             vm.pace.observe(asked.model(), unreadAhead + unreadTokens, Duration.ofMillis(at - sentAt));
-            upstream.promptCache().add(asked.model(), asked.adapter(), asked.parts(), fleet.now());
+            upstream.keptPrompts().add(asked.model(), asked.adapter(), asked.parts(), fleet.now());
             isLate = at - asked.firstAskedAt() > asked.kind().goalMilliseconds();
         } else if (at - lastTokenAt > GAP_GOAL_MILLISECONDS) {
             isLate = true;
--- a/serving/src/main/java/org/pollenhoist/serving/forwarding/ForwardingServer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/forwarding/ForwardingServer.java
@@ -61,6 +61,7 @@
     private final Supplier<MonotonicTime> clock;
     private final BooleanSupplier isAccepting;
     private final Predicate<InetAddress> isPeer;
+
     /** The requests that have not ended, in the order of their arrival. */
     private final Set<Passing> passing = new LinkedHashSet<>();
 
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
@@ -153,24 +153,18 @@
         LoadSnapshot ownLoad = upstream.ownLoad(now);
         OptionalDouble pace = upstream.pace().reportable(now);
         if (ownLoad.running() > 0 || pace.isPresent()) {
-            UpstreamUse use = toUpstreamUse(upstream, ownLoad);
-            digest.addUpstreamUses(pace.isPresent() ? withPace(use, pace.getAsDouble()) : use);
+            UpstreamUse.Builder use = toUpstreamUse(upstream, ownLoad);
+            pace.ifPresent(stated -> use.setPacePercent((int) Math.max(1, Math.round(stated * PERCENT))));
+            digest.addUpstreamUses(use);
         }
     }
 
-    private static UpstreamUse toUpstreamUse(Upstream upstream, LoadSnapshot load) {
+    private static UpstreamUse.Builder toUpstreamUse(Upstream upstream, LoadSnapshot load) {
         return UpstreamUse.newBuilder()
                 .setUpstreamTag(upstream.tag())
                 .setRunning(load.running())
                 .setUnreadTokens((int) load.tokensAwaitingPrefill())
-                .setReservedTokens((int) load.reservedTokens())
-                .build();
-    }
-
-    private static UpstreamUse withPace(UpstreamUse use, double pace) {
-        return use.toBuilder()
-                .setPacePercent((int) Math.max(1, Math.round(pace * PERCENT)))
-                .build();
+                .setReservedTokens((int) load.reservedTokens());
     }
 
     /** Reads what an upstream stated to the sender of its pace, empty if it stated nothing of late. */
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
@@ -23,7 +23,6 @@
 import org.pollenhoist.serving.upstream.UpstreamTable;
 import org.pollenhoist.vm.generated.DomainSummary;
 import org.pollenhoist.vm.generated.RejectionLimitObservation;
-import org.pollenhoist.vm.generated.UpstreamUse;
 import org.pollenhoist.vm.generated.VmDigest;
 
 /**
@@ -431,7 +430,6 @@
             limits.applyPeerReport(
                     digest.getVmName(), digest.getIncarnation(), DigestCodec.spending(digest.getSpendingList()), now);
             peerLoads.update(digest.getVmName(), digest.getUpstreamUsesList(), now);
-            receivePaces(digest.getUpstreamUsesList(), now);
         }
         digest.getLeavingUpstreamsList()
                 .forEach(leaving -> notices.handlePeerNotice(
@@ -455,15 +453,6 @@
         }
     }
 
-    private void receivePaces(List<UpstreamUse> uses, MonotonicTime now) {
-        for (UpstreamUse use : uses) {
-            DigestCodec.pace(use)
-                    .ifPresent(pace -> upstreams
-                            .findByTag(use.getUpstreamTag())
-                            .ifPresent(upstream -> upstream.pace().receive(pace, now)));
-        }
-    }
-
     private void receiveRejectionLimit(RejectionLimitObservation limit, String peer, MonotonicTime now) {
         notices.handlePeerRejectionLimit(
                 new UpstreamLifetime(
--- a/serving/src/main/java/org/pollenhoist/serving/node/ReportedLoads.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ReportedLoads.java
@@ -13,9 +13,9 @@
 import org.pollenhoist.vm.generated.UpstreamUse;
 
 /**
- * Applies reports of upstream load from other VMs or failure domains. Each report is complete: load on an upstream that
- * a source no longer lists has ended. The cost is proportional to the number of upstreams listed. Confined to the event
- * loop.
+ * Applies reports of the load and the pace of upstreams from other VMs or failure domains. Each report is complete: load
+ * on an upstream that a source no longer lists has ended. The cost is proportional to the number of upstreams listed.
+ * Confined to the event loop.
  */
 final class ReportedLoads {
 
@@ -45,6 +45,7 @@
                         upstream,
                         source,
                         new LoadSnapshot(use.getRunning(), use.getUnreadTokens(), use.getReservedTokens(), now));
+                DigestCodec.pace(use).ifPresent(pace -> upstream.pace().receive(pace, now));
             });
         }
         Set<Upstream> previous = reportedBySource.put(source, reported);
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -384,7 +384,7 @@
             if (isFirstEvent()) {
                 Duration atUsualPace = upstream.pace().atUsualPace(now.since(startedAt), now);
                 environment.prefillRates().observe(request.model(), tokensAwaitingPrefill + unreadTokens, atUsualPace);
-                upstream.promptCache().add(request.model(), request.adapter(), request.promptSegments(), now);
+                upstream.keptPrompts().add(request.model(), request.adapter(), request.promptSegments(), now);
             } else {
                 suspicion.recordContinuedAnswer(now);
             }
--- a/serving/src/main/java/org/pollenhoist/serving/routing/PrefillSaving.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/PrefillSaving.java
@@ -37,7 +37,7 @@
         }
         MemoryTurnover turnover = MemoryTurnover.of(engine.memoryTokens(), load, candidate.ownLoad(now));
         long kept = candidate
-                .promptCache()
+                .keptPrompts()
                 .expectedTokens(request.model(), request.adapter(), request.promptSegments(), turnover, now);
         return new PrefillSaving(request.promptTokens(), Math.min(kept, request.promptTokens()));
     }
--- a/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
+++ b/serving/src/main/java/org/pollenhoist/serving/routing/UpstreamSelector.java
@@ -218,11 +218,10 @@
                 continue;
             }
             PrefillSaving saving = PrefillSaving.at(candidate, load, request, engine, now);
-            Backlog backlog = backlog(load, request, saving, candidate.pace().at(now));
+            double pace = candidate.pace().at(now);
+            Backlog backlog = backlog(load, request, saving, pace);
             double cost = backlog.untilFirstToken().toMillis()
-                    + load.running()
-                            * MILLISECONDS_PER_RUNNING_REQUEST
-                            * candidate.pace().at(now)
+                    + load.running() * MILLISECONDS_PER_RUNNING_REQUEST * pace
                     + penalty(candidate, request, now);
             if (cost < bestCost) {
                 bestCost = cost;
@@ -271,8 +270,7 @@
     }
 
     private Duration prefillTime(String model, long tokens, double pace) {
-        Duration usual = prefillRates.estimate(model, tokens);
-        return pace == UpstreamPace.USUAL ? usual : fractionOf(usual, pace);
+        return fractionOf(prefillRates.estimate(model, tokens), pace);
     }
 
     /**
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/KeptPrompts.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/KeptPrompts.java
@@ -24,7 +24,6 @@
 
     private final Map<Owner, Long> beginnings = new HashMap<>();
     private final LinkedHashMap<Place, Part> leastRecentFirst = new LinkedHashMap<>();
-    private MonotonicTime latest;
     private long tokens;
     private long lastNumber;
 
@@ -65,19 +64,7 @@
         }
     }
 
-    KeptPrompts(MonotonicTime now) {
-        latest = now;
-    }
-
-    /**
-     * Records that the engine has read a prompt without an adapter, as of the latest time that this object was told.
-     *
-     * @param model the model that read it
-     * @param prompt the segments in order
-     */
-    public void add(String model, List<PromptSegment> prompt) {
-        add(model, "", prompt, latest);
-    }
+    KeptPrompts() {}
 
     /**
      * Records that the engine has read a prompt.
@@ -88,7 +75,6 @@
      * @param now the current time
      */
     public void add(String model, String adapter, List<PromptSegment> prompt, MonotonicTime now) {
-        latest = now;
         if (prompt.isEmpty()) {
             return;
         }
@@ -144,7 +130,6 @@
      */
     public long expectedTokens(
             String model, String adapter, List<PromptSegment> prompt, MemoryTurnover turnover, MonotonicTime now) {
-        latest = now;
         while (tokens > turnover.roomTokens() && !leastRecentFirst.isEmpty()) {
             yieldLeastRecent();
         }
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/Upstream.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.common.UpstreamName;
 import org.pollenhoist.request.UpstreamLifetime;
@@ -27,7 +26,7 @@
     private final AdapterUses adapterUses = new AdapterUses();
     private final LoadReports peerLoads = new LoadReports();
     private final LoadReports domainLoads = new LoadReports();
-    private final KeptPrompts promptCache;
+    private final KeptPrompts keptPrompts = new KeptPrompts();
     private final UpstreamPace pace = new UpstreamPace();
     private final Map<String, MonotonicTime> loadingModels = new HashMap<>();
     private UpstreamDescription description;
@@ -47,7 +46,6 @@
     private boolean hasResponded;
 
     Upstream(UpstreamDescription description, MonotonicTime now) {
-        this.promptCache = new KeptPrompts(now);
         this.failures = new DecayingFailureRate(now);
         this.unreachableUntil = now;
         this.backOffEnd = now;
@@ -67,15 +65,19 @@
         // An upstream that is leaving does not change its mind; an older entry may come back with a copy of the store.
         hasRegisteredLeaving |= newDescription.isLeaving();
         Set<String> after = names(newDescription);
-        newDescription.models().stream()
-                .filter(model -> !before.contains(model.name()))
-                .forEach(model -> adaptersByModel.putIfAbsent(model.name(), new HashSet<>(model.adapters())));
+        for (HeldModel model : newDescription.models()) {
+            if (!before.contains(model.name())) {
+                adaptersByModel.computeIfAbsent(model.name(), name -> new HashSet<>(model.adapters()));
+            }
+        }
         before.stream().filter(name -> !after.contains(name)).forEach(adaptersByModel::remove);
-        promptCache.retain(adaptersByModel);
+        keptPrompts.retain(adaptersByModel);
     }
 
     private static Set<String> names(UpstreamDescription described) {
-        return described.models().stream().map(HeldModel::name).collect(Collectors.toSet());
+        Set<String> names = new HashSet<>();
+        described.models().forEach(model -> names.add(model.name()));
+        return names;
     }
 
     /** Marks the lifetime as ended; returns whether it ended unexpectedly, without any notice that it is leaving. */
@@ -275,7 +277,7 @@
     public void replaceResidentModels(Map<String, Set<String>> residents) {
         adaptersByModel.clear();
         residents.forEach((model, adapters) -> adaptersByModel.put(model, new HashSet<>(adapters)));
-        promptCache.retain(adaptersByModel);
+        keptPrompts.retain(adaptersByModel);
     }
 
     /**
@@ -304,9 +306,10 @@
      * @param adapter the adapter
      */
     public void addAdapter(String model, String adapter) {
-        if (adaptersByModel.containsKey(model)) {
-            adaptersByModel.get(model).add(adapter);
-        }
+        adaptersByModel.computeIfPresent(model, (name, adapters) -> {
+            adapters.add(adapter);
+            return adapters;
+        });
     }
 
     /**
@@ -321,7 +324,7 @@
         } else if (adaptersByModel.containsKey(model)) {
             adaptersByModel.get(model).remove(adapter);
         }
-        promptCache.retain(adaptersByModel);
+        keptPrompts.retain(adaptersByModel);
     }
 
     /**
@@ -430,8 +433,8 @@
      *
      * @return what is assumed from the requests of this VM
      */
-    public KeptPrompts promptCache() {
-        return promptCache;
+    public KeptPrompts keptPrompts() {
+        return keptPrompts;
     }
 
     /** Returns how long work takes there now compared with its usual. */
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamPace.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamPace.java
@@ -94,8 +94,7 @@
      * @return the time at the usual pace
      */
     public Duration atUsualPace(Duration elapsed, MonotonicTime now) {
-        double pace = at(now);
-        return pace == USUAL ? elapsed : Duration.ofNanos(Math.round(elapsed.toNanos() / pace));
+        return Duration.ofNanos(Math.round(elapsed.toNanos() / at(now)));
     }
 
     private static double faded(Statement statement, MonotonicTime now) {
--- a/serving/src/test/java/org/pollenhoist/serving/routing/PromptSavingLoadTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/routing/PromptSavingLoadTest.java
@@ -114,7 +114,7 @@
 
         private Weighing() {
             List<PromptSegment> other = List.of(PROMPT.getFirst(), new PromptSegment("other", 400));
-            keeper.promptCache().add("m", "", other, NOW);
+            keeper.keptPrompts().add("m", "", other, NOW);
         }
 
         @Test
@@ -276,7 +276,7 @@
                 upstream.recordFirstToken(unread);
                 rates.get(vm).observe("m", ahead + unread, waited);
                 if (isWeighed) {
-                    upstream.promptCache().add("m", "", request.promptSegments(), now());
+                    upstream.keptPrompts().add("m", "", request.promptSegments(), now());
                 }
                 onTime += now().since(request.waitingSince()).compareTo(OBJECTIVE) <= 0 ? 1 : 0;
             });
--- a/serving/src/test/java/org/pollenhoist/serving/routing/UpstreamSelectorTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/routing/UpstreamSelectorTest.java
@@ -336,7 +336,7 @@
         @Test
         void should_prefer_the_engine_that_has_cached_the_prompt() {
             engine("one");
-            engine("two").promptCache().add("m", List.of(new PromptSegment("p", 800)));
+            engine("two").keptPrompts().add("m", "", List.of(new PromptSegment("p", 800)), NOW);
 
             assertThat(upstreamOf(select("m", "", Duration.ofSeconds(5)))).isEqualTo("two");
         }
--- a/serving/src/test/java/org/pollenhoist/serving/upstream/KeptPromptsTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/upstream/KeptPromptsTest.java
@@ -22,7 +22,7 @@
     /** Ten requests of other VMs, which replace what they reserve every 5 s: residence is 5 s at a full memory. */
     private static final MemoryTurnover WITH_OTHERS = turnover(load(10, MEMORY_TOKENS), load(0, 0));
 
-    private final KeptPrompts kept = new KeptPrompts(NOW);
+    private final KeptPrompts kept = new KeptPrompts();
 
     private static LoadSnapshot load(int running, long reservedTokens) {
         return new LoadSnapshot(running, 0, reservedTokens, NOW);
@@ -143,8 +143,8 @@
         private final Upstream upstream = new Upstream(description(), NOW);
 
         private Unloading() {
-            upstream.promptCache().add("m", "a1", prompt("a"), NOW);
-            upstream.promptCache().add("m", "", prompt("a"), NOW);
+            upstream.keptPrompts().add("m", "a1", prompt("a"), NOW);
+            upstream.keptPrompts().add("m", "", prompt("a"), NOW);
         }
 
         private static UpstreamDescription description(HeldModel... models) {
@@ -153,7 +153,7 @@
         }
 
         private long expected(String adapter) {
-            return upstream.promptCache().expectedTokens("m", adapter, prompt("a"), ALONE, NOW);
+            return upstream.keptPrompts().expectedTokens("m", adapter, prompt("a"), ALONE, NOW);
         }
 
         @Test
@@ -176,7 +176,7 @@
         @Test
         void should_drop_all_of_a_model_when_a_newer_description_lacks_it() {
             upstream.updateDescription(description(new HeldModel("m", 1, Set.of("a1"))));
-            upstream.promptCache().add("m", "a1", prompt("a"), NOW);
+            upstream.keptPrompts().add("m", "a1", prompt("a"), NOW);
             upstream.updateDescription(description());
 
             assertThat(expected("a1")).isZero();
