Count the memory of heads and of buffered responses by the same code

HeaderMemoryBudget had repeated how ResponseBufferBudget counts what each holder holds. HeldMemory does it for both; who gives way stays with each. Behaviour is the same; both budgets' tests pass unchanged.

--- a/serving/src/main/java/org/pollenhoist/serving/http/HeaderMemoryBudget.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HeaderMemoryBudget.java
@@ -1,6 +1,5 @@
 package org.pollenhoist.serving.http;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import org.pollenhoist.common.DecisionLog;
 
@@ -30,8 +29,7 @@
     private static final int PARTS_OF_HEAP = 8;
 
     private final long maximumBytes;
-    private final Map<Holder, Long> heldBytes = new LinkedHashMap<>();
-    private long usedBytes;
+    private final HeldMemory<Holder> held = new HeldMemory<>();
     private long connectionsGivenUp;
 
     HeaderMemoryBudget(long maximumBytes) {
@@ -55,25 +53,21 @@
      * @param bytes the memory of all its heads
      */
     void hold(Holder holder, long bytes) {
-        release(holder);
-        if (bytes > 0) {
-            heldBytes.put(holder, bytes);
-            usedBytes += bytes;
-        }
-        while (usedBytes > maximumBytes) {
+        held.set(holder, bytes);
+        while (held.usedBytes() > maximumBytes) {
             giveUp(largestHolder());
         }
     }
 
     private Holder largestHolder() {
-        return heldBytes.entrySet().stream()
+        return held.byHolder().entrySet().stream()
                 .max(Map.Entry.comparingByValue())
                 .orElseThrow()
                 .getKey();
     }
 
     private void giveUp(Holder holder) {
-        long released = release(holder);
+        long released = held.release(holder);
         connectionsGivenUp++;
         LOG.event(
                 "header_memory_full",
@@ -82,7 +76,7 @@
                 "released_bytes",
                 released,
                 "used_bytes",
-                usedBytes,
+                held.usedBytes(),
                 "maximum_bytes",
                 maximumBytes);
         holder.giveUp();
@@ -90,13 +84,11 @@
 
     /** Records that a connection holds no heads any more; returns the memory that they had, in bytes. */
     long release(Holder holder) {
-        Long held = heldBytes.remove(holder);
-        usedBytes -= held == null ? 0 : held;
-        return held == null ? 0 : held;
+        return held.release(holder);
     }
 
     long usedBytes() {
-        return usedBytes;
+        return held.usedBytes();
     }
 
     long connectionsGivenUp() {
--- a/serving/src/main/java/org/pollenhoist/serving/node/ReportedLoads.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ReportedLoads.java
@@ -13,9 +13,9 @@
 import org.pollenhoist.vm.generated.UpstreamUse;
 
 /**
- * Applies reports of the load and the pace of upstreams from other VMs or failure domains. Each report is complete: load
- * on an upstream that a source no longer lists has ended. The cost is proportional to the number of upstreams listed.
- * Confined to the event loop.
+ * Applies reports of the load and the pace of upstreams from other VMs or failure domains. Each report is complete:
+ * load on an upstream that a source no longer lists has ended. The cost is proportional to the number of upstreams
+ * listed. Confined to the event loop.
  */
 final class ReportedLoads {
 
--- a/serving/src/main/java/org/pollenhoist/serving/request/ResponseBufferBudget.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/ResponseBufferBudget.java
@@ -2,9 +2,9 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import org.pollenhoist.common.DecisionLog;
+import org.pollenhoist.serving.http.HeldMemory;
 
 /**
  * Limits the total memory of responses and incomplete events that are buffered before they are passed on, so that an
@@ -29,8 +29,7 @@
     private static final DecisionLog LOG = DecisionLog.of("upstream");
 
     private final long maximumBytes;
-    private final Map<Holder, Long> heldBytes = new LinkedHashMap<>();
-    private long usedBytes;
+    private final HeldMemory<Holder> held = new HeldMemory<>();
 
     /**
      * Creates the budget of a serving process.
@@ -58,14 +57,10 @@
      * @return false if the holder has been given up itself
      */
     boolean resize(Holder holder, long bytes) {
-        release(holder);
-        if (bytes > 0) {
-            heldBytes.put(holder, bytes);
-            usedBytes += bytes;
-        }
-        while (usedBytes > maximumBytes) {
+        held.set(holder, bytes);
+        while (held.usedBytes() > maximumBytes) {
             Holder yielding = yieldingHolder();
-            long released = release(yielding);
+            long released = held.release(yielding);
             LOG.event(
                     "response_buffers_full",
                     "upstream",
@@ -73,20 +68,20 @@
                     "released_bytes",
                     released,
                     "used_bytes",
-                    usedBytes,
+                    held.usedBytes(),
                     "maximum_bytes",
                     maximumBytes);
             yielding.giveUp();
         }
-        return bytes == 0 || heldBytes.containsKey(holder);
+        return bytes == 0 || held.byHolder().containsKey(holder);
     }
 
     private Holder yieldingHolder() {
         Map<String, Long> byUpstream = new HashMap<>();
-        heldBytes.forEach((holder, bytes) -> byUpstream.merge(holder.upstream(), bytes, Long::sum));
-        return heldBytes.entrySet().stream()
-                .max(Comparator.comparing((Map.Entry<Holder, Long> held) ->
-                                byUpstream.get(held.getKey().upstream()))
+        held.byHolder().forEach((holder, bytes) -> byUpstream.merge(holder.upstream(), bytes, Long::sum));
+        return held.byHolder().entrySet().stream()
+                .max(Comparator.comparing((Map.Entry<Holder, Long> entry) ->
+                                byUpstream.get(entry.getKey().upstream()))
                         .thenComparing(Map.Entry::getValue))
                 .orElseThrow()
                 .getKey();
@@ -94,12 +89,10 @@
 
     /** Records that a holder has no buffer any more; returns how large it was. */
     long release(Holder holder) {
-        Long held = heldBytes.remove(holder);
-        usedBytes -= held == null ? 0 : held;
-        return held == null ? 0 : held;
+        return held.release(holder);
     }
 
     long usedBytes() {
-        return usedBytes;
+        return held.usedBytes();
     }
 }
