--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -224,7 +224,7 @@
                 leadership,
                 crashes,
                 this::isStopping,
-                this::isForwarding,
+                () -> forwarding.isAccepting(),
                 now -> placementTrigger.request());
     }
 
@@ -247,10 +247,6 @@
                 this::isStopping);
     }
 
-    private boolean isForwarding() {
-        return forwarding.isAccepting();
-    }
-
     private boolean isStopping() {
         return stop.isStopping();
     }
@@ -479,6 +475,19 @@
         }
     }
 
+    /**
+     * Runs an action if the event loop ends without a planned stop, after which this process answers nobody.
+     *
+     * @param action what is run, on another thread than the event loop's
+     */
+    public void onUnexpectedEnd(Runnable action) {
+        loop.terminationFuture().addListener(ended -> {
+            if (!isStopping()) {
+                action.run();
+            }
+        });
+    }
+
     private void beginStop() {
         MonotonicTime now = bootClock.read();
         if (stop.begin(settings.stopGrace(), now)) {
