--- a/review/10/run.sh
+++ b/review/8/run.sh
@@ -5,5 +5,5 @@
 TEMPORARY=$(mktemp -d) || exit 2
 trap 'rm -rf "$TEMPORARY"' EXIT
 "$JAVA_HOME/bin/java" -Xmx512m -cp 'target/review-2:target/serving/*' \
-    org.pollenhoist.review.StreamsAfterPowerLoss review/10 "$TEMPORARY"
+    org.pollenhoist.review.StreamsAfterPowerLoss review/8 "$TEMPORARY"
 exit $?
