--- a/review/stand-ins-2/org/pollenhoist/review/VersionsAfterDrill.java
+++ b/review/stand-ins-2/org/pollenhoist/review/VersionsAfterDrill.java
@@ -24,7 +24,7 @@
             "resumable":true,"gapTargetMs":400}],"services":[{"name":"app","healthPath":"/health","maxConns":370}],\
             "limits":{"maxHeaderBytes":65536,"maxBodyBytes":4194304,"headerTimeoutMs":5000,"idleTimeoutMs":15000},\
             "tenants":[]}""";
-    private static final int CLIENTS = 400;
+    private static final int CLIENTS = 600;
     private static final int MAXIMUM_JOINED = 2;
     private static final long HEARTBEAT_MILLISECONDS = 1_200;
 
@@ -102,7 +102,7 @@
         record.line("versions of app before the drill: %s", listing());
         for (int number = 0; number < CLIENTS; number++) {
             Thread.ofVirtual().start(this::client);
-            sleep(2);
+            sleep(1);
         }
         if (isTrouble) {
             isAway = true;
@@ -142,7 +142,7 @@
             String identifier = "s" + lastStream.incrementAndGet();
             Map<Integer, String> events = new TreeMap<>();
             int machine = random.nextInt(fleet.size());
-            int broken = random.nextInt(3, 26);
+            int broken = random.nextInt(5, 16);
             boolean isEnded = receive(identifier, identifier, machine, broken, events);
             for (int attempt = 1; attempt <= 3 && !isEnded && !events.isEmpty(); attempt++) {
                 resumed.incrementAndGet();
