--- a/review/stand-ins-2/org/pollenhoist/review/MemoryAfterDrill.java
+++ b/review/stand-ins-2/org/pollenhoist/review/MemoryAfterDrill.java
@@ -17,7 +17,7 @@
 final class MemoryAfterDrill {
 
     private static final List<String> ZONES = List.of("piraeus", "lavrio", "rafina");
-    private static final int MODELS = 60;
+    private static final int MODELS = 40;
     private static final int FIRST_REPLICAS = 9;
     private static final int ADDED_REPLICAS = 4;
     private static final int ASKED_MODELS = 6;
