--- a/review/stand-ins-2/org/pollenhoist/review/EngineServer.java
+++ b/review/stand-ins-2/org/pollenhoist/review/EngineServer.java
@@ -167,20 +167,25 @@
         return running.computeIfAbsent(model, name -> new AtomicInteger());
     }
 
-    private synchronized boolean begin(String model) {
-        boolean isHeld = held.contains(model);
-        if (isHeld) {
-            runs(model).incrementAndGet();
+    /** Begins a run, or returns the status of its refusal. */
+    private synchronized Optional<String> begin(String model) {
+        if (order.filter(model::equals).isPresent()) {
+            return Optional.of("503 Service Unavailable");
         }
-        return isHeld;
+        if (!held.contains(model)) {
+            return Optional.of("421 Misdirected Request");
+        }
+        runs(model).incrementAndGet();
+        return Optional.empty();
     }
 
     private void run(Request request, OutputStream response) throws IOException, InterruptedException {
         String model = request.header("X-Model");
         Map<String, String> headers = Map.of(
                 "X-Request-Id", request.header("X-Request-Id"), "X-Instance-Id", identifier, "X-Not-Executed", "1");
-        if (!begin(model)) {
-            send(response, "421 Misdirected Request", headers, new byte[0]);
+        Optional<String> refusal = begin(model);
+        if (refusal.isPresent()) {
+            send(response, refusal.get(), headers, new byte[0]);
             return;
         }
         try {
