Confirm listed software versions in each era of the store

Cause: a VM took the copy's listing in place of what it knew, and the only listed version for that of any stream that it did not know, since the listing had been read a moment ago. On the same path, a copy without the listing and one that can't be decoded made the versions unknown, and a VM that starts after the return has nothing but the copy.

Change: a listing names the era in which it was written. One of another era takes no version away and decides nothing; a VM writes it again, with all versions that it knows or that have upstreams, once it has known the store in the new era for 2.5 s, or 5 s if it may lack versions. Why this holds: a version is in use only 3 s after its listing, so all VMs with recent knowledge of the earlier era know each version in use, and upstreams are registered again within 2 s.

--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.catalog.CallerLimits;
 import org.pollenhoist.serving.catalog.Catalog;
@@ -53,8 +52,6 @@
  */
 public final class ServingNode {
 
-    private static final DecisionLog LOG = DecisionLog.of("node");
-
     /** Interval of the periodic task that checks deadlines and queued requests. */
     private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
 
@@ -204,9 +201,11 @@
                 incarnation,
                 this::after,
                 bootClock::read,
+                settings.isFirstStart(),
                 upstreams,
                 peers,
                 store,
+                eras,
                 () -> mirror.knownAsOf(),
                 this::streamsLearned);
     }
@@ -310,20 +309,7 @@
                 .getNow();
         listening.forEach(ChannelFuture::syncUninterruptibly);
         loop.execute(node::begin);
-        LOG.event(
-                "started",
-                "vm",
-                settings.vmName(),
-                "failure_domain",
-                settings.failureDomain(),
-                "callers",
-                settings.callerAddress(),
-                "store",
-                settings.storeAddress(),
-                "first_start",
-                settings.isFirstStart(),
-                "incarnation",
-                Long.toHexString(node.incarnation));
+        NodeLog.started(settings, node.incarnation);
         return node;
     }
 
@@ -454,7 +440,7 @@
         loop.execute(() -> {
             boolean isSame = changed.equals(settings);
             boolean isApplicable = changed.isApplicableTo(settings);
-            LOG.event("reload", "changed", !isSame, "applied", !isSame && isApplicable);
+            NodeLog.reloaded(!isSame, !isSame && isApplicable);
             if (!isSame && isApplicable) {
                 settings = changed;
                 retryBudgets.configure(changed);
--- a/serving/src/main/java/org/pollenhoist/serving/node/StreamTracking.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StreamTracking.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.pollenhoist.common.DecisionLog;
@@ -18,6 +19,7 @@
 import org.pollenhoist.serving.peer.PeerExchange;
 import org.pollenhoist.serving.placement.Timer;
 import org.pollenhoist.serving.store.Store;
+import org.pollenhoist.serving.store.StoreEras;
 import org.pollenhoist.serving.store.StoreItem;
 import org.pollenhoist.serving.store.StorePage;
 import org.pollenhoist.serving.store.StoreResult;
@@ -77,9 +79,12 @@
      * @param incarnation distinguishes this process from its predecessors
      * @param timer runs delayed actions
      * @param clock reads the current time
+     * @param isFirstStart whether the whole fleet starts for the first time
      * @param upstreams all registered upstreams
      * @param peers the peers
      * @param store the store
+     * @param eras knows when the store has come back from an older copy; this instance hears of it before all whose
+     *     listeners are added later
      * @param storeKnownAsOf the time at which the store held nothing later than what this VM knows of it
      * @param onAnswer called when a peer or the store has answered a question
      */
@@ -88,9 +93,11 @@
             long incarnation,
             Timer timer,
             Supplier<MonotonicTime> clock,
+            boolean isFirstStart,
             UpstreamTable upstreams,
             PeerExchange peers,
             Store store,
+            StoreEras eras,
             Supplier<Optional<MonotonicTime>> storeKnownAsOf,
             Runnable onAnswer) {
         this.vm = vm;
@@ -100,8 +107,9 @@
         this.peers = peers;
         this.store = store;
         this.onAnswer = onAnswer;
-        versions = new ServiceVersions(upstreams);
+        versions = new ServiceVersions(upstreams, eras::current, isFirstStart);
         registry = new StreamRegistry(versions, storeKnownAsOf, this);
+        eras.onChange(this::onNewEra);
     }
 
     StreamRegistry registry() {
@@ -124,15 +132,38 @@
         }
         String service = item.key().substring(PREFIX.length());
         try {
-            List<String> listed = ServiceVersionListing.parseFrom(item.value()).getSoftwareVersionsList();
-            versions.onListed(service, new ServiceVersions.Listing(listed, item.revision()), now);
-            LOG.event("versions_listed", "service", service, "versions", listed, "revision", item.revision());
+            ServiceVersions.Listing listing = listing(item);
+            versions.onListed(service, listing, now);
+            LOG.event(
+                    "versions_listed",
+                    "service",
+                    service,
+                    "versions",
+                    listing.versions(),
+                    "revision",
+                    item.revision(),
+                    "written_in_era",
+                    listing.era().isPresent() ? listing.era().getAsLong() : "unknown");
         } catch (InvalidProtocolBufferException unreadable) {
+            versions.onListed(
+                    service, new ServiceVersions.Listing(List.of(), item.revision(), OptionalLong.empty()), now);
             LOG.event("versions_unreadable", "service", service, "reason", unreadable.getMessage());
         }
         return true;
     }
 
+    private static ServiceVersions.Listing listing(StoreItem item) throws InvalidProtocolBufferException {
+        ServiceVersionListing stored = ServiceVersionListing.parseFrom(item.value());
+        OptionalLong era = stored.hasStoreEra() ? OptionalLong.of(stored.getStoreEra()) : OptionalLong.empty();
+        return new ServiceVersions.Listing(stored.getSoftwareVersionsList(), item.revision(), era);
+    }
+
+    /** Keeps the known versions when the store has come back from an older copy, before its items are applied. */
+    private void onNewEra() {
+        boolean isRecent = registry.onNewEra(clock.get());
+        LOG.event("versions_unconfirmed", "all_known", isRecent);
+    }
+
     /** Applies the removal of an item of the store if it listed versions; returns whether it did. */
     boolean onRemoved(String key) {
         if (key.startsWith(PREFIX)) {
@@ -219,6 +250,7 @@
     private void write(String service, ServiceVersions.Listing listing) {
         byte[] value = ServiceVersionListing.newBuilder()
                 .addAllSoftwareVersions(listing.versions())
+                .setStoreEra(listing.era().orElseThrow())
                 .build()
                 .toByteArray();
         store.commit(
--- a/serving/src/main/java/org/pollenhoist/serving/stream/ListingConfirmation.java
+++ b/serving/src/main/java/org/pollenhoist/serving/stream/ListingConfirmation.java
@@ -66,6 +66,11 @@
                         .isPresent();
     }
 
+    /** Forgets what earlier readings confirmed, because the store has come back from an older copy. */
+    void onNewEra() {
+        confirmedAsOf = Optional.empty();
+    }
+
     /** Ends a reading that was sent at the given time. */
     void endReading(MonotonicTime sentAt, boolean isConfirmed) {
         isReading = false;
--- a/serving/src/main/java/org/pollenhoist/serving/stream/StreamRegistry.java
+++ b/serving/src/main/java/org/pollenhoist/serving/stream/StreamRegistry.java
@@ -141,6 +141,20 @@
         return isConfirmed;
     }
 
+    /**
+     * Records that the store has come back from an older copy. Has to be called before what is known of the copy counts
+     * as knowledge of the listed versions.
+     *
+     * @param now the current time
+     * @return whether this VM knew the listings so recently that it knows every version in use
+     */
+    public boolean onNewEra(MonotonicTime now) {
+        boolean isRecent = confirmation.age(now).isPresent();
+        confirmation.onNewEra();
+        versions.onNewEra(isRecent, now);
+        return isRecent;
+    }
+
     /**
      * Records the first event of a stream at this VM.
      *
--- a/serving/src/test/java/org/pollenhoist/serving/node/EarlierBuildTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/EarlierBuildTest.java
@@ -16,6 +16,7 @@
 import org.pollenhoist.serving.store.StoreEras;
 import org.pollenhoist.serving.store.StoreItem;
 import org.pollenhoist.serving.store.StoreRevision;
+import org.pollenhoist.vm.generated.ServiceVersionListing;
 import org.pollenhoist.vm.generated.StoreRelay;
 import org.pollenhoist.vm.generated.VmDigest;
 
@@ -88,4 +89,17 @@
             assertThat(StoreRelayExchange.fromMessage(written, 3).revision()).isEqualTo(new StoreRevision(4, 9));
         }
     }
+
+    /** The listing was written by commit 2c739ef. */
+    @Nested
+    class Listing {
+
+        @Test
+        void should_name_no_era() throws IOException {
+            ServiceVersionListing listing = ServiceVersionListing.parseFrom(message("listing.bin"));
+
+            assertThat(listing.getSoftwareVersionsList()).containsExactly("v1", "v1.1");
+            assertThat(listing.hasStoreEra()).isFalse();
+        }
+    }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/node/InMemoryStore.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/InMemoryStore.java
@@ -18,6 +18,7 @@
     final Map<String, byte[]> items = new HashMap<>();
     private final Map<String, Long> revisions = new HashMap<>();
     private long revision;
+    private long era;
     boolean isUnavailable;
     int commits;
 
@@ -25,10 +26,10 @@
     public void list(String prefix, String afterKey, Consumer<StoreResult<StorePage>> onResult) {
         List<StoreItem> page = items.entrySet().stream()
                 .filter(item -> item.getKey().startsWith(prefix))
-                .map(item -> new StoreItem(
-                        item.getKey(), item.getValue(), StoreRevision.withoutEra(revisionOf(item.getKey())), false))
+                .map(item ->
+                        new StoreItem(item.getKey(), item.getValue(), currentEra(revisionOf(item.getKey())), false))
                 .toList();
-        onResult.accept(new StoreResult.Success<>(new StorePage(page, StoreRevision.withoutEra(revision), false)));
+        onResult.accept(new StoreResult.Success<>(new StorePage(page, currentEra(revision), false)));
     }
 
     @Override
@@ -46,7 +47,9 @@
         commits++;
         if (!conditions.stream()
                 .allMatch(condition ->
-                        revisionOf(condition.key()) == condition.revision().number())) {
+                        revisionOf(condition.key()) == condition.revision().number()
+                                && (condition.revision().equals(StoreRevision.NONE)
+                                        || condition.revision().era() == era))) {
             onResult.accept(new StoreResult.Rejected<>("condition failed"));
             return;
         }
@@ -59,7 +62,32 @@
             items.remove(key);
             revisions.remove(key);
         });
-        onResult.accept(new StoreResult.Success<>(StoreRevision.withoutEra(revision)));
+        onResult.accept(new StoreResult.Success<>(currentEra(revision)));
+    }
+
+    /** A copy of the store, to which it can go back. */
+    record Copy(Map<String, byte[]> items, Map<String, Long> revisions, long revision) {}
+
+    Copy copy() {
+        return new Copy(Map.copyOf(items), Map.copyOf(revisions), revision);
+    }
+
+    /** Goes back to a copy: what was written since is lost, and its revisions are assigned again in a new era. */
+    void comeBackFrom(Copy copy) {
+        era++;
+        items.clear();
+        items.putAll(copy.items());
+        revisions.clear();
+        revisions.putAll(copy.revisions());
+        revision = copy.revision();
+    }
+
+    long era() {
+        return era;
+    }
+
+    private StoreRevision currentEra(long number) {
+        return new StoreRevision(era, number);
     }
 
     /** Returns the revision of an item's last change, 0 if there is none. */
--- a/serving/src/test/java/org/pollenhoist/serving/node/MixedVersionFleet.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/MixedVersionFleet.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.stream.StreamKey;
 import org.pollenhoist.serving.stream.StreamOrigin;
@@ -22,6 +23,10 @@
     private static final int LIFE_SPREAD_MILLISECONDS = 2_000;
     private static final int MAXIMUM_RETURN_MILLISECONDS = 300;
     private static final int POLL_MILLISECONDS = 50;
+    private static final int MAXIMUM_ABSENCE_MILLISECONDS = 2_000;
+
+    /** A copy of the store and the upstreams that were registered when it was made. */
+    record Copy(InMemoryStore.Copy items, Set<String> upstreams) {}
 
     /** What became of the streams that callers resumed. */
     record Resumed(int goneOn, int joined, int refused) {
@@ -160,6 +165,25 @@
                 .forEach(exchange::removeUpstream);
     }
 
+    /**
+     * Lets the store come back from a copy, to which upstreams that have registered since write their entries again
+     * within two seconds.
+     */
+    void comeBackFrom(Copy copy) {
+        Set<String> registeredSince = exchange.upstreams().stream()
+                .map(UpstreamDescription::identifier)
+                .filter(identifier -> !copy.upstreams().contains(identifier))
+                .collect(Collectors.toSet());
+        exchange.comeBackFrom(copy.items(), registeredSince, MAXIMUM_ABSENCE_MILLISECONDS);
+    }
+
+    Copy copy() {
+        Set<String> registered = exchange.upstreams().stream()
+                .map(UpstreamDescription::identifier)
+                .collect(Collectors.toSet());
+        return new Copy(exchange.store.copy(), registered);
+    }
+
     private List<String> livingVersions() {
         return exchange.upstreams().stream()
                 .map(UpstreamDescription::softwareVersion)
--- a/serving/src/test/java/org/pollenhoist/serving/node/MixedVersionFleetTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/MixedVersionFleetTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
@@ -214,4 +215,166 @@
             assertNoneJoined("partition", played, fleet);
         }
     }
+
+    /**
+     * Guards against streams that go on at another version because the store has come back from a copy that was made
+     * before their version was listed.
+     */
+    @Nested
+    class OlderCopy {
+
+        private static final long COPIED_AT = 1_000;
+        private static final long NEW_VERSION_AT = 1_100;
+        private static final long RETURN_AT = 7_000;
+        private static final long LENGTH = 15_000;
+
+        /** Adds a version, and lets the store come back from a copy that was made before. */
+        private void addVersionAndComeBack(MixedVersionFleet fleet, long returnAt) {
+            fleet.exchange().after(COPIED_AT, () -> {
+                MixedVersionFleet.Copy copy = fleet.copy();
+                fleet.exchange().after(returnAt - COPIED_AT, () -> fleet.comeBackFrom(copy));
+            });
+            fleet.exchange().after(NEW_VERSION_AT, () -> fleet.addVersion(NEW));
+        }
+
+        private void play(String scenario, Fleet played, MixedVersionFleet fleet) {
+            fleet.send(played.streamsPerSecond(), 0.5, LENGTH);
+            fleet.exchange().run(3_000);
+
+            assertNoneJoined("older copy, " + scenario, played, fleet);
+            assertThat(fleet.countBegunAt(NEW)).isPositive();
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.node.MixedVersionFleetTest#fleets")
+        void should_not_join_streams_and_not_refuse_them(Fleet played) {
+            MixedVersionFleet fleet = played.start(OLD);
+            addVersionAndComeBack(fleet, RETURN_AT);
+
+            play("calm", played, fleet);
+
+            assertShareGoesOn(fleet);
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.node.MixedVersionFleetTest#fleets")
+        void should_not_join_streams_when_it_was_made_before_the_first_listing(Fleet played) {
+            MixedVersionFleet fleet = played.start(OLD, NEW);
+            MixedVersionFleet.Copy empty = new MixedVersionFleet.Copy(
+                    new InMemoryStore.Copy(Map.of(), Map.of(), 0), fleet.copy().upstreams());
+            fleet.exchange().after(RETURN_AT, () -> fleet.comeBackFrom(empty));
+
+            play("made before the first listing", played, fleet);
+
+            assertShareGoesOn(fleet);
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.node.MixedVersionFleetTest#fleets")
+        void should_not_join_streams_when_it_comes_at_any_time_after_the_new_version(Fleet played) {
+            for (long returnAt = 1_300; returnAt < 8_000; returnAt += 600) {
+                MixedVersionFleet fleet = played.start(OLD);
+                addVersionAndComeBack(fleet, returnAt);
+
+                play("back at " + returnAt, played, fleet);
+            }
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.node.MixedVersionFleetTest#fleets")
+        void should_not_join_streams_at_vms_that_start_around_the_return(Fleet played) {
+            MixedVersionFleet fleet = played.start(OLD);
+            addVersionAndComeBack(fleet, RETURN_AT);
+            for (int vm = 0; vm < played.vms(); vm += 2) {
+                int killed = vm;
+                long killedAt = RETURN_AT - 1_500 + 3_000L * vm / played.vms();
+                fleet.exchange().after(killedAt, () -> fleet.kill(killed, 600));
+            }
+
+            play("VMs start", played, fleet);
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.node.MixedVersionFleetTest#fleets")
+        void should_not_join_streams_when_all_vms_are_killed_around_the_return(Fleet played) {
+            for (long killedAt = RETURN_AT - 1_000; killedAt < RETURN_AT + 5_000; killedAt += 500) {
+                long at = killedAt;
+                MixedVersionFleet fleet = played.start(OLD);
+                addVersionAndComeBack(fleet, RETURN_AT);
+                fleet.exchange().after(at, () -> fleet.killAll(800));
+
+                play("all killed at " + at, played, fleet);
+            }
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.node.MixedVersionFleetTest#fleets")
+        void should_not_join_streams_when_the_old_version_leaves_meanwhile(Fleet played) {
+            MixedVersionFleet fleet = played.start(OLD);
+            addVersionAndComeBack(fleet, RETURN_AT);
+            fleet.exchange().after(RETURN_AT - 200, () -> fleet.removeVersion(OLD));
+
+            play("old version leaves", played, fleet);
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.node.MixedVersionFleetTest#fleets")
+        void should_not_join_streams_when_the_new_version_leaves_meanwhile(Fleet played) {
+            MixedVersionFleet fleet = played.start(OLD);
+            addVersionAndComeBack(fleet, RETURN_AT);
+            fleet.exchange().after(RETURN_AT - 200, () -> fleet.removeVersion(NEW));
+            for (int vm = 0; vm < played.vms() / 2; vm++) {
+                int killed = vm;
+                fleet.exchange().after(RETURN_AT + 100, () -> fleet.kill(killed, 600));
+            }
+
+            play("new version leaves", played, fleet);
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.node.MixedVersionFleetTest#fleets")
+        void should_not_join_streams_when_the_store_comes_back_twice(Fleet played) {
+            for (long pause = 200; pause < 4_000; pause += 900) {
+                long again = RETURN_AT + pause;
+                MixedVersionFleet fleet = played.start(OLD);
+                addVersionAndComeBack(fleet, RETURN_AT);
+                fleet.exchange().after(COPIED_AT, () -> {
+                    MixedVersionFleet.Copy copy = fleet.copy();
+                    fleet.exchange().after(again - COPIED_AT, () -> fleet.comeBackFrom(copy));
+                });
+                fleet.exchange().after(RETURN_AT + 100, () -> fleet.kill(0, 300));
+
+                play("again after " + pause, played, fleet);
+            }
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.node.MixedVersionFleetTest#outOfStepVms")
+        void should_not_join_streams_at_a_vm_that_is_cut_off_from_the_store_meanwhile(Fleet played, int vm) {
+            for (long cutAt = 500; cutAt < 8_000; cutAt += 1_000) {
+                MixedVersionFleet fleet = played.start(OLD);
+                addVersionAndComeBack(fleet, RETURN_AT);
+                fleet.favour(vm);
+                fleet.exchange().after(cutAt, () -> fleet.exchange().vms.get(vm).isCutFromStore = true);
+                fleet.exchange().after(cutAt + 5_000, () -> fleet.exchange().vms.get(vm).isCutFromStore = false);
+
+                play("VM " + vm + " cut off from " + cutAt, played, fleet);
+            }
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.pollenhoist.serving.node.MixedVersionFleetTest#fleets")
+        void should_let_streams_of_the_only_version_go_on_once_its_listing_is_confirmed(Fleet played) {
+            MixedVersionFleet fleet = played.start(OLD);
+            MixedVersionFleet.Copy copy = fleet.copy();
+            fleet.exchange().after(1_000, () -> fleet.comeBackFrom(copy));
+            fleet.exchange().after(6_000, () -> fleet.killAll(1_000));
+
+            fleet.send(played.streamsPerSecond(), 0, 10_000);
+            fleet.exchange().run(3_000);
+
+            assertNoneJoined("older copy, one version", played, fleet);
+            assertShareGoesOn(fleet);
+        }
+    }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
@@ -20,6 +20,7 @@
 import org.pollenhoist.serving.peer.DatagramTransport;
 import org.pollenhoist.serving.peer.PeerExchange;
 import org.pollenhoist.serving.placement.DemandRates;
+import org.pollenhoist.serving.store.StoreEras;
 import org.pollenhoist.serving.store.StoreItem;
 import org.pollenhoist.serving.store.StoreRevision;
 import org.pollenhoist.serving.upstream.Upstream;
@@ -56,6 +57,7 @@
         final CrashTracking crashes;
         final StreamTracking streams;
         final RateShares rateShares;
+        final StoreEras eras = new StoreEras();
         final int index;
         boolean isAlive = true;
         boolean isFrozen;
@@ -69,7 +71,7 @@
         private final DigestCodec codec;
         private Set<String> storedKeys = Set.of();
 
-        private Vm(int index, String failureDomain, long incarnation) {
+        private Vm(int index, String failureDomain, long incarnation, boolean isFirstStart) {
             this.index = index;
             this.name = "frontend-" + failureDomain + "-" + index;
             this.failureDomain = failureDomain;
@@ -103,12 +105,15 @@
                     incarnation,
                     (delay, action) -> after(delay.toMillis(), () -> runWhenAwake(action)),
                     SimulatedExchange.this::now,
+                    isFirstStart,
                     upstreams,
                     peers,
                     new SimulatedStoreAccess(
                             store, () -> isCutFromStore, (delay, action) -> after(delay, () -> runWhenAwake(action))),
+                    eras,
                     () -> storeKnownAsOf,
                     () -> {});
+            eras.onChange(() -> storeKnownAsOf = Optional.empty());
             this.rateShares = new RateShares(name, failureDomain, upstreams, peers, digests);
         }
 
@@ -126,7 +131,8 @@
             isFrozen = true;
             MonotonicTime sentAt = now();
             Map<String, StoreItem> response = storedItems();
-            waitingWhileFrozen.add(() -> applyStore(response, sentAt));
+            long era = store.era();
+            waitingWhileFrozen.add(() -> applyStore(era, response, sentAt));
         }
 
         /** Lets the VM go on; what has waited in its sockets meanwhile is read in any order. */
@@ -206,17 +212,20 @@
         }
 
         private void readStore() {
-            applyStore(storedItems(), now());
+            applyStore(store.era(), storedItems(), now());
         }
 
         private Map<String, StoreItem> storedItems() {
             Map<String, StoreItem> stored = new HashMap<>();
-            store.items.forEach((key, value) ->
-                    stored.put(key, new StoreItem(key, value, StoreRevision.withoutEra(store.revisionOf(key)), false)));
+            store.items.forEach((key, value) -> stored.put(
+                    key, new StoreItem(key, value, new StoreRevision(store.era(), store.revisionOf(key)), false)));
             return stored;
         }
 
-        private void applyStore(Map<String, StoreItem> stored, MonotonicTime sentAt) {
+        private void applyStore(long era, Map<String, StoreItem> stored, MonotonicTime sentAt) {
+            if (!eras.observe(era, "store")) {
+                return;
+            }
             stored.values().forEach(this::apply);
             storedKeys.stream().filter(key -> !stored.containsKey(key)).forEach(this::remove);
             storedKeys = Set.copyOf(stored.keySet());
@@ -313,6 +322,7 @@
             new PriorityQueue<>(java.util.Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
     private final Random random;
     private Set<String> partitionedDomains = Set.of();
+    private Set<String> missingInStore = Set.of();
     private double lossRate = USUAL_LOSS_RATE;
     private double duplicationRate;
     private int maximumExtraDelayMilliseconds;
@@ -326,7 +336,7 @@
             upstreams.add(upstream(index, domains));
         }
         for (int index = 0; index < size; index++) {
-            vms.add(new Vm(index, "domain-" + index % domains, index + 1L));
+            vms.add(new Vm(index, "domain-" + index % domains, index + 1L, true));
         }
         vms.forEach(this::begin);
     }
@@ -334,7 +344,9 @@
     private void begin(Vm vm) {
         vms.forEach(peer -> vm.peers.putPeer(peer.name, peer.address, peer.failureDomain));
         vm.limits.configure(teams, now());
-        upstreams.forEach(upstream -> vm.upstreams.put(upstream, now()));
+        upstreams.stream()
+                .filter(upstream -> !missingInStore.contains(upstream.identifier()))
+                .forEach(upstream -> vm.upstreams.put(upstream, now()));
         after(random.nextInt(TICK_MILLISECONDS), () -> tickForever(vm));
         after(vm.index % SWEEP_MILLISECONDS, () -> sweepForever(vm));
     }
@@ -344,7 +356,7 @@
         Vm killed = vms.get(index);
         killed.isAlive = false;
         after(downMilliseconds, () -> {
-            Vm started = new Vm(index, killed.failureDomain, random.nextLong());
+            Vm started = new Vm(index, killed.failureDomain, random.nextLong(), false);
             vms.set(index, started);
             started.readStore();
             begin(started);
@@ -370,6 +382,19 @@
         added.forEach(upstream -> vms.forEach(vm -> vm.upstreams.put(upstream, now())));
     }
 
+    /**
+     * Lets the store come back from a copy. Upstreams that have registered since write their entries again after a
+     * while; until then only VMs that knew them before know them.
+     */
+    void comeBackFrom(InMemoryStore.Copy copy, Set<String> registeredSince, long absentMilliseconds) {
+        store.comeBackFrom(copy);
+        missingInStore = registeredSince;
+        after(absentMilliseconds, () -> {
+            missingInStore = Set.of();
+            upstreams.forEach(upstream -> vms.forEach(vm -> vm.upstreams.put(upstream, now())));
+        });
+    }
+
     /** Removes an upstream on all VMs. */
     void removeUpstream(String identifier) {
         upstreams.removeIf(known -> known.identifier().equals(identifier));
--- a/serving/src/test/java/org/pollenhoist/serving/stream/ServiceVersionsTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/stream/ServiceVersionsTest.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -20,7 +21,12 @@
     private static final String SERVICE = "llm";
 
     private final UpstreamTable upstreams = new UpstreamTable();
-    private final ServiceVersions versions = new ServiceVersions(upstreams);
+    private long era;
+    private final ServiceVersions versions = new ServiceVersions(upstreams, () -> era, true);
+
+    private ServiceVersionsTest() {
+        versions.update(true, NOW);
+    }
 
     private void addUpstream(String identifier, String version) {
         upstreams.put(
@@ -39,8 +45,12 @@
                 NOW);
     }
 
+    private ServiceVersions.Listing listing(long revision, String... listed) {
+        return new ServiceVersions.Listing(List.of(listed), new StoreRevision(era, revision), OptionalLong.of(era));
+    }
+
     private void list(MonotonicTime at, String... listed) {
-        versions.onListed(SERVICE, new ServiceVersions.Listing(List.of(listed), StoreRevision.withoutEra(7)), at);
+        versions.onListed(SERVICE, listing(7, listed), at);
     }
 
     @Nested
@@ -115,8 +125,7 @@
         void should_list_the_versions_of_a_service_that_has_no_listing() {
             addUpstream("i-1", "v1");
 
-            assertThat(versions.changes(NOW))
-                    .containsEntry(SERVICE, new ServiceVersions.Listing(List.of("v1"), StoreRevision.withoutEra(0)));
+            assertThat(versions.changes(NOW)).containsEntry(SERVICE, listing(0, "v1"));
         }
 
         @Test
@@ -125,9 +134,7 @@
             addUpstream("i-1", "v1");
             addUpstream("i-2", "v2");
 
-            assertThat(versions.changes(NOW))
-                    .containsEntry(
-                            SERVICE, new ServiceVersions.Listing(List.of("v2", "v1"), StoreRevision.withoutEra(7)));
+            assertThat(versions.changes(NOW)).containsEntry(SERVICE, listing(7, "v2", "v1"));
         }
 
         @Test
@@ -138,8 +145,7 @@
 
             assertThat(versions.changes(NOW.plus(Duration.ofSeconds(60)))).isEmpty();
             versions.update(true, NOW.plus(Duration.ofSeconds(61)));
-            assertThat(versions.changes(NOW.plus(Duration.ofSeconds(61))))
-                    .containsEntry(SERVICE, new ServiceVersions.Listing(List.of("v2"), StoreRevision.withoutEra(7)));
+            assertThat(versions.changes(NOW.plus(Duration.ofSeconds(61)))).containsEntry(SERVICE, listing(7, "v2"));
         }
 
         @Test
@@ -153,4 +159,144 @@
             assertThat(versions.changes(NOW.plus(Duration.ofSeconds(61)))).isEmpty();
         }
     }
+
+    /** Guards against versions that are forgotten because the store's copy does not list them. */
+    @Nested
+    class OlderCopy {
+
+        private static final MonotonicTime RETURN = NOW.plus(Duration.ofSeconds(10));
+
+        private void comeBackFromCopyListing(String... listed) {
+            ServiceVersions.Listing copied = listing(5, listed);
+            versions.onNewEra(true, RETURN);
+            era++;
+            versions.onListed(
+                    SERVICE,
+                    new ServiceVersions.Listing(copied.versions(), new StoreRevision(era, 5), copied.era()),
+                    RETURN);
+            versions.update(true, RETURN);
+        }
+
+        @Test
+        void should_not_make_its_version_the_only_one() {
+            addUpstream("i-1", "v1");
+            list(NOW, "v1", "v2");
+
+            comeBackFromCopyListing("v1");
+
+            assertThat(versions.only(SERVICE)).isEmpty();
+            assertThat(versions.isMixed(SERVICE)).isTrue();
+        }
+
+        @Test
+        void should_not_make_its_version_the_only_one_at_a_vm_that_has_just_started() {
+            ServiceVersions started = new ServiceVersions(upstreams, () -> 1, false);
+            addUpstream("i-1", "v1");
+            started.onListed(
+                    SERVICE,
+                    new ServiceVersions.Listing(List.of("v1"), new StoreRevision(1, 5), OptionalLong.of(0)),
+                    RETURN);
+            started.update(true, RETURN);
+
+            assertThat(started.only(SERVICE)).isEmpty();
+            assertThat(started.changes(RETURN)).isEmpty();
+        }
+
+        @Test
+        void should_be_replaced_by_all_known_versions_once_upstreams_had_time_to_return() {
+            addUpstream("i-1", "v1");
+            list(NOW, "v1", "v2");
+
+            comeBackFromCopyListing("v1");
+
+            versions.update(true, RETURN.plus(Duration.ofMillis(2_499)));
+            assertThat(versions.changes(RETURN.plus(Duration.ofMillis(2_499)))).isEmpty();
+            versions.update(true, RETURN.plus(Duration.ofMillis(2_500)));
+            assertThat(versions.changes(RETURN.plus(Duration.ofMillis(2_500))))
+                    .containsEntry(SERVICE, listing(5, "v1", "v2"));
+        }
+
+        @Test
+        void should_be_confirmed_when_it_lists_all_versions() {
+            addUpstream("i-1", "v1");
+            list(NOW, "v1");
+
+            comeBackFromCopyListing("v1");
+            versions.update(true, RETURN.plus(Duration.ofSeconds(3)));
+
+            assertThat(versions.changes(RETURN.plus(Duration.ofSeconds(3)))).containsEntry(SERVICE, listing(5, "v1"));
+            list(RETURN.plus(Duration.ofSeconds(3)), "v1");
+            assertThat(versions.only(SERVICE)).contains("v1");
+            assertThat(versions.changes(RETURN.plus(Duration.ofSeconds(3)))).isEmpty();
+        }
+
+        @Test
+        void should_leave_a_version_in_use_that_was_in_use_before() {
+            addUpstream("i-1", "v1");
+            addUpstream("i-2", "v2");
+            list(NOW, "v1", "v2");
+
+            comeBackFromCopyListing("v1");
+
+            assertThat(versions.admissible(SERVICE, RETURN)).containsExactlyInAnyOrder("v1", "v2");
+        }
+
+        @Test
+        void should_delay_a_version_that_was_not_in_use_yet() {
+            addUpstream("i-1", "v1");
+            addUpstream("i-2", "v2");
+            list(NOW, "v1");
+            list(RETURN.plus(Duration.ofSeconds(-1)), "v1", "v2");
+
+            comeBackFromCopyListing("v1");
+
+            assertThat(versions.admissible(SERVICE, RETURN.plus(Duration.ofSeconds(3))))
+                    .containsExactly("v1");
+        }
+
+        @Test
+        void should_take_no_version_away_when_it_has_no_listing() {
+            addUpstream("i-1", "v1");
+            list(NOW, "v1", "v2");
+            versions.onNewEra(true, RETURN);
+            era++;
+
+            versions.onRemoved(SERVICE);
+
+            assertThat(versions.only(SERVICE)).isEmpty();
+            versions.update(true, RETURN);
+            versions.update(true, RETURN.plus(Duration.ofSeconds(3)));
+            assertThat(versions.changes(RETURN.plus(Duration.ofSeconds(3))))
+                    .containsEntry(
+                            SERVICE,
+                            new ServiceVersions.Listing(List.of("v1", "v2"), StoreRevision.NONE, OptionalLong.of(era)));
+        }
+
+        @Test
+        void should_let_a_listing_of_the_new_era_take_a_version_away() {
+            addUpstream("i-1", "v1");
+            list(NOW, "v1", "v2");
+            comeBackFromCopyListing("v1");
+
+            list(RETURN, "v1", "v2");
+            list(RETURN, "v1");
+
+            assertThat(versions.only(SERVICE)).contains("v1");
+        }
+
+        @Test
+        void should_not_be_confirmed_by_an_earlier_build() {
+            ServiceVersions started = new ServiceVersions(upstreams, () -> 0, false);
+            addUpstream("i-1", "v1");
+            started.onListed(
+                    SERVICE,
+                    new ServiceVersions.Listing(List.of("v1"), StoreRevision.withoutEra(5), OptionalLong.empty()),
+                    NOW);
+
+            assertThat(started.only(SERVICE)).isEmpty();
+            started.update(true, NOW);
+            started.update(true, NOW.plus(Duration.ofSeconds(5)));
+            assertThat(started.changes(NOW.plus(Duration.ofSeconds(5)))).containsEntry(SERVICE, listing(5, "v1"));
+        }
+    }
 }
