Record running streams in the store while a service has several versions

Cause: which version began a stream was known to its VM and three peers, and lost with them. The listed versions in the store tell it only where there is one. Ruled out: peers that don't hear each other in time after their start, since streams that begin then are resumed at other VMs.

Change: each process records its running streams (8-byte hashes by service and version) in one item of the store, under a lease of two minutes that is not renewed; VMs learn them when they list the store at their start. A record is written when a stream older than 100 ms is missing there, at most four times a second, and 200 times a second by all VMs; nothing is written while each service has one version. Why this works: the item outlives the process and its successor has another one; what it says of a stream stays true, also in an older copy. Records are left out of relays between VMs.

--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
@@ -111,9 +111,9 @@
                 Unpooled.wrappedBuffer(changesFor(uri).toByteArray()));
     }
 
-    /** Returns what this VM answers to a relay request. */
+    /** Returns what this VM answers to a relay request. Records of streams are read at the start of a VM only. */
     StoreRelay changesFor(String uri) {
-        return toMessage(mirror.changesAfter(knownRevision(uri), clock.get()));
+        return toMessage(mirror.changesAfter(knownRevision(uri), clock.get()).without(StreamRecords::isRecord));
     }
 
     private StoreRevision knownRevision(String uri) {
--- a/serving/src/main/java/org/pollenhoist/serving/node/StreamTracking.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StreamTracking.java
@@ -30,14 +30,14 @@
 import org.pollenhoist.serving.stream.StreamRegistry;
 import org.pollenhoist.serving.upstream.UpstreamTable;
 import org.pollenhoist.vm.generated.ServiceVersionListing;
-import org.pollenhoist.vm.generated.StreamBeginning;
 import org.pollenhoist.vm.generated.StreamExchange;
 import org.pollenhoist.vm.generated.VmDigest;
 
 /**
  * Shares with the other VMs which software version began a stream, and keeps the software versions of each service in
  * the store. While a service has several versions, each stream that begins is announced to a few peers, so that it is
- * known if this VM ends; a VM that does not know a stream asks all peers. Confined to the event loop.
+ * known if this VM ends, and recorded in the store for the case that all end; a VM that does not know a stream asks all
+ * peers. Confined to the event loop.
  */
 final class StreamTracking implements StreamRegistry.Announcer {
 
@@ -68,6 +68,7 @@
     private final Runnable onAnswer;
     private final ServiceVersions versions;
     private final StreamRegistry registry;
+    private final StreamRecords records;
     private final Map<String, MonotonicTime> writeDueAt = new HashMap<>();
     private boolean isAnnouncementScheduled;
     private boolean isQuestionScheduled;
@@ -109,6 +110,7 @@
         this.onAnswer = onAnswer;
         versions = new ServiceVersions(upstreams, eras::current, isFirstStart);
         registry = new StreamRegistry(versions, storeKnownAsOf, this);
+        records = new StreamRecords(vm, incarnation, store, registry);
         eras.onChange(this::onNewEra);
     }
 
@@ -123,10 +125,17 @@
                 .help("Streams whose software version this VM knows.")
                 .callback(gauge -> gauge.call(registry.knownStreams()))
                 .register(metrics);
+        records.register(metrics);
     }
 
-    /** Applies an item of the store if it lists the versions of a service; returns whether it does. */
+    /** Applies an item of the store if it is about streams or the versions of a service; returns whether it is. */
     boolean onWritten(StoreItem item, MonotonicTime now) {
+        if (StreamRecords.isRecord(item.key())) {
+            if (records.onWritten(item, now)) {
+                onAnswer.run();
+            }
+            return true;
+        }
         if (!item.key().startsWith(PREFIX)) {
             return false;
         }
@@ -161,15 +170,16 @@
     /** Keeps the known versions when the store has come back from an older copy, before its items are applied. */
     private void onNewEra() {
         boolean isRecent = registry.onNewEra(clock.get());
+        records.onNewEra();
         LOG.event("versions_unconfirmed", "all_known", isRecent);
     }
 
-    /** Applies the removal of an item of the store if it listed versions; returns whether it did. */
+    /** Applies the removal of an item of the store if it was about streams or versions; returns whether it was. */
     boolean onRemoved(String key) {
         if (key.startsWith(PREFIX)) {
             versions.onRemoved(key.substring(PREFIX.length()));
         }
-        return key.startsWith(PREFIX);
+        return key.startsWith(PREFIX) || StreamRecords.isRecord(key);
     }
 
     @Override
@@ -220,10 +230,11 @@
         return Optional.of(revisions);
     }
 
-    /** Repeats open questions, and announces streams of services that have got a further version. */
+    /** Repeats open questions, announces streams of services that have got a further version, and records streams. */
     void tick(MonotonicTime now) {
         ask(now);
         announce(now);
+        records.tick(peers.peerNames().size() + 1, now);
     }
 
     /**
@@ -298,12 +309,7 @@
         Set<StreamKey> asked = new HashSet<>();
         message.getAskedList().forEach(hash -> asked.add(new StreamKey(hash)));
         known(registry.answers(asked, now)).forEach(answer -> peers.sendTo(datagram(answer), datagram.getVmName()));
-        Map<StreamKey, StreamOrigin> told = new HashMap<>();
-        for (StreamBeginning beginning : message.getKnownList()) {
-            StreamOrigin origin = new StreamOrigin(beginning.getService(), beginning.getSoftwareVersion());
-            beginning.getStreamsList().forEach(hash -> told.put(new StreamKey(hash), origin));
-        }
-        if (registry.learn(told, now)) {
+        if (registry.learn(StreamRecords.origins(message.getKnownList()), now)) {
             onAnswer.run();
         }
     }
@@ -311,16 +317,7 @@
     private static List<StreamExchange.Builder> known(Map<StreamKey, StreamOrigin> origins) {
         List<StreamExchange.Builder> messages = new ArrayList<>();
         for (List<StreamKey> part : parts(List.copyOf(origins.keySet()))) {
-            Map<StreamOrigin, StreamBeginning.Builder> byOrigin = new HashMap<>();
-            part.forEach(key -> byOrigin.computeIfAbsent(
-                            origins.get(key),
-                            origin -> StreamBeginning.newBuilder()
-                                    .setService(origin.service())
-                                    .setSoftwareVersion(origin.softwareVersion()))
-                    .addStreams(key.hash()));
-            StreamExchange.Builder message = StreamExchange.newBuilder();
-            byOrigin.values().forEach(message::addKnown);
-            messages.add(message);
+            messages.add(StreamExchange.newBuilder().addAllKnown(StreamRecords.beginnings(part, origins)));
         }
         return messages;
     }
--- a/serving/src/main/java/org/pollenhoist/serving/store/StoreChanges.java
+++ b/serving/src/main/java/org/pollenhoist/serving/store/StoreChanges.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * The changes of the store after a revision, or a snapshot of all its items, as one VM sends them to another.
@@ -24,4 +25,18 @@
         items = List.copyOf(items);
         removals = List.copyOf(removals);
     }
+
+    /**
+     * Returns the changes without those of some keys.
+     *
+     * @param keys selects the keys to leave out
+     * @return the other changes, up to the same revision
+     */
+    public StoreChanges without(Predicate<String> keys) {
+        return new StoreChanges(revision, others(items, keys), others(removals, keys), isSnapshot, sinceStoreRecovery);
+    }
+
+    private static List<StoreItem> others(List<StoreItem> items, Predicate<String> keys) {
+        return items.stream().filter(item -> !keys.test(item.key())).toList();
+    }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/stream/ServiceVersions.java
+++ b/serving/src/main/java/org/pollenhoist/serving/stream/ServiceVersions.java
@@ -259,6 +259,18 @@
         return known.size() > 1 || !known.containsAll(alive(service));
     }
 
+    /**
+     * Returns the services of which several versions are known or have upstreams.
+     *
+     * @return their names
+     */
+    public Set<String> mixedServices() {
+        Set<String> services = new TreeSet<>(alive().keySet());
+        services.addAll(listings.keySet());
+        services.removeIf(service -> !isMixed(service));
+        return services;
+    }
+
     /**
      * Returns the listings that the store should hold instead of those that it holds.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/stream/StreamDirectory.java
+++ b/serving/src/main/java/org/pollenhoist/serving/stream/StreamDirectory.java
@@ -35,6 +35,7 @@
     };
 
     private final Map<StreamKey, StreamOrigin> unannounced = new LinkedHashMap<>();
+    private final Map<StreamKey, MonotonicTime> runningSince = new LinkedHashMap<>();
 
     /** Creates an empty directory. */
     public StreamDirectory() {}
@@ -49,10 +50,11 @@
     public void begin(StreamKey key, StreamOrigin origin, MonotonicTime now) {
         put(key, origin, now);
         unannounced.put(key, origin);
+        runningSince.putIfAbsent(key, now);
     }
 
     /**
-     * Records what a peer knows of a stream.
+     * Records what a peer or the store knows of a stream.
      *
      * @param key the stream
      * @param origin what wrote its first event
@@ -76,6 +78,7 @@
      */
     public void end(StreamKey key, MonotonicTime now) {
         unannounced.remove(key);
+        runningSince.remove(key);
         streams.computeIfPresent(key, (same, known) -> new Stream(known.origin(), now.plus(RETENTION_AFTER_END)));
     }
 
@@ -106,6 +109,26 @@
         return taken;
     }
 
+    /**
+     * Returns the streams that began at this VM and were not passed on to their end.
+     *
+     * @param services selects the services whose streams are returned
+     * @param minimumAge the time since their beginning
+     * @param now the current time
+     * @return their origins, the oldest first
+     */
+    public Map<StreamKey, StreamOrigin> running(Predicate<String> services, Duration minimumAge, MonotonicTime now) {
+        Map<StreamKey, StreamOrigin> running = new LinkedHashMap<>();
+        runningSince.forEach((key, since) -> {
+            if (now.since(since).compareTo(minimumAge) >= 0) {
+                find(key, now)
+                        .filter(origin -> services.test(origin.service()))
+                        .ifPresent(origin -> running.put(key, origin));
+            }
+        });
+        return running;
+    }
+
     /**
      * Discards streams that no caller resumes any more.
      *
@@ -114,6 +137,7 @@
     public void expire(MonotonicTime now) {
         streams.values().removeIf(stream -> !now.isBefore(stream.until()));
         unannounced.keySet().retainAll(streams.keySet());
+        runningSince.keySet().retainAll(streams.keySet());
     }
 
     /**
--- a/serving/src/main/java/org/pollenhoist/serving/stream/StreamRegistry.java
+++ b/serving/src/main/java/org/pollenhoist/serving/stream/StreamRegistry.java
@@ -185,7 +185,19 @@
      * @return the origins of streams of services that have several versions
      */
     public Map<StreamKey, StreamOrigin> takeUnannounced() {
-        return directory.takeUnannounced(versions::isMixed);
+        return directory.takeUnannounced(versions.mixedServices()::contains);
+    }
+
+    /**
+     * Returns the streams that began at this VM and would be lost with all VMs.
+     *
+     * @param minimumAge the time since their beginning
+     * @param now the current time
+     * @return the origins of streams of services that have several versions, the oldest first
+     */
+    public Map<StreamKey, StreamOrigin> running(Duration minimumAge, MonotonicTime now) {
+        Set<String> mixed = versions.mixedServices();
+        return mixed.isEmpty() ? Map.of() : directory.running(mixed::contains, minimumAge, now);
     }
 
     /**
@@ -212,7 +224,7 @@
     }
 
     /**
-     * Records what a peer knows.
+     * Records what a peer or the store knows.
      *
      * @param origins the origins of streams
      * @param now the current time
--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedStoreAccess.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedStoreAccess.java
@@ -48,12 +48,20 @@
             List<Write> writes,
             List<String> removals,
             Consumer<StoreResult<StoreRevision>> callback) {
-        store.commit(conditions, writes, removals, callback);
+        if (isCutOff.getAsBoolean()) {
+            timer.accept(TIMEOUT_MILLISECONDS, () -> callback.accept(new StoreResult.Unavailable<>("cut off")));
+        } else {
+            store.commit(conditions, writes, removals, callback);
+        }
     }
 
     @Override
     public void grantLease(Duration duration, Consumer<StoreResult<StoreLease>> callback) {
-        store.grantLease(duration, callback);
+        if (isCutOff.getAsBoolean()) {
+            timer.accept(TIMEOUT_MILLISECONDS, () -> callback.accept(new StoreResult.Unavailable<>("cut off")));
+        } else {
+            store.grantLease(duration, callback);
+        }
     }
 
     @Override
--- a/serving/src/test/java/org/pollenhoist/serving/stream/StreamDirectoryTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/stream/StreamDirectoryTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
@@ -85,6 +86,48 @@
         }
     }
 
+    @Nested
+    class Running {
+
+        private static final Duration AGE = Duration.ofMillis(150);
+
+        private Set<StreamKey> running(MonotonicTime now) {
+            return directory.running(service -> true, AGE, now).keySet();
+        }
+
+        @Test
+        void should_return_streams_of_this_vm_from_the_given_age() {
+            directory.begin(KEY, OLD, NOW);
+            directory.learn(StreamKey.of("crews", "request-2"), NEW, NOW);
+
+            assertThat(running(NOW.plus(AGE.minusMillis(1)))).isEmpty();
+            assertThat(running(NOW.plus(AGE))).containsExactly(KEY);
+        }
+
+        @Test
+        void should_leave_out_streams_that_have_ended() {
+            directory.begin(KEY, OLD, NOW);
+            directory.end(KEY, NOW.plus(AGE));
+
+            assertThat(running(NOW.plus(AGE))).isEmpty();
+        }
+
+        @Test
+        void should_leave_out_an_identifier_of_streams_of_two_versions() {
+            directory.begin(KEY, OLD, NOW);
+            directory.learn(KEY, NEW, NOW);
+
+            assertThat(running(NOW.plus(AGE))).isEmpty();
+        }
+
+        @Test
+        void should_leave_out_other_services() {
+            directory.begin(KEY, OLD, NOW);
+
+            assertThat(directory.running(service -> false, AGE, NOW.plus(AGE))).isEmpty();
+        }
+    }
+
     @Nested
     class Expire {
 
