Count written and failed records directly, and share the drills of a test

No change of behaviour: the numbers of the metric are kept as they are shown instead of being derived, a listing is asked once whether it is confirmed, and the test of two drills uses the set-up of the others.

--- a/serving/src/main/java/org/pollenhoist/serving/node/StreamRecords.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StreamRecords.java
@@ -61,8 +61,8 @@
     private Optional<MonotonicTime> writtenAt = Optional.empty();
     private Set<StreamKey> recorded = Set.of();
     private boolean isWriting;
-    private long writes;
-    private long failedWrites;
+    private long written;
+    private long failed;
 
     /**
      * Creates an instance that has recorded nothing.
@@ -85,8 +85,8 @@
                 .help("Writes to the store of the streams that began at this VM, by result.")
                 .labelNames("result")
                 .callback(counter -> {
-                    counter.call((double) (writes - failedWrites), "written");
-                    counter.call((double) failedWrites, "failed");
+                    counter.call((double) written, "written");
+                    counter.call((double) failed, "failed");
                 })
                 .register(metrics);
     }
@@ -175,7 +175,7 @@
                 lease = Optional.of(new Lease(granted, now));
                 commit(running, granted);
             } else {
-                end(result);
+                endInFailure(result);
             }
         });
     }
@@ -190,19 +190,18 @@
                 .toByteArray();
         store.commit(List.of(), List.of(new Store.Write(key, value, Optional.of(usable))), List.of(), result -> {
             if (result instanceof StoreResult.Success<StoreRevision>) {
+                isWriting = false;
+                written++;
                 recorded = running.keySet();
+            } else {
+                endInFailure(result);
             }
-            end(result);
         });
     }
 
-    private void end(StoreResult<?> result) {
+    private void endInFailure(StoreResult<?> result) {
         isWriting = false;
-        writes++;
-        if (result instanceof StoreResult.Success<?>) {
-            return;
-        }
-        failedWrites++;
+        failed++;
         if (result instanceof StoreResult.Rejected<?>) {
             // The lease may have ended, or the store may have come back from a copy without it.
             lease = Optional.empty();
--- a/serving/src/main/java/org/pollenhoist/serving/stream/ServiceVersions.java
+++ b/serving/src/main/java/org/pollenhoist/serving/stream/ServiceVersions.java
@@ -280,7 +280,8 @@
     public Map<String, Listing> changes(MonotonicTime now) {
         Map<String, Listing> changes = new LinkedHashMap<>();
         alive().forEach((service, living) -> {
-            if (!isConfirmed(service) && !isSettled) {
+            boolean isConfirmed = isConfirmed(service);
+            if (!isConfirmed && !isSettled) {
                 return;
             }
             Listing stored = listing(service);
@@ -288,7 +289,7 @@
             versions.removeIf(version -> isGone(new ServiceVersion(service, version), now));
             versions.addAll(living);
             List<String> ordered = List.copyOf(versions);
-            if (!ordered.equals(stored.versions()) || !isConfirmed(service)) {
+            if (!ordered.equals(stored.versions()) || !isConfirmed) {
                 OptionalLong era = OptionalLong.of(currentEra.getAsLong());
                 changes.put(service, new Listing(ordered, stored.revision(), era));
             }
--- a/serving/src/test/java/org/pollenhoist/serving/node/MixedVersionFleetTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/MixedVersionFleetTest.java
@@ -324,11 +324,13 @@
         private static final long RETURN_AT = 7_000;
         private static final long LENGTH = 15_000;
 
-        /** Adds a version, and lets the store come back from a copy that was made before. */
-        private void addVersionAndComeBack(MixedVersionFleet fleet, long returnAt) {
+        /** Adds a version, and lets the store come back, once or more often, from a copy that was made before. */
+        private void addVersionAndComeBack(MixedVersionFleet fleet, long... returnsAt) {
             fleet.exchange().after(COPIED_AT, () -> {
                 MixedVersionFleet.Copy copy = fleet.copy();
-                fleet.exchange().after(returnAt - COPIED_AT, () -> fleet.comeBackFrom(copy));
+                for (long returnAt : returnsAt) {
+                    fleet.exchange().after(returnAt - COPIED_AT, () -> fleet.comeBackFrom(copy));
+                }
             });
             fleet.exchange().after(NEW_VERSION_AT, () -> fleet.addVersion(NEW));
         }
@@ -431,13 +433,8 @@
         @MethodSource("org.pollenhoist.serving.node.MixedVersionFleetTest#fleets")
         void should_not_join_streams_when_the_store_comes_back_twice(Fleet played) {
             for (long pause = 200; pause < 4_000; pause += 1_700) {
-                long again = RETURN_AT + pause;
                 MixedVersionFleet fleet = played.start(OLD);
-                addVersionAndComeBack(fleet, RETURN_AT);
-                fleet.exchange().after(COPIED_AT, () -> {
-                    MixedVersionFleet.Copy copy = fleet.copy();
-                    fleet.exchange().after(again - COPIED_AT, () -> fleet.comeBackFrom(copy));
-                });
+                addVersionAndComeBack(fleet, RETURN_AT, RETURN_AT + pause);
                 fleet.exchange().after(RETURN_AT + 100, () -> fleet.kill(0, 300));
 
                 play("again after " + pause, played, fleet);
