--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -337,7 +337,9 @@
         eras.onChange(() -> leadership.onNewEra(bootClock.read()));
         eras.onChange(() -> mirror.onNewEra(bootClock.read()));
         mirror.start();
-        PeriodicTask task = new PeriodicTask(bootClock::read, List.of(this::tick, stop::tick));
+        EventLoopDelay delay = new EventLoopDelay(TICK_INTERVAL, registry, bootClock.read());
+        PeriodicTask task =
+                new PeriodicTask(bootClock::read, List.of(delay::begin, this::tick, stop::tick, delay::end));
         loop.scheduleWithFixedDelay(task, TICK_INTERVAL.toMillis(), TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
     }
 
