Send on a connection that has opened only after another look at the sockets

Cause: the loop learns in one look that the connection has opened and that the caller has left, in the order in which it came; the first wrote the request at once, and a closed connection is told of by a task that runs later still.

Change: the request is written after one more look at all sockets (SocketLook), if it has not been given up and the connection is still open. RequestIntake uses the same.

--- a/serving/src/main/java/org/pollenhoist/serving/http/HttpConnectionPool.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/HttpConnectionPool.java
@@ -227,14 +227,21 @@
                 return;
             }
             HttpConnection connection = connected.channel().pipeline().get(HttpConnection.class);
-            if (exchange.isEnded() || options.isTooLate(clock.get())) {
-                release(connection);
-            } else {
-                connection.start(exchange);
-            }
+            // A late event loop may have yet to read, from another socket, that the caller has left.
+            SocketLook.thenRun(loop, () -> startOn(connection, options, exchange));
         });
     }
 
+    private void startOn(HttpConnection connection, ConnectionOptions options, HttpExchange exchange) {
+        if (!connection.isOpen()) {
+            exchange.fail(ExchangeFailure.NOT_SENT, "the connection was closed before the request was sent");
+        } else if (exchange.isEnded() || options.isTooLate(clock.get())) {
+            release(connection);
+        } else {
+            connection.start(exchange);
+        }
+    }
+
     MonotonicTime now() {
         return clock.get();
     }
--- a/serving/src/main/java/org/pollenhoist/serving/http/RequestIntake.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/RequestIntake.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
 
@@ -58,11 +57,10 @@
         }
     }
 
-    /** Lets the event loop look at its sockets first: it runs a task that is due only after that, others before it. */
     private void continueLater() {
         isScheduled = !waiting.isEmpty();
         if (isScheduled) {
-            loop.schedule(this::takeUpSome, 0, TimeUnit.NANOSECONDS);
+            SocketLook.thenRun(loop, this::takeUpSome);
         }
     }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/http/HttpConnectionPoolTest.java
@@ -3,10 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
 import io.netty.channel.epoll.EpollEventLoopGroup;
+import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -28,6 +32,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -184,6 +189,46 @@
             assertThat(late).isNotDone();
             assertThat(accepted).hasValue(1);
         }
+
+        /** Guards against a request that a late event loop sends just before it reads that the caller has left. */
+        @Test
+        void should_not_be_sent_when_the_callers_leaving_is_read_at_the_same_time() throws IOException {
+            responses.add(LONG_KEEP_ALIVE.formatted("b"));
+            CompletableFuture<String> abandoned = new CompletableFuture<>();
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+            AtomicReference<HttpExchange> exchange = new AtomicReference<>();
+            try (ServerSocket callers = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                onEndOf(callers, () -> exchange.get().cancel());
+                Socket caller = callers.accept();
+                loop.submit(() -> {
+                            exchange.set(connections.send(
+                                    target(), "a", request, ConnectionOptions.ANY_IDLE, new Collector("a", abandoned)));
+                            caller.close();
+                            return null;
+                        })
+                        .syncUninterruptibly();
+            }
+            await().until(this::hasIdleConnection);
+
+            assertThat(send("b")).isEqualTo("ok");
+
+            assertThat(abandoned).isNotDone();
+            assertThat(accepted).hasValue(1);
+        }
+
+        private void onEndOf(ServerSocket callers, Runnable action) {
+            new Bootstrap()
+                    .group(loop)
+                    .channel(EpollSocketChannel.class)
+                    .handler(new ChannelInboundHandlerAdapter() {
+                        @Override
+                        public void channelInactive(ChannelHandlerContext context) {
+                            action.run();
+                        }
+                    })
+                    .connect(callers.getLocalSocketAddress())
+                    .syncUninterruptibly();
+        }
     }
 
     private static final class Collector implements ResponseListener {
