Drop undecoded bytes at once when a connection's heads give way

Cause: a connection that gives way dropped its decoded heads, but the bytes that had been read and not decoded lay in direct memory until the event loop told of its end, which it does after it has read from all others that are ready. Once direct memory was full, each of these reads waited half a second for room: the stack of the event loop stood in Bits.reserveMemory, 61 connections had given way and the heads in use were 0 bytes.

Change: the decoder leaves the pipeline, with its buffer, when the heads give way.

--- a/library/src/main/java/org/pollenhoist/caller/StrictRequestDecoder.java
+++ b/library/src/main/java/org/pollenhoist/caller/StrictRequestDecoder.java
@@ -80,10 +80,20 @@
         return taken;
     }
 
-    /** Drops the header that is being read, of a connection that is about to be closed. */
-    public void dropHead() {
+    /**
+     * Drops the header that is being read and the bytes that are not decoded yet, of a connection that is about to be
+     * closed. Without this they would be held until the event loop, which reads from all other connections first, tells
+     * of the end of this one.
+     *
+     * @param context the context of a handler of the connection, which reads nothing more
+     */
+    public void dropHead(ChannelHandlerContext context) {
         head.ifPresent(dropped -> dropped.headers().clear());
         takeHeadMemoryBytes();
+        internalBuffer().skipBytes(internalBuffer().readableBytes());
+        if (context.pipeline().context(this) != null) {
+            context.pipeline().remove(this);
+        }
     }
 
     @Override
--- a/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/CallerConnection.java
@@ -98,7 +98,7 @@
             context.pipeline().fireUserEventTriggered(new RequestGuard.HeaderMemoryFull());
         }
         // The event loop tells of the end only after it has read from all others, which need the memory.
-        decoder.dropHead();
+        decoder.dropHead(context);
         abandonRequests();
         context.close();
     }
