Simulate the spread of a change among VMs whose event loops are late

With 59 VMs in three failure domains, each look of an event loop at its sockets is a step on the way of a change: watch, batching, digest, relay and its response.

Test: ChangePropagationTest.FleetOf59WithLateEventLoops, 300 ms between looks and four kinds of trouble, green.

--- a/serving/src/test/java/org/pollenhoist/serving/node/ChangePropagationTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/ChangePropagationTest.java
@@ -15,8 +15,11 @@
 
     private static void assertInForceWithin(
             Duration bound, Duration stablePeriod, int vms, int domains, StoreTrouble trouble, int changes) {
-        StoreFleet fleet = new StoreFleet(vms, domains, bound, SEED);
+        assertInForceWithin(bound, stablePeriod, new StoreFleet(vms, domains, bound, SEED), trouble, changes);
+    }
 
+    private static void assertInForceWithin(
+            Duration bound, Duration stablePeriod, StoreFleet fleet, StoreTrouble trouble, int changes) {
         ChangePropagation.Distribution measured =
                 new ChangePropagation(fleet, stablePeriod, SEED).measure(trouble, changes);
 
@@ -54,4 +57,22 @@
             assertInForceWithin(Duration.ofSeconds(3), Duration.ofSeconds(4), 330, 16, trouble, 1);
         }
     }
+
+    @Nested
+    class FleetOf59WithLateEventLoops {
+
+        private static final Duration LOOK_INTERVAL = Duration.ofMillis(300);
+
+        @ParameterizedTest
+        @EnumSource(
+                mode = INCLUDE,
+                names = {"CALM", "REJECTED", "UNANSWERED", "LOST_RESPONSES"})
+        void should_have_a_change_in_force_everywhere_within_3_seconds(StoreTrouble trouble) {
+            Duration bound = Duration.ofSeconds(3);
+            StoreFleet fleet = new StoreFleet(59, 3, bound, SEED);
+            fleet.lookEvery(LOOK_INTERVAL);
+
+            assertInForceWithin(bound, Duration.ofSeconds(4), fleet, trouble, 4);
+        }
+    }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
@@ -44,6 +44,9 @@
     private static final String VM_PREFIX = "pollenhoist/vms/";
     private static final int TICK_MILLISECONDS = 50;
     private static final int LINK_DELAY_MILLISECONDS = 1;
+    /** By how much the looks of one VM come before those of the next. */
+    private static final int LOOK_OFFSET_MILLISECONDS = 37;
+
     private static final double LOSS_RATE = 0.01;
     private static final Duration UPSTREAM_HEARTBEAT = Duration.ofMillis(1_200);
     private static final int OK = 200;
@@ -171,7 +174,18 @@
             });
         }
 
+        /** Runs an action at the next look of this VM's event loop at its sockets and timers. */
         private void run(VmProcess owner, Runnable action) {
+            if (lookIntervalMilliseconds == 0) {
+                runNow(owner, action);
+            } else {
+                long sinceLook =
+                        (milliseconds + (long) LOOK_OFFSET_MILLISECONDS * address.getPort()) % lookIntervalMilliseconds;
+                after(lookIntervalMilliseconds - sinceLook, () -> runNow(owner, action));
+            }
+        }
+
+        private void runNow(VmProcess owner, Runnable action) {
             if (isFrozen) {
                 waiting.add(() -> run(owner, action));
             } else if (process == owner) {
@@ -406,6 +420,7 @@
     private long treatments;
     private long milliseconds = 1_000_000;
     private long nextNumber;
+    private long lookIntervalMilliseconds;
 
     StoreFleet(int size, int domains, Duration bound, long seed) {
         this.random = new Random(seed);
@@ -427,6 +442,11 @@
         }
     }
 
+    /** Lets the event loop of each VM look at its sockets and timers no more often than this. */
+    void lookEvery(Duration interval) {
+        lookIntervalMilliseconds = interval.toMillis();
+    }
+
     /** Writes a version of the configuration. */
     void configure(long version) {
         configured = version;
