Log from whom a transfer came, how many bytes had come, and how long it took

What could not be told from the logs: which peer a failed relay was asked of, and how much of a response had come when it was given up, so that a link that is too narrow looks like a peer that is silent. Now relay_failed names the peer and the revision, a failure for lateness the bytes, and slow_response each response that takes 200 ms or more from its head to its end. No logic is changed.

--- a/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
@@ -10,10 +10,13 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.pollenhoist.common.DecisionLog;
+import org.pollenhoist.common.MonotonicTime;
 
 /** An HTTP client that buffers each response and delivers it when it is complete. Confined to the event loop. */
 public final class BufferedHttpClient {
@@ -23,6 +26,9 @@
     /** Maximum size of the body of a response, in bytes. */
     private static final int MAXIMUM_RESPONSE_BYTES = 8 << 20;
 
+    /** Shortest time between the head and the end of a response that is logged. */
+    private static final Duration LOGGED_TRANSFER = Duration.ofMillis(200);
+
     /** The result of a call. */
     public sealed interface Result {
 
@@ -86,14 +92,14 @@
             Duration timeout,
             Predicate<HttpResponse> isExpected,
             Consumer<Result> callback) {
-        ResponseBuffer buffer = new ResponseBuffer(isExpected, callback);
+        ResponseBuffer buffer = new ResponseBuffer(target, connections::now, isExpected, callback);
         HttpExchange exchange = connections.send(target, request, ConnectionOptions.ANY_IDLE, buffer);
         buffer.exchange = exchange;
         buffer.timer = loop.schedule(
                 () -> {
                     boolean isSent = exchange.isSent();
                     exchange.cancel();
-                    buffer.complete(new Result.Failed(isSent, "no response within " + timeout.toMillis() + " ms"));
+                    buffer.complete(new Result.Failed(isSent, buffer.describeMissing(timeout)));
                 },
                 timeout.toMillis(),
                 TimeUnit.MILLISECONDS);
@@ -104,6 +110,8 @@
 
     private static final class ResponseBuffer implements ResponseListener {
 
+        private final Target target;
+        private final Supplier<MonotonicTime> clock;
         private final Predicate<HttpResponse> isExpected;
         private final Consumer<Result> callback;
         private final ByteBuf body = Unpooled.buffer();
@@ -111,9 +119,16 @@
         private ScheduledFuture<?> timer;
         private int status;
         private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
+        private Optional<MonotonicTime> begunAt = Optional.empty();
         private boolean isComplete;
 
-        private ResponseBuffer(Predicate<HttpResponse> isExpected, Consumer<Result> callback) {
+        private ResponseBuffer(
+                Target target,
+                Supplier<MonotonicTime> clock,
+                Predicate<HttpResponse> isExpected,
+                Consumer<Result> callback) {
+            this.target = target;
+            this.clock = clock;
             this.isExpected = isExpected;
             this.callback = callback;
         }
@@ -135,9 +150,16 @@
             }
             status = head.status().code();
             headers = head.headers();
+            begunAt = Optional.of(clock.get());
             return true;
         }
 
+        private String describeMissing(Duration timeout) {
+            String received =
+                    begunAt.isPresent() ? "incomplete response, " + body.readableBytes() + " bytes," : "no response";
+            return received + " within " + timeout.toMillis() + " ms";
+        }
+
         @Override
         public void onBody(ByteBuf chunk) {
             if (body.readableBytes() + chunk.readableBytes() > MAXIMUM_RESPONSE_BYTES) {
@@ -150,9 +172,26 @@
 
         @Override
         public void onEnd() {
+            begunAt.ifPresent(this::logIfSlow);
             complete(new Result.Answered(status, headers, ByteBufUtil.getBytes(body)));
         }
 
+        private void logIfSlow(MonotonicTime begun) {
+            Duration transfer = clock.get().since(begun);
+            if (transfer.compareTo(LOGGED_TRANSFER) >= 0) {
+                LOG.event(
+                        "slow_response",
+                        "address",
+                        target.address(),
+                        "lifetime",
+                        target.lifetime(),
+                        "bytes",
+                        body.readableBytes(),
+                        "transfer_ms",
+                        transfer.toMillis());
+            }
+        }
+
         @Override
         public void onFailure(ExchangeFailure failure, String reason) {
             complete(new Result.Failed(failure.isSent(), reason));
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
@@ -243,20 +243,21 @@
                         + '='
                         + mirror.revision().era(),
                 Unpooled.EMPTY_BUFFER);
-        client.call(new Target(peer.address(), "peer"), request, RELAY_TIMEOUT, this::received);
+        String name = peer.digest().getVmName();
+        client.call(new Target(peer.address(), "peer"), request, RELAY_TIMEOUT, result -> received(result, name));
     }
 
-    private void received(BufferedHttpClient.Result result) {
+    private void received(BufferedHttpClient.Result result, String peer) {
         isRequestPending = false;
         if (!(result instanceof BufferedHttpClient.Result.Answered completed) || completed.status() != OK) {
-            LOG.event("relay_failed", "reason", result);
+            LOG.event("relay_failed", "peer", peer, "revision", mirror.revision(), "reason", result);
             return;
         }
         try {
             mirror.applyPeerChanges(fromMessage(
                     StoreRelay.parseFrom(completed.body()), mirror.revision().era()));
         } catch (InvalidProtocolBufferException malformed) {
-            LOG.event("relay_failed", "reason", malformed.getMessage());
+            LOG.event("relay_failed", "peer", peer, "revision", mirror.revision(), "reason", malformed.getMessage());
         }
     }
 }
