Give up a transfer that ceases to make progress, not one that takes long

What callers saw: VMs refused added routes with 404 and sent requests to upstreams that had left, for as long as ten seconds and more. Cause: a watch had to be whole 1,300 ms after it was sent, a listing after 1 s, a relay after 450 ms, whatever its size and link.

From its head on, each period has to bring 8 KiB, or the end of the response; so a server that falls silent, or sends a byte now and then, is given up as before. Before it gives up, a late event loop looks at its sockets once more. Calls to engines, which are small, keep their bound on the whole.

BufferedHttpClientTest, with the bound on the whole response (a trial): 2 of 4 red, of them should_receive_a_response_that_takes_several_times_as_long_as_it_may_take_to_begin (the other one differs in the text of its reason); 4 green now. ChangePropagationTest, EndlessResponsesTest and CutHeadTest green.

--- a/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import java.util.function.Supplier;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
 
@@ -92,26 +91,33 @@
             Duration timeout,
             Predicate<HttpResponse> isExpected,
             Consumer<Result> callback) {
-        ResponseBuffer buffer = new ResponseBuffer(target, connections::now, isExpected, callback);
-        HttpExchange exchange = connections.send(target, request, ConnectionOptions.ANY_IDLE, buffer);
-        buffer.exchange = exchange;
-        buffer.timer = loop.schedule(
-                () -> {
-                    boolean isSent = exchange.isSent();
-                    exchange.cancel();
-                    buffer.complete(new Result.Failed(isSent, buffer.describeMissing(timeout)));
-                },
-                timeout.toMillis(),
-                TimeUnit.MILLISECONDS);
-        if (buffer.isComplete) {
-            buffer.timer.cancel(false);
-        }
+        ResponseBuffer buffer = send(target, request, isExpected, callback);
+        buffer.giveUpAfter(timeout);
     }
 
-    private static final class ResponseBuffer implements ResponseListener {
+    /**
+     * Sends a request whose response may be large, to a process that responds once to each request.
+     *
+     * @param target the process to call
+     * @param request the request, which is released
+     * @param timeout when the call is given up
+     * @param callback receives the result, exactly once
+     */
+    public void call(Target target, FullHttpRequest request, ResponseTimeout timeout, Consumer<Result> callback) {
+        ResponseBuffer buffer = send(target, request, head -> true, callback);
+        buffer.giveUpWithoutProgress(timeout);
+    }
+
+    private ResponseBuffer send(
+            Target target, FullHttpRequest request, Predicate<HttpResponse> isExpected, Consumer<Result> callback) {
+        ResponseBuffer buffer = new ResponseBuffer(target, isExpected, callback);
+        buffer.exchange = connections.send(target, request, ConnectionOptions.ANY_IDLE, buffer);
+        return buffer;
+    }
+
+    private final class ResponseBuffer implements ResponseListener {
 
         private final Target target;
-        private final Supplier<MonotonicTime> clock;
         private final Predicate<HttpResponse> isExpected;
         private final Consumer<Result> callback;
         private final ByteBuf body = Unpooled.buffer();
@@ -120,15 +126,11 @@
         private int status;
         private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
         private Optional<MonotonicTime> begunAt = Optional.empty();
+        private Optional<Duration> progressPeriod = Optional.empty();
         private boolean isComplete;
 
-        private ResponseBuffer(
-                Target target,
-                Supplier<MonotonicTime> clock,
-                Predicate<HttpResponse> isExpected,
-                Consumer<Result> callback) {
+        private ResponseBuffer(Target target, Predicate<HttpResponse> isExpected, Consumer<Result> callback) {
             this.target = target;
-            this.clock = clock;
             this.isExpected = isExpected;
             this.callback = callback;
         }
@@ -150,14 +152,67 @@
             }
             status = head.status().code();
             headers = head.headers();
-            begunAt = Optional.of(clock.get());
+            begunAt = Optional.of(connections.now());
+            progressPeriod.ifPresent(this::awaitProgress);
             return true;
         }
 
-        private String describeMissing(Duration timeout) {
-            String received =
-                    begunAt.isPresent() ? "incomplete response, " + body.readableBytes() + " bytes," : "no response";
-            return received + " within " + timeout.toMillis() + " ms";
+        private void giveUpAfter(Duration timeout) {
+            schedule(timeout, () -> giveUp(describeReceived() + " within " + timeout.toMillis() + " ms"));
+        }
+
+        private void giveUpWithoutProgress(ResponseTimeout timeout) {
+            progressPeriod = Optional.of(timeout.progress());
+            schedule(timeout.beginning(), () -> {
+                if (begunAt.isEmpty()) {
+                    giveUp("no response within " + timeout.beginning().toMillis() + " ms");
+                }
+            });
+        }
+
+        private void awaitProgress(Duration period) {
+            int before = body.readableBytes();
+            schedule(period, () -> {
+                if (body.readableBytes() - before >= ResponseTimeout.MINIMUM_BYTES) {
+                    awaitProgress(period);
+                } else {
+                    giveUp(describeReceived() + " of them " + (body.readableBytes() - before) + " in the last "
+                            + period.toMillis() + " ms");
+                }
+            });
+        }
+
+        private void schedule(Duration delay, Runnable action) {
+            cancelTimer();
+            if (!isComplete) {
+                // A late event loop may have yet to read what has come in time.
+                timer = loop.schedule(
+                        () -> SocketLook.thenRun(loop, () -> runUnlessComplete(action)),
+                        delay.toMillis(),
+                        TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void runUnlessComplete(Runnable action) {
+            if (!isComplete) {
+                action.run();
+            }
+        }
+
+        private void cancelTimer() {
+            if (timer != null) {
+                timer.cancel(false);
+            }
+        }
+
+        private String describeReceived() {
+            return begunAt.isPresent() ? "incomplete response, " + body.readableBytes() + " bytes," : "no response";
+        }
+
+        private void giveUp(String reason) {
+            boolean isSent = exchange.isSent();
+            exchange.cancel();
+            complete(new Result.Failed(isSent, reason));
         }
 
         @Override
@@ -177,7 +232,7 @@
         }
 
         private void logIfSlow(MonotonicTime begun) {
-            Duration transfer = clock.get().since(begun);
+            Duration transfer = connections.now().since(begun);
             if (transfer.compareTo(LOGGED_TRANSFER) >= 0) {
                 LOG.event(
                         "slow_response",
@@ -202,9 +257,7 @@
                 return;
             }
             isComplete = true;
-            if (timer != null) {
-                timer.cancel(false);
-            }
+            cancelTimer();
             callback.accept(completed);
         }
     }
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
@@ -22,6 +22,7 @@
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.http.BufferedHttpClient;
 import org.pollenhoist.serving.http.CallerResponse;
+import org.pollenhoist.serving.http.ResponseTimeout;
 import org.pollenhoist.serving.http.Target;
 import org.pollenhoist.serving.peer.PeerExchange;
 import org.pollenhoist.serving.peer.PeerReport;
@@ -48,8 +49,9 @@
     private static final DecisionLog LOG = DecisionLog.of("store");
     private static final int OK = 200;
 
-    /** Time-out of a relay request to a peer. */
-    private static final Duration RELAY_TIMEOUT = Duration.ofMillis(450);
+    /** When a relay request to a peer is given up. */
+    private static final ResponseTimeout RELAY_TIMEOUT =
+            new ResponseTimeout(Duration.ofMillis(450), Duration.ofMillis(450));
 
     /**
      * How long a peer must have a newer revision before a VM that watches the store itself requests the changes from
@@ -72,11 +74,14 @@
          *
          * @param target the peer
          * @param request the request, which is released
-         * @param timeout the longest time until the result
+         * @param timeout when the call is given up
          * @param callback receives the result, exactly once
          */
         void call(
-                Target target, FullHttpRequest request, Duration timeout, Consumer<BufferedHttpClient.Result> callback);
+                Target target,
+                FullHttpRequest request,
+                ResponseTimeout timeout,
+                Consumer<BufferedHttpClient.Result> callback);
     }
 
     private final Client client;
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
@@ -21,7 +21,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.serving.http.BufferedHttpClient;
+import org.pollenhoist.serving.http.BufferedHttpClient.Result;
+import org.pollenhoist.serving.http.ResponseTimeout;
 import org.pollenhoist.serving.http.Target;
 import org.pollenhoist.serving.limit.FleetRateLimiter;
 import org.pollenhoist.serving.peer.PeerExchange;
@@ -285,21 +286,17 @@
             }
         }
 
-        private void call(
-                Target target,
-                FullHttpRequest request,
-                Duration timeout,
-                Consumer<BufferedHttpClient.Result> callback) {
+        private void call(Target target, FullHttpRequest request, ResponseTimeout timeout, Consumer<Result> callback) {
             String uri = request.uri();
             request.release();
             boolean[] isComplete = {false};
-            Consumer<BufferedHttpClient.Result> complete = result -> {
+            Consumer<Result> complete = result -> {
                 if (!isComplete[0]) {
                     isComplete[0] = true;
                     callback.accept(result);
                 }
             };
-            later(timeout.toMillis(), () -> complete.accept(new BufferedHttpClient.Result.Failed(true, "no response")));
+            later(timeout.beginning().toMillis(), () -> complete.accept(new Result.Failed(true, "no response")));
             Vm to = vms.get(target.address().getPort() - 1);
             VmProcess reached = to.process;
             if (reached == null || isPartitioned(vm, to)) {
@@ -312,8 +309,7 @@
                         to.bytes += body.length;
                         later(
                                 LINK_DELAY_MILLISECONDS,
-                                () -> complete.accept(
-                                        new BufferedHttpClient.Result.Answered(OK, EmptyHttpHeaders.INSTANCE, body)));
+                                () -> complete.accept(new Result.Answered(OK, EmptyHttpHeaders.INSTANCE, body)));
                     }));
         }
 
