Name the configuration version in the line of each request's end

What operators saw: a refusal with `not_found` or `unauthorized` names neither the version that decided it nor whether it was an old one, so hypothesis 4 of docs/incidents/large-configurations.md can't be told from the logs.

Change: `request_end` has a field `configuration`, the version that was in force when the request came, 0 for none.

--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
@@ -73,6 +73,11 @@
         RequestMetrics metrics,
         Runnable onModelRequest) {
 
+    /** Returns the version of the configuration in force, 0 before the first one. */
+    long configurationVersion() {
+        return catalog.get().map(Catalog::version).orElse(0L);
+    }
+
     NavigableMap<Integer, Duration> shortestObjectives(String service) {
         return catalog.get()
                 .map(current -> current.shortestObjectives(service))
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestLog.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestLog.java
@@ -126,7 +126,8 @@
             String reason,
             int attemptCount,
             boolean mayHaveRun,
-            Duration total) {
+            Duration total,
+            long configurationVersion) {
         LOG.event(
                 "request_end",
                 "request",
@@ -144,6 +145,8 @@
                 "ran",
                 mayHaveRun,
                 "total_ms",
-                total.toMillis());
+                total.toMillis(),
+                "configuration",
+                configurationVersion);
     }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestRun.java
@@ -47,6 +47,7 @@
     private final long number;
     private final Consumer<RequestRun> onEnd;
     private final MonotonicTime arrivedAt;
+    private final long configurationVersion;
     private final TriedUpstreams triedUpstreams = new TriedUpstreams();
 
     private String identifier = "";
@@ -81,6 +82,7 @@
         this.number = number;
         this.onEnd = onEnd;
         this.arrivedAt = environment.clock().get();
+        this.configurationVersion = environment.configurationVersion();
         this.deadline = arrivedAt;
         this.waitingSince = arrivedAt;
         this.reservation = new TokenReservation(environment.limits(), Optional.empty(), 0);
@@ -333,7 +335,15 @@
         String routeName = route == null ? "none" : route.name();
         environment.metrics().countRequest(routeName, outcome);
         RequestLog.ended(
-                identifier, routeName, teamName(), outcome, reason, attemptCount, mayHaveRun, now.since(arrivedAt));
+                identifier,
+                routeName,
+                teamName(),
+                outcome,
+                reason,
+                attemptCount,
+                mayHaveRun,
+                now.since(arrivedAt),
+                configurationVersion);
         onEnd.accept(this);
     }
 
