Refuse for now, not for good, at a VM that may lack a configuration

Cause: RequestAdmission knows only the configuration in force here. That a newer one exists is known from the peers' digests, but they name only the revision of the whole store, which is higher somewhere nearly all the time.

Change: each digest names the store's revision of the sender's configuration (`configuration_revision`). ConfigurationStanding holds what was heard against this VM's own. If a newer one, or an era that this VM hasn't loaded, was heard of, or if what this VM knows of the store is older than 4 s, an unknown route, an unknown or missing key and a missing service are refused with 503 `not_ready`, not run, to come back after 500 ms. Known routes and keys are served as before.

Why so: - A configuration that was heard of stays missed when its namers fall silent, since an era's history only grows; only a store without eras can take one back, and there it lapses after 10 s as in StoreLag. - Digests of representatives bear the field to other failure domains, so a VM whose own watchers are all behind hears of it from there, within 0.5 s of the representative. - After a drill the copy may hold an older version than the one in force, or none. A VM that has read that version, or loaded an era without any, lacks nothing; the field therefore counts what was read and isn't newer than what is in force (comment in vm.proto).

--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
@@ -130,6 +130,28 @@
         return new StoreRevision(digest.getStoreEra(), digest.getStoreRevision());
     }
 
+    /**
+     * Adds the revision of the configuration in force to a digest.
+     *
+     * @param configuration the revision of the newest configuration in the store that isn't newer than the one in force
+     *     here; left out unless it is of the era of the digest's revision of the store
+     */
+    static VmDigest withConfiguration(VmDigest digest, StoreRevision configuration) {
+        boolean isComparable = configuration.number() > 0 && configuration.isOfSameEra(storeRevision(digest));
+        return isComparable
+                ? digest.toBuilder()
+                        .setConfigurationRevision(configuration.number())
+                        .build()
+                : digest;
+    }
+
+    /** Reads the revision of the sender's configuration, empty if it has none of its store's era or doesn't name it. */
+    static Optional<StoreRevision> configurationRevision(VmDigest digest) {
+        return digest.hasStoreEra() && digest.hasConfigurationRevision()
+                ? Optional.of(new StoreRevision(digest.getStoreEra(), digest.getConfigurationRevision()))
+                : Optional.empty();
+    }
+
     /**
      * Reads which placement lease the sender has released, if any.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
@@ -53,6 +53,7 @@
     private final StreamTracking streams;
     private final ConfigurationMetrics configurations;
     private Optional<Catalog> catalog = Optional.empty();
+    private StoreRevision configurationRevision = StoreRevision.NONE;
     private final Set<String> unreadableUpstreams = new HashSet<>();
     private boolean isLoaded;
     private boolean isRegistered;
@@ -87,6 +88,16 @@
         return catalog;
     }
 
+    /**
+     * Returns the revision of the newest configuration in the store that this VM has read and that isn't newer than the
+     * one in force here.
+     *
+     * @return its revision, {@link StoreRevision#NONE} before the first one
+     */
+    StoreRevision configurationRevision() {
+        return configurationRevision;
+    }
+
     @Override
     public void onWritten(StoreItem item) {
         if (item.key().equals(binding.catalogKey())) {
@@ -161,6 +172,7 @@
                     unreadable.getMessage());
             return;
         }
+        configurationRevision = item.revision();
         if (read.version() < activeVersion) {
             configurations.reject(ConfigurationMetrics.Rejection.OLDER);
             LOG.event(
--- a/serving/src/main/java/org/pollenhoist/serving/node/LocalVmState.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/LocalVmState.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.limit.FleetRateLimiter;
 import org.pollenhoist.serving.placement.DemandTracker;
@@ -11,6 +12,7 @@
 import org.pollenhoist.serving.placement.PlacementDriver;
 import org.pollenhoist.serving.request.RequestQueue;
 import org.pollenhoist.serving.store.StoreMirror;
+import org.pollenhoist.serving.store.StoreRevision;
 import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamTable;
 import org.pollenhoist.vm.generated.VmDigest;
@@ -21,6 +23,7 @@
     private final ServingSettings settings;
     private final DigestCodec codec;
     private final StoreMirror mirror;
+    private final Supplier<StoreRevision> configurationRevision;
     private final FleetRateLimiter limits;
     private final UpstreamTable upstreams;
     private final DemandTracker demand;
@@ -36,6 +39,7 @@
             ServingSettings settings,
             long incarnation,
             StoreMirror mirror,
+            Supplier<StoreRevision> configurationRevision,
             FleetRateLimiter limits,
             UpstreamTable upstreams,
             DemandTracker demand,
@@ -49,6 +53,7 @@
         this.settings = settings;
         this.codec = new DigestCodec(settings.vmName(), settings.failureDomain(), incarnation);
         this.mirror = mirror;
+        this.configurationRevision = configurationRevision;
         this.limits = limits;
         this.upstreams = upstreams;
         this.demand = demand;
@@ -63,7 +68,7 @@
 
     @Override
     public VmDigest createDigest(long sequence, boolean hasDemand, Collection<Upstream> engines, MonotonicTime now) {
-        return codec.write(
+        VmDigest digest = codec.write(
                 sequence,
                 mirror.revision(),
                 mirror.isCurrent(now),
@@ -79,6 +84,7 @@
                 leadership.highestKnownToken(),
                 crashes,
                 now);
+        return DigestCodec.withConfiguration(digest, configurationRevision.get());
     }
 
     @Override
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -82,6 +82,7 @@
     private final StoreMirror mirror;
     private final StoreRelayExchange relay;
     private final StoreSynchronizer synchronizer;
+    private final ConfigurationStanding configurationStanding;
     private final Leadership leadership;
     private final PlacementDriver placement;
     private final PlacementTrigger placementTrigger = new PlacementTrigger(this::after, bootClock::read, this::place);
@@ -116,7 +117,6 @@
         crashes = crashTracking(store);
         inconclusive = new InconclusiveAttempts(crashes.recorder());
         streams = streamTracking(store);
-        streams.register(registry);
         leadership = new Leadership(
                 store,
                 FleetState.LEADER_KEY,
@@ -150,9 +150,10 @@
                 this::after, bootClock::read, peers, upstreams, notices, limits, demandRates, crashes, localVmState());
         presence = new FleetPresence(peers, digests, limits);
         rateShares = new RateShares(settings.vmName(), settings.failureDomain(), upstreams, peers, digests);
-        synchronizer = new StoreSynchronizer(mirror, relay, digests, storeStanding(now), now);
+        StoreStanding standing = storeStanding(now);
+        synchronizer = new StoreSynchronizer(mirror, relay, digests, standing, now);
+        configurationStanding = ConfigurationStanding.of(state, mirror, standing, eras, peers);
         forwarding = requestForwarding();
-        forwarding.register(registry);
         handler = new RequestHandler(environment());
         callers = new CallerServer(loop, bootClock::read, this::callerLimits, binding.singleRequestFields(), handler);
         endpoints = new InternalEndpoints(callers, binding.singleRequestFields());
@@ -163,6 +164,7 @@
         return new RequestEnvironment(
                 bootClock::read,
                 state::catalog,
+                configurationStanding::mayLackConfiguration,
                 upstreams,
                 notices,
                 limits,
@@ -215,6 +217,7 @@
                 settings,
                 incarnation,
                 mirror,
+                state::configurationRevision,
                 limits,
                 upstreams,
                 demand,
@@ -331,8 +334,11 @@
 
     private void begin() {
         eras.register(registry);
+        streams.register(registry);
+        forwarding.register(registry);
         callers.register(registry);
         rateShares.register(registry, bootClock::read);
+        configurationStanding.register(registry, bootClock::read);
         EvacuationMetrics.register(registry, upstreams, bootClock::read);
         eras.onChange(() -> leadership.onNewEra(bootClock.read()));
         eras.onChange(() -> mirror.onNewEra(bootClock.read()));
@@ -351,6 +357,7 @@
         handler.expire(now);
         mirror.applyDueRemovals(now);
         synchronizer.tick(now);
+        configurationStanding.update(now);
         presence.updateLimits(now);
         rateShares.update(stop.isStopping(), now);
         queue.tryStartAll(now);
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreStanding.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreStanding.java
@@ -19,7 +19,7 @@
 
 /**
  * Reports in the log and in metrics where this VM's copy of the store stands: whether it lacks what others have, how
- * old its knowledge is, and from whom it has it. It changes nothing. Confined to the event loop.
+ * old its knowledge is, and from whom it has it. Confined to the event loop.
  */
 final class StoreStanding {
 
@@ -161,6 +161,16 @@
         oldKnowledge.update(Optional.of(knowledgeAsOf), now).ifPresent(change -> logKnowledge(change, now));
     }
 
+    /**
+     * Returns whether what this VM knows of the store is old.
+     *
+     * @param now the current time
+     * @return true if it can't tell what has changed in the last {@link #MAXIMUM_KNOWLEDGE_AGE} or longer
+     */
+    boolean isKnowledgeOld(MonotonicTime now) {
+        return now.since(knowledgeAsOf).compareTo(MAXIMUM_KNOWLEDGE_AGE) >= 0;
+    }
+
     private void recordKnowledge(MonotonicTime asOf) {
         if (knowledgeAsOf.isBefore(asOf)) {
             knowledgeAsOf = asOf;
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestAdmission.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestAdmission.java
@@ -15,11 +15,12 @@
 
 /**
  * Decides whether a request is admitted: it has to be well formed, match a route to a configured service, present the
- * key of a team if the route needs one, and fit into the team's rate limit. Confined to the event loop.
+ * key of a team if the route needs one, and fit into the team's rate limit. A VM that may lack a newer configuration
+ * refuses nothing for good by its own. Confined to the event loop.
  */
 final class RequestAdmission {
 
-    /** Retry-After while this process has no configuration. */
+    /** Retry-After while this process has no configuration, or may lack the newest. */
     private static final Duration NOT_READY_RETRY_AFTER = Duration.ofMillis(500);
 
     /** The decision. */
@@ -87,12 +88,12 @@
         String path = query < 0 ? uri : uri.substring(0, query);
         Optional<Route> route = catalog.route(head.headers().get(HttpHeaderNames.HOST, ""), path);
         if (route.isEmpty()) {
-            return refuse(Refusal.notRun(ErrorCode.NOT_FOUND, "no route matches this host and path"));
+            return refuseAsConfigured(ErrorCode.NOT_FOUND, "no route matches this host and path", now);
         }
         double hashFraction = (identifier.hashCode() & 0xffff) / (double) 0x10000;
         Optional<Service> service = catalog.service(route.get().serviceAt(hashFraction));
         if (service.isEmpty()) {
-            return refuse(Refusal.notRun(ErrorCode.UPSTREAM_UNAVAILABLE, "the route's service is not configured"));
+            return refuseAsConfigured(ErrorCode.UPSTREAM_UNAVAILABLE, "the route's service is not configured", now);
         }
         return authenticate(catalog, request, route.get(), service.get(), now);
     }
@@ -105,7 +106,7 @@
         }
         Optional<Team> team = request.key().flatMap(catalog::teamOf);
         if (team.isEmpty()) {
-            return refuse(Refusal.notRun(ErrorCode.UNAUTHORIZED, "the key is missing, unknown or revoked"));
+            return refuseAsConfigured(ErrorCode.UNAUTHORIZED, "the key is missing, unknown or revoked", now);
         }
         long tokens = team.get().isLimited() ? cost(team.get(), request) : 0;
         Duration wait = environment.limits().tryTake(team.get(), tokens, now);
@@ -128,6 +129,17 @@
         return request.isTokenCountGiven() ? request.totalTokens() : team.plainTokens();
     }
 
+    /** Refuses what the configuration does not allow: for good only if no newer one can allow it. */
+    private Result refuseAsConfigured(ErrorCode code, String reason, MonotonicTime now) {
+        if (environment.mayLackConfiguration().test(now)) {
+            return refuse(Refusal.notRunRetryAfter(
+                    ErrorCode.NOT_READY,
+                    reason + ", but this VM may lack a newer configuration",
+                    NOT_READY_RETRY_AFTER));
+        }
+        return refuse(Refusal.notRun(code, reason));
+    }
+
     private Result refuse(Refusal refusal) {
         return new Result.Refused(identifier, refusal);
     }
--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestEnvironment.java
@@ -7,6 +7,7 @@
 import java.util.OptionalInt;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.catalog.Catalog;
@@ -30,6 +31,7 @@
  *
  * @param clock supplies the present time
  * @param catalog the configuration in force, empty before the first one
+ * @param mayLackConfiguration tells whether a newer configuration than that one may be in force at a time
  * @param upstreams the upstreams
  * @param notices processes what upstreams state about themselves in responses
  * @param limits the teams' limits
@@ -53,6 +55,7 @@
 public record RequestEnvironment(
         Supplier<MonotonicTime> clock,
         Supplier<Optional<Catalog>> catalog,
+        Predicate<MonotonicTime> mayLackConfiguration,
         UpstreamTable upstreams,
         UpstreamNoticeHandler notices,
         FleetRateLimiter limits,
--- a/serving/src/test/java/org/pollenhoist/serving/node/DigestCodecTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/DigestCodecTest.java
@@ -80,6 +80,43 @@
                 .isEqualTo(HIGHEST_FENCING_TOKEN);
     }
 
+    @Nested
+    class Configuration {
+
+        private static Optional<StoreRevision> readBack(StoreRevision configuration)
+                throws InvalidProtocolBufferException {
+            VmDigest digest = DigestCodecTest.write(Optional.empty(), Optional.empty());
+            VmDigest written = DigestCodec.withConfiguration(digest, configuration);
+            return DigestCodec.configurationRevision(VmDigest.parseFrom(written.toByteArray()));
+        }
+
+        @Test
+        void should_be_equal_after_writing_and_reading_when_it_is_of_the_era_of_the_store()
+                throws InvalidProtocolBufferException {
+            assertThat(readBack(new StoreRevision(3, 2))).contains(new StoreRevision(3, 2));
+        }
+
+        @Test
+        void should_be_absent_when_it_is_of_another_era() throws InvalidProtocolBufferException {
+            assertThat(readBack(new StoreRevision(2, 60))).isEmpty();
+        }
+
+        @Test
+        void should_be_absent_when_there_is_none() throws InvalidProtocolBufferException {
+            assertThat(readBack(StoreRevision.NONE)).isEmpty();
+        }
+
+        @Test
+        void should_go_to_other_failure_domains_with_the_summary() throws InvalidProtocolBufferException {
+            VmDigest digest = DigestCodec.withConfiguration(
+                    DigestCodecTest.write(Optional.empty(), Optional.empty()), new StoreRevision(3, 2));
+
+            VmDigest summary = DigestCodec.withDomainSummary(digest, DomainSummary.getDefaultInstance());
+
+            assertThat(DigestCodec.configurationRevision(summary)).contains(new StoreRevision(3, 2));
+        }
+    }
+
     private static VmDemand demandFor(int models) {
         Map<String, RecentWork> work = new HashMap<>();
         for (int model = 0; model < models; model++) {
--- a/serving/src/test/java/org/pollenhoist/serving/node/EarlierBuildTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/EarlierBuildTest.java
@@ -5,12 +5,14 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.peer.PeerExchange;
 import org.pollenhoist.serving.placement.Leadership;
 import org.pollenhoist.serving.store.StoreChanges;
 import org.pollenhoist.serving.store.StoreEras;
@@ -50,6 +52,26 @@
             assertThat(digest.getHighestFencingToken()).isZero();
         }
 
+        @Test
+        void should_change_nothing_about_the_configuration_that_this_vm_may_lack() throws IOException {
+            PeerExchange peers =
+                    new PeerExchange((datagram, receivers) -> {}, () -> NOW, "vm-9", report -> {}, datagram -> {});
+            InetSocketAddress sender = new InetSocketAddress(1);
+            VmDigest digest = VmDigest.parseFrom(message("digest.bin"));
+            ConfigurationStanding standing = new ConfigurationStanding(
+                    () -> new StoreRevision(3, 40), () -> new StoreRevision(3, 40), now -> false, eras, peers);
+            eras.observe(3, "store");
+
+            peers.receive(digest.toByteArray(), sender);
+            // The build of commit 164e2f0 names the era, and no configuration either.
+            peers.receive(
+                    digest.toBuilder().setVmName("vm-8").setStoreEra(3).build().toByteArray(), sender);
+            standing.update(NOW);
+
+            assertThat(peers.recentReports(NOW)).hasSize(2);
+            assertThat(standing.mayLackConfiguration(NOW)).isFalse();
+        }
+
         @Test
         void should_resign_a_claim_of_the_current_era_when_the_era_has_not_changed() throws IOException {
             eras.observe(3, "store");
--- a/serving/src/test/java/org/pollenhoist/serving/request/AdmissionFixture.java
+++ b/serving/src/test/java/org/pollenhoist/serving/request/AdmissionFixture.java
@@ -38,6 +38,7 @@
     private static final String KEY_HEADER = "x-key";
     private static final String IDENTIFIER_HEADER = "x-identifier";
 
+    boolean mayLackConfiguration;
     Optional<Catalog> catalog = Optional.of(Catalog.of(
             VERSION,
             List.of(
@@ -68,6 +69,7 @@
         return new RequestEnvironment(
                 () -> NOW,
                 () -> catalog,
+                now -> mayLackConfiguration,
                 null,
                 null,
                 new FleetRateLimiter(true, () -> 1, () -> {}),
