Compress relays, and let no watch compete with one that is on its way

Cause: each changed item travels whole to each VM, so that one changed route costs the whole configuration on the link of the VM that relays it and on that of each receiver; and a VM whose relay was still coming after 900 ms began to watch the store beside it, over the same link.

Change: a relay request names gzip as a compression that the sender can read, and the response says whether it is compressed. Earlier builds name none and get what they got; they skip the parameter when they are asked. What a VM answers now stands in StoreRelayServer, with metrics. A VM that receives a relay, for 3 s at most, doesn't count as lagging.

--- a/serving/src/main/java/org/pollenhoist/serving/node/InternalEndpoints.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/InternalEndpoints.java
@@ -65,7 +65,7 @@
             if (ForwardingServer.isAskedBy(request.head())) {
                 return forwarding.onRequest(request, response);
             }
-            handle(request, response, StoreRelayExchange.PATH, onRelayRequest);
+            handle(request, response, StoreRelayServer.PATH, onRelayRequest);
             return () -> {};
         });
     }
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -137,7 +137,7 @@
                 streams,
                 new ConfigurationMetrics(registry, bootClock::read));
         mirror = new StoreMirror(loop, bootClock::read, store, state, this::batchingDelay);
-        relay = new StoreRelayExchange(client::call, peers, mirror, eras, bootClock::read);
+        relay = StoreRelayExchange.of(client, peers, mirror, eras, bootClock::read);
         placement = new PlacementDriver(
                 this::after,
                 bootClock::read,
@@ -328,7 +328,7 @@
                         settings.peerAddress(),
                         forwarding.server(),
                         () -> RequestForwarding.limits(callerLimits()),
-                        relay::respond),
+                        relay.server()::respond),
                 datagrams.listen(settings.peerAddress(), peers::receive));
     }
 
@@ -336,6 +336,7 @@
         eras.register(registry);
         streams.register(registry);
         forwarding.register(registry);
+        relay.server().register(registry);
         callers.register(registry);
         rateShares.register(registry, bootClock::read);
         configurationStanding.register(registry, bootClock::read);
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
@@ -1,27 +1,23 @@
 package org.pollenhoist.serving.node;
 
-import com.google.protobuf.ByteString;
-import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.handler.codec.http.QueryStringEncoder;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.pollenhoist.common.DecisionLog;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.http.BufferedHttpClient;
-import org.pollenhoist.serving.http.CallerResponse;
 import org.pollenhoist.serving.http.ResponseTimeout;
 import org.pollenhoist.serving.http.Target;
 import org.pollenhoist.serving.peer.PeerExchange;
@@ -31,8 +27,6 @@
 import org.pollenhoist.serving.store.StoreItem;
 import org.pollenhoist.serving.store.StoreMirror;
 import org.pollenhoist.serving.store.StoreRevision;
-import org.pollenhoist.vm.generated.RelayedItem;
-import org.pollenhoist.vm.generated.RelayedRemoval;
 import org.pollenhoist.vm.generated.StoreRelay;
 import org.pollenhoist.vm.generated.VmDigest;
 
@@ -42,10 +36,6 @@
  */
 final class StoreRelayExchange {
 
-    static final String PATH = "/relay";
-
-    private static final String AFTER = "after";
-    private static final String ERA = "era";
     private static final DecisionLog LOG = DecisionLog.of("store");
     private static final int OK = 200;
 
@@ -65,6 +55,9 @@
      */
     private static final Duration MAX_LAG = Duration.ofMillis(900);
 
+    /** A VM that has received one relay for this long watches the store itself: the peer's link may be to blame. */
+    private static final Duration MAX_TRANSFER = Duration.ofSeconds(3);
+
     /** Calls peers. */
     @FunctionalInterface
     interface Client {
@@ -89,11 +82,13 @@
     private final StoreMirror mirror;
     private final StoreEras eras;
     private final Supplier<MonotonicTime> clock;
+    private final StoreRelayServer server;
     private MonotonicTime behindSince;
-    private boolean isRequestPending;
+    private Optional<MonotonicTime> requestedAt = Optional.empty();
 
     StoreRelayExchange(
             Client client, PeerExchange peers, StoreMirror mirror, StoreEras eras, Supplier<MonotonicTime> clock) {
+        this.server = new StoreRelayServer(mirror, clock);
         this.client = client;
         this.peers = peers;
         this.mirror = mirror;
@@ -102,55 +97,26 @@
         this.behindSince = clock.get();
     }
 
-    /** Records the era that a peer's digest names. A peer that does not know the store yet names none. */
-    void receive(VmDigest digest) {
-        if (digest.hasStoreEra() && digest.getStoreRevision() > 0) {
-            eras.observe(digest.getStoreEra(), digest.getVmName());
-        }
-    }
-
-    void respond(String uri, CallerResponse response) {
-        response.sendFull(
-                OK,
-                new DefaultHttpHeaders(),
-                Unpooled.wrappedBuffer(changesFor(uri).toByteArray()));
-    }
-
-    /** Returns what this VM answers to a relay request. Records of streams are read at the start of a VM only. */
-    StoreRelay changesFor(String uri) {
-        return toMessage(mirror.changesAfter(knownRevision(uri), clock.get()).without(StreamRecords::isRecord));
-    }
-
-    private StoreRevision knownRevision(String uri) {
-        Map<String, List<String>> query = new QueryStringDecoder(uri).parameters();
-        // Earlier builds name no era. They compare revisions by number, so the numbers of this VM's era suit them best.
-        long era = number(query, ERA).orElse(mirror.revision().era());
-        return new StoreRevision(era, number(query, AFTER).orElse(0));
+    /** Creates the exchange of a process. */
+    static StoreRelayExchange of(
+            BufferedHttpClient client,
+            PeerExchange peers,
+            StoreMirror mirror,
+            StoreEras eras,
+            Supplier<MonotonicTime> clock) {
+        return new StoreRelayExchange(client::call, peers, mirror, eras, clock);
     }
 
-    private static OptionalLong number(Map<String, List<String>> query, String parameter) {
-        String text = query.getOrDefault(parameter, List.of("")).get(0);
-        return text.matches("\\d{1,18}") ? OptionalLong.of(Long.parseLong(text)) : OptionalLong.empty();
+    /** Returns what answers the relay requests of peers. */
+    StoreRelayServer server() {
+        return server;
     }
 
-    static StoreRelay toMessage(StoreChanges changes) {
-        StoreRelay.Builder relay = StoreRelay.newBuilder()
-                .setRevision(changes.revision().number())
-                .setEra(changes.revision().era())
-                .setIsWhole(changes.isSnapshot())
-                .setMillisecondsSinceReturn((int)
-                        Math.min(Integer.MAX_VALUE, changes.sinceStoreRecovery().toMillis()));
-        for (StoreItem item : changes.items()) {
-            relay.addItems(RelayedItem.newBuilder()
-                    .setKey(item.key())
-                    .setValue(ByteString.copyFrom(item.value()))
-                    .setRevision(item.revision().number()));
+    /** Records the era that a peer's digest names. A peer that does not know the store yet names none. */
+    void receive(VmDigest digest) {
+        if (digest.hasStoreEra() && digest.getStoreRevision() > 0) {
+            eras.observe(digest.getStoreEra(), digest.getVmName());
         }
-        changes.removals()
-                .forEach(removal -> relay.addRemovals(RelayedRemoval.newBuilder()
-                        .setKey(removal.key())
-                        .setRevision(removal.revision().number())));
-        return relay.build();
     }
 
     /**
@@ -178,28 +144,30 @@
     }
 
     /**
-     * Requests changes from the peer with the newest revision: immediately if this VM does not watch the store itself,
+     * Requests changes from a peer with a newer revision: immediately if this VM does not watch the store itself,
      * otherwise after a delay.
      */
     void tick(boolean isFollowing, MonotonicTime now) {
-        Optional<PeerReport> ahead = furthestAhead(now);
+        List<PeerReport> ahead = peersAhead(now);
         if (ahead.isEmpty()) {
             behindSince = now;
             return;
         }
         boolean isDue = !isFollowing || now.since(behindSince).compareTo(FOLLOWER_RELAY_DELAY) >= 0;
-        if (isDue && !isRequestPending) {
-            requestChanges(ahead.get());
+        if (isDue && requestedAt.isEmpty()) {
+            ahead.stream()
+                    .max(Comparator.comparing(report -> DigestCodec.storeRevision(report.digest())))
+                    .ifPresent(peer -> requestChanges(peer, now));
         }
     }
 
-    private Optional<PeerReport> furthestAhead(MonotonicTime now) {
+    private List<PeerReport> peersAhead(MonotonicTime now) {
         Collection<PeerReport> reports = peers.recentReports(now);
-        Optional<PeerReport> ahead = reports.stream()
+        List<PeerReport> ahead = reports.stream()
                 .filter(report -> report.digest().hasStoreEra())
                 .filter(report -> DigestCodec.storeRevision(report.digest()).isAfter(mirror.revision()))
-                .max(Comparator.comparing(report -> DigestCodec.storeRevision(report.digest())));
-        return ahead.isPresent() || !isRelyingOnEarlierBuilds(reports, now) ? ahead : furthestOfEarlierBuilds(reports);
+                .toList();
+        return ahead.isEmpty() && isRelyingOnEarlierBuilds(reports, now) ? earlierBuildsAhead(reports) : ahead;
     }
 
     /**
@@ -221,48 +189,75 @@
                 && reports.stream().noneMatch(report -> report.digest().hasStoreEra());
     }
 
-    private Optional<PeerReport> furthestOfEarlierBuilds(Collection<PeerReport> reports) {
+    private List<PeerReport> earlierBuildsAhead(Collection<PeerReport> reports) {
         return reports.stream()
                 .filter(report ->
                         report.digest().getStoreRevision() > mirror.revision().number())
-                .max(Comparator.comparingLong(report -> report.digest().getStoreRevision()));
+                .toList();
     }
 
-    /** Returns whether peers have had a newer revision for longer than a relay may take. */
+    /**
+     * Returns whether peers have had a newer revision for longer than a relay may take, and none is on its way: the
+     * bytes of a large one take their time, and a watch of this VM's own would only share its link with them.
+     */
     boolean isLagging(MonotonicTime now) {
-        return now.since(behindSince).compareTo(MAX_LAG) >= 0;
+        boolean isReceiving = requestedAt
+                .map(now::since)
+                .filter(pending ->
+                        pending.compareTo(RELAY_TIMEOUT.beginning()) >= 0 && pending.compareTo(MAX_TRANSFER) < 0)
+                .isPresent();
+        return isBehindFor(MAX_LAG, now) && !isReceiving;
+    }
+
+    private boolean isBehindFor(Duration duration, MonotonicTime now) {
+        return now.since(behindSince).compareTo(duration) >= 0;
     }
 
-    private void requestChanges(PeerReport peer) {
-        isRequestPending = true;
-        DefaultFullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                HttpMethod.GET,
-                PATH
-                        + '?'
-                        + AFTER
-                        + '='
-                        + mirror.revision().number()
-                        + '&'
-                        + ERA
-                        + '='
-                        + mirror.revision().era(),
-                Unpooled.EMPTY_BUFFER);
+    private void requestChanges(PeerReport peer, MonotonicTime now) {
+        requestedAt = Optional.of(now);
+        DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uriOfChanges(), Unpooled.EMPTY_BUFFER);
         String name = peer.digest().getVmName();
         client.call(new Target(peer.address(), "peer"), request, RELAY_TIMEOUT, result -> received(result, name));
     }
 
+    private String uriOfChanges() {
+        QueryStringEncoder uri = new QueryStringEncoder(StoreRelayServer.PATH);
+        uri.addParam(StoreRelayServer.AFTER, Long.toString(mirror.revision().number()));
+        uri.addParam(StoreRelayServer.ERA, Long.toString(mirror.revision().era()));
+        uri.addParam(StoreRelayServer.COMPRESSION, RelayCompression.NAME);
+        return uri.toString();
+    }
+
     private void received(BufferedHttpClient.Result result, String peer) {
-        isRequestPending = false;
-        if (!(result instanceof BufferedHttpClient.Result.Answered completed) || completed.status() != OK) {
-            LOG.event("relay_failed", "peer", peer, "revision", mirror.revision(), "reason", result);
-            return;
+        requestedAt = Optional.empty();
+        switch (result) {
+            case BufferedHttpClient.Result.Answered answered when answered.status() == OK -> apply(answered, peer);
+            case BufferedHttpClient.Result.Answered answered -> fail(peer, "status " + answered.status());
+            case BufferedHttpClient.Result.Failed failed -> fail(peer, failed.reason());
         }
+    }
+
+    private void apply(BufferedHttpClient.Result.Answered answered, String peer) {
+        StoreChanges changes;
         try {
-            mirror.applyPeerChanges(fromMessage(
-                    StoreRelay.parseFrom(completed.body()), mirror.revision().era()));
-        } catch (InvalidProtocolBufferException malformed) {
-            LOG.event("relay_failed", "peer", peer, "revision", mirror.revision(), "reason", malformed.getMessage());
+            changes = fromMessage(
+                    StoreRelay.parseFrom(content(answered)), mirror.revision().era());
+        } catch (IOException malformed) {
+            fail(peer, malformed.getMessage());
+            return;
         }
+        behindSince = clock.get();
+        mirror.applyPeerChanges(changes);
+    }
+
+    private static byte[] content(BufferedHttpClient.Result.Answered answered) throws IOException {
+        boolean isCompressed =
+                answered.headers().contains(HttpHeaderNames.CONTENT_ENCODING, RelayCompression.NAME, true);
+        return isCompressed ? RelayCompression.decompress(answered.body()) : answered.body();
+    }
+
+    private void fail(String peer, String reason) {
+        LOG.event("relay_failed", "peer", peer, "revision", mirror.revision(), "reason", reason);
     }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/node/EarlierBuildTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/EarlierBuildTest.java
@@ -105,7 +105,7 @@
 
         @Test
         void should_keep_its_own_era_when_it_names_one() {
-            StoreRelay written = StoreRelayExchange.toMessage(
+            StoreRelay written = StoreRelayServer.toMessage(
                     new StoreChanges(new StoreRevision(4, 9), List.of(), List.of(), true, Duration.ZERO));
 
             assertThat(StoreRelayExchange.fromMessage(written, 3).revision()).isEqualTo(new StoreRevision(4, 9));
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
@@ -1,8 +1,8 @@
 package org.pollenhoist.serving.node;
 
 import io.netty.channel.DefaultEventLoop;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetAddress;
@@ -305,11 +305,14 @@
             after(
                     LINK_DELAY_MILLISECONDS,
                     () -> to.run(reached, () -> {
-                        byte[] body = reached.relay.changesFor(uri).toByteArray();
-                        to.bytes += body.length;
+                        StoreRelayServer.Relay relay =
+                                reached.relay.server().begin(uri).orElseThrow();
+                        reached.relay.server().end(relay);
+                        to.bytes += relay.bytes().length;
+                        HttpHeaders headers = StoreRelayServer.headers(relay);
                         later(
                                 LINK_DELAY_MILLISECONDS,
-                                () -> complete.accept(new Result.Answered(OK, EmptyHttpHeaders.INSTANCE, body)));
+                                () -> complete.accept(new Result.Answered(OK, headers, relay.bytes())));
                     }));
         }
 
