Spread relays over the peers that are ahead, and send few large ones at once

Cause: all VMs that were behind asked the one peer that was furthest ahead, whatever its failure domain and link, and it sent to all of them at once: none of these relays was soon whole, so none of their receivers could pass it on, and the watch of that VM came last on the same link. Evidence:: 643 relays to peers that had received the request fail for lateness at VMs of all domains, while the watchers lose the store one after the other.

Change: RelaySources chooses watchers of the own failure domain first, spread by rendezvous hashing, then its other VMs; another domain only if none of the own is ahead, or this VM has been behind for 900 ms. A VM has at most 256 KiB of relays on their way, or one larger one; it refuses others with 503, and those ask another peer, or the same 100 ms later. A peer whose relay failed comes last for a second. Earlier builds take the 503 as a failed relay and ask again.

RelaySourcesTest and StoreRelayServerTest.BytesAtOnce.

--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -137,7 +137,7 @@
                 streams,
                 new ConfigurationMetrics(registry, bootClock::read));
         mirror = new StoreMirror(loop, bootClock::read, store, state, this::batchingDelay);
-        relay = StoreRelayExchange.of(client, peers, mirror, eras, bootClock::read);
+        relay = StoreRelayExchange.of(settings, client, peers, mirror, eras, bootClock::read);
         placement = new PlacementDriver(
                 this::after,
                 bootClock::read,
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
@@ -10,7 +10,6 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -38,6 +37,7 @@
 
     private static final DecisionLog LOG = DecisionLog.of("store");
     private static final int OK = 200;
+    private static final int BUSY = 503;
 
     /** When a relay request to a peer is given up. */
     private static final ResponseTimeout RELAY_TIMEOUT =
@@ -82,12 +82,19 @@
     private final StoreMirror mirror;
     private final StoreEras eras;
     private final Supplier<MonotonicTime> clock;
+    private final RelaySources sources;
     private final StoreRelayServer server;
     private MonotonicTime behindSince;
     private Optional<MonotonicTime> requestedAt = Optional.empty();
 
     StoreRelayExchange(
-            Client client, PeerExchange peers, StoreMirror mirror, StoreEras eras, Supplier<MonotonicTime> clock) {
+            Client client,
+            PeerExchange peers,
+            RelaySources sources,
+            StoreMirror mirror,
+            StoreEras eras,
+            Supplier<MonotonicTime> clock) {
+        this.sources = sources;
         this.server = new StoreRelayServer(mirror, clock);
         this.client = client;
         this.peers = peers;
@@ -97,14 +104,16 @@
         this.behindSince = clock.get();
     }
 
-    /** Creates the exchange of a process. */
+    /** Creates the exchange of a process with the given settings. */
     static StoreRelayExchange of(
+            ServingSettings settings,
             BufferedHttpClient client,
             PeerExchange peers,
             StoreMirror mirror,
             StoreEras eras,
             Supplier<MonotonicTime> clock) {
-        return new StoreRelayExchange(client::call, peers, mirror, eras, clock);
+        RelaySources sources = new RelaySources(settings.failureDomain(), settings.vmName());
+        return new StoreRelayExchange(client::call, peers, sources, mirror, eras, clock);
     }
 
     /** Returns what answers the relay requests of peers. */
@@ -155,9 +164,7 @@
         }
         boolean isDue = !isFollowing || now.since(behindSince).compareTo(FOLLOWER_RELAY_DELAY) >= 0;
         if (isDue && requestedAt.isEmpty()) {
-            ahead.stream()
-                    .max(Comparator.comparing(report -> DigestCodec.storeRevision(report.digest())))
-                    .ifPresent(peer -> requestChanges(peer, now));
+            sources.choose(ahead, isBehindFor(MAX_LAG, now), now).ifPresent(peer -> requestChanges(peer, now));
         }
     }
 
@@ -233,6 +240,8 @@
         requestedAt = Optional.empty();
         switch (result) {
             case BufferedHttpClient.Result.Answered answered when answered.status() == OK -> apply(answered, peer);
+            case BufferedHttpClient.Result.Answered answered
+            when answered.status() == BUSY -> sources.recordBusy(peer, clock.get());
             case BufferedHttpClient.Result.Answered answered -> fail(peer, "status " + answered.status());
             case BufferedHttpClient.Result.Failed failed -> fail(peer, failed.reason());
         }
@@ -258,6 +267,7 @@
     }
 
     private void fail(String peer, String reason) {
+        sources.recordFailure(peer, clock.get());
         LOG.event("relay_failed", "peer", peer, "revision", mirror.revision(), "reason", reason);
     }
 }
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayServer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayServer.java
@@ -39,6 +39,9 @@
     /** Names the compression that the peer can read; earlier builds name none. */
     static final String COMPRESSION = "compression";
 
+    /** Bytes of relays that may be on their way at once; a larger relay is sent alone. */
+    static final int MAXIMUM_BYTES_AT_ONCE = 256 << 10;
+
     /** Size from which a relay is compressed, in bytes. */
     private static final int MINIMUM_COMPRESSED_BYTES = 1 << 10;
 
@@ -64,6 +67,7 @@
     private Optional<Compressed> latest = Optional.empty();
     private long bytesOnTheirWay;
     private long sentBytes;
+    private long refusals;
 
     StoreRelayServer(StoreMirror mirror, Supplier<MonotonicTime> clock) {
         this.mirror = mirror;
@@ -86,6 +90,11 @@
                 .help("Bytes of relays to peers, as sent.")
                 .callback(counter -> counter.call((double) sentBytes))
                 .register(registry);
+        CounterWithCallback.builder()
+                .name("pollenhoist_relay_refusals_total")
+                .help("Relay requests of peers that were refused since other relays were being sent.")
+                .callback(counter -> counter.call((double) refusals))
+                .register(registry);
     }
 
     /**
@@ -113,9 +122,17 @@
      * @return the relay, which counts as on its way until {@link #end}; empty if others have to be sent first
      */
     Optional<Relay> begin(String uri) {
+        if (bytesOnTheirWay >= MAXIMUM_BYTES_AT_ONCE) {
+            refusals++;
+            return Optional.empty();
+        }
         Map<String, List<String>> query = new QueryStringDecoder(uri).parameters();
         Relay relay = relay(knownRevision(query), RelayCompression.NAME.equals(text(query, COMPRESSION)));
         int bytes = relay.bytes().length;
+        if (bytesOnTheirWay > 0 && bytesOnTheirWay + bytes > MAXIMUM_BYTES_AT_ONCE) {
+            refusals++;
+            return Optional.empty();
+        }
         bytesOnTheirWay += bytes;
         sentBytes += bytes;
         return Optional.of(relay);
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
@@ -242,7 +242,8 @@
                     this);
             this.access = store.access(eras, action -> vm.run(this, action));
             this.mirror = new StoreMirror(new SimulatedLoop(), StoreFleet.this::now, access, this, this::batchingDelay);
-            this.relay = new StoreRelayExchange(this::call, peers, mirror, eras, StoreFleet.this::now);
+            RelaySources sources = new RelaySources(vm.failureDomain, vm.name);
+            this.relay = new StoreRelayExchange(this::call, peers, sources, mirror, eras, StoreFleet.this::now);
             StoreStanding standing =
                     new StoreStanding(vm.failureDomain, mirror::revision, mirror::knownAsOf, eras, peers, now());
             this.synchronizer = new StoreSynchronizer(mirror, relay, digests, standing, now());
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreRelayServerTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreRelayServerTest.java
@@ -8,6 +8,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -52,6 +54,12 @@
         return text.toString().getBytes(StandardCharsets.UTF_8);
     }
 
+    private static byte[] incompressible(int bytes) {
+        byte[] value = new byte[bytes];
+        new Random(1).nextBytes(value);
+        return value;
+    }
+
     private static StoreRelay read(StoreRelayServer.Relay relay) throws IOException {
         byte[] plain = relay.isCompressed() ? RelayCompression.decompress(relay.bytes()) : relay.bytes();
         return StoreRelay.parseFrom(plain);
@@ -128,4 +136,29 @@
                     .hasMessage("relay of more than 8388608 bytes");
         }
     }
+
+    @Nested
+    class BytesAtOnce {
+
+        @Test
+        void should_send_a_relay_of_the_largest_value_alone() {
+            write(7, incompressible(1 << 20));
+
+            Optional<StoreRelayServer.Relay> first = server.begin(CURRENT_BUILD);
+
+            assertThat(first).isPresent();
+            assertThat(server.begin(CURRENT_BUILD)).isEmpty();
+            server.end(first.orElseThrow());
+            assertThat(server.begin(CURRENT_BUILD)).isPresent();
+        }
+
+        @Test
+        void should_send_small_relays_to_all_vms_of_a_failure_domain_at_once() {
+            write(7, incompressible(4 << 10));
+
+            for (int vm = 0; vm < 20; vm++) {
+                assertThat(server.begin(CURRENT_BUILD)).isPresent();
+            }
+        }
+    }
 }
