--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
@@ -44,11 +44,13 @@
     private final String vmName;
     private final String failureDomain;
     private final long incarnation;
+    private final int linkMegabits;
 
-    DigestCodec(String vmName, String failureDomain, long incarnation) {
+    DigestCodec(String vmName, String failureDomain, long incarnation, int linkMegabits) {
         this.vmName = vmName;
         this.failureDomain = failureDomain;
         this.incarnation = incarnation;
+        this.linkMegabits = linkMegabits;
     }
 
     VmDigest write(
@@ -71,6 +73,7 @@
                 .setVmName(vmName)
                 .setFailureDomain(failureDomain)
                 .setIncarnation(incarnation)
+                .setLinkMegabits(linkMegabits)
                 .setSequence(sequence)
                 .setStoreRevision(storeRevision.number())
                 .setStoreEra(storeRevision.era())
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
@@ -109,6 +109,9 @@
         /** Returns this VM's failure domain. */
         String failureDomain();
 
+        /** Returns the bandwidth of this VM's link in megabits per second, 0 if unknown. */
+        int linkMegabits();
+
         /** Returns all known upstreams, engines included. */
         Collection<Upstream> engines();
 
@@ -279,9 +282,13 @@
         List<StoreFollowers.Peer> domainPeers = directReports(FOLLOWER_TIMEOUT, now).stream()
                 .filter(report -> !report.digest().getIsStopping())
                 .map(report -> new StoreFollowers.Peer(
-                        report.digest().getVmName(), report.digest().getFollowsStore()))
+                        report.digest().getVmName(),
+                        report.digest().getFollowsStore(),
+                        report.digest().getLinkMegabits()))
                 .toList();
-        return isFullMesh() || StoreFollowers.mustFollow(localVm.failureDomain(), localVm.vmName(), domainPeers);
+        return isFullMesh()
+                || StoreFollowers.mustFollow(
+                        localVm.failureDomain(), localVm.vmName(), localVm.linkMegabits(), domainPeers);
     }
 
     /** Returns the number of VMs in the fleet that are meant to watch the store. */
--- a/serving/src/main/java/org/pollenhoist/serving/node/LocalVmState.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/LocalVmState.java
@@ -47,7 +47,7 @@
             BooleanSupplier isForwarding,
             Consumer<MonotonicTime> onModelRequests) {
         this.settings = settings;
-        this.codec = new DigestCodec(settings.vmName(), settings.failureDomain(), incarnation);
+        this.codec = new DigestCodec(settings.vmName(), settings.failureDomain(), incarnation, settings.linkMegabits());
         this.mirror = mirror;
         this.limits = limits;
         this.upstreams = upstreams;
@@ -97,6 +97,11 @@
         return settings.failureDomain();
     }
 
+    @Override
+    public int linkMegabits() {
+        return settings.linkMegabits();
+    }
+
     @Override
     public Collection<Upstream> engines() {
         return upstreams.all();
--- a/serving/src/main/java/org/pollenhoist/serving/node/NodeLog.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/NodeLog.java
@@ -22,6 +22,8 @@
                 settings.storeAddress(),
                 "first_start",
                 settings.isFirstStart(),
+                "link_megabits",
+                settings.linkMegabits(),
                 "incarnation",
                 Long.toHexString(incarnation));
     }
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingSettings.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingSettings.java
@@ -27,6 +27,7 @@
  * @param propagationBound the time within which configurations and leaving upstreams must be known on all VMs
  * @param upstreamHeartbeat how often upstreams renew their entries, which expire after three missed heartbeats
  * @param handoverInterval minimum time between the orders of two placement leaders to the same engine
+ * @param linkMegabits the bandwidth of the VM's link in megabits per second, rounded up; 0 if the settings name none
  */
 public record ServingSettings(
         String vmName,
@@ -43,13 +44,15 @@
         double retryAllowance,
         Duration propagationBound,
         Duration upstreamHeartbeat,
-        Duration handoverInterval) {
+        Duration handoverInterval,
+        int linkMegabits) {
 
     private static final double MILLISECONDS_PER_SECOND = 1_000.0;
     private static final int MAX_PORT = 65_535;
     private static final double MAX_SECONDS = 600;
     private static final int MAX_MILLISECONDS = 600_000;
     private static final int MAX_RETRIES = 1_000_000;
+    private static final double MAX_LINK_MEGABITS = 1_000_000_000;
 
     /**
      * Reads a settings file.
@@ -71,6 +74,7 @@
         TomlTable propagation = root.table("propagation");
         TomlTable upstreams = root.table("upstreams");
         TomlTable placement = root.table("placement");
+        TomlTable link = root.table("link");
         ServingSettings settings = new ServingSettings(
                 vm.text("name"),
                 vm.text("failure_domain"),
@@ -88,8 +92,9 @@
                         milliseconds(propagation, "configuration_milliseconds"),
                         milliseconds(propagation, "leaving_milliseconds")),
                 milliseconds(upstreams, "heartbeat_milliseconds"),
-                milliseconds(placement, "turn_milliseconds"));
-        List.of(root, vm, listen, store, shutdown, retries, propagation, upstreams, placement)
+                milliseconds(placement, "turn_milliseconds"),
+                (int) Math.ceil(link.number("megabits_per_second", 0, 0, MAX_LINK_MEGABITS)));
+        List.of(root, vm, listen, store, shutdown, retries, propagation, upstreams, placement, link)
                 .forEach(TomlTable::rejectUnknownKeys);
         findings.throwIfAny();
         return settings;
--- a/serving/src/test/java/org/pollenhoist/serving/node/DigestCodecTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/DigestCodecTest.java
@@ -47,6 +47,8 @@
 
     private static final long HIGHEST_FENCING_TOKEN = 51;
 
+    private static final int LINK_MEGABITS = 140;
+
     private static final StoreRevision REVISION = new StoreRevision(3, 2);
 
     /** Space for a name of twenty characters and two numbers. */
@@ -54,7 +56,7 @@
 
     private static VmDigest write(Optional<VmDemand> demand, Optional<Leadership.Resignation> resignation)
             throws InvalidProtocolBufferException {
-        VmDigest written = new DigestCodec("vm-1", "north", 5)
+        VmDigest written = new DigestCodec("vm-1", "north", 5, LINK_MEGABITS)
                 .write(
                         1,
                         REVISION,
@@ -88,6 +90,16 @@
         return new VmDemand(work, Duration.ofMillis(2_500));
     }
 
+    @Nested
+    class Link {
+
+        @Test
+        void should_be_named_in_megabits_per_second() throws InvalidProtocolBufferException {
+            assertThat(write(Optional.empty(), Optional.empty()).getLinkMegabits())
+                    .isEqualTo(LINK_MEGABITS);
+        }
+    }
+
     @Nested
     class Demand {
 
@@ -132,7 +144,7 @@
         private final UpstreamTable upstreams = new UpstreamTable();
 
         private VmDigest write() throws InvalidProtocolBufferException {
-            VmDigest written = new DigestCodec("vm-1", "north", 5)
+            VmDigest written = new DigestCodec("vm-1", "north", 5, LINK_MEGABITS)
                     .write(
                             1,
                             REVISION,
--- a/serving/src/test/java/org/pollenhoist/serving/node/ServingSettingsTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/ServingSettingsTest.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.pollenhoist.settings.InvalidSettingsException;
 
 class ServingSettingsTest {
@@ -55,6 +57,10 @@
         return ServingSettings.load(Files.writeString(folder.resolve("serving.toml"), text));
     }
 
+    private static String withLink(String named) {
+        return SETTINGS + "\n[link]\nmegabits_per_second = " + named + '\n';
+    }
+
     @Nested
     class Loading {
 
@@ -71,6 +77,24 @@
             assertThat(settings.handoverInterval()).isEqualTo(Duration.ofSeconds(3));
         }
 
+        @Test
+        void should_know_no_link_when_none_is_named() throws IOException {
+            assertThat(load(SETTINGS).linkMegabits()).isZero();
+        }
+
+        @ParameterizedTest
+        @CsvSource({"1000.0, 1000", "7.0, 7", "140, 140", "0.5, 1", "0, 0"})
+        void should_read_the_link_in_whole_megabits_rounded_up(String named, int megabits) throws IOException {
+            assertThat(load(withLink(named)).linkMegabits()).isEqualTo(megabits);
+        }
+
+        @Test
+        void should_refuse_a_link_that_is_no_bandwidth() {
+            assertThatThrownBy(() -> load(withLink("-7")))
+                    .isInstanceOf(InvalidSettingsException.class)
+                    .hasMessageContaining(":34: link.megabits_per_second: found -7");
+        }
+
         @Test
         void should_report_all_findings_with_their_positions() {
             String broken = SETTINGS.replace("10.0.0.1:8080", "nowhere")
--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
@@ -77,7 +77,7 @@
             this.name = "frontend-" + failureDomain + "-" + index;
             this.failureDomain = failureDomain;
             this.address = addressOf(index);
-            this.codec = new DigestCodec(name, failureDomain, incarnation);
+            this.codec = new DigestCodec(name, failureDomain, incarnation, linkMegabits());
             this.limits = new FleetRateLimiter(true, () -> vms.size(), this::announceSpending);
             this.crashes = new CrashTracking(
                     name,
@@ -292,6 +292,11 @@
             return failureDomain;
         }
 
+        @Override
+        public int linkMegabits() {
+            return 0;
+        }
+
         @Override
         public Collection<Upstream> engines() {
             return upstreams.all();
@@ -419,7 +424,8 @@
         return upstreams;
     }
 
-    private static InetSocketAddress addressOf(int index) {
+    /** Returns the address of a VM, whose port gives its index. */
+    static InetSocketAddress addressOf(int index) {
         try {
             return new InetSocketAddress(InetAddress.getByAddress(new byte[] {10, 0, 0, 1}), index + 1);
         } catch (UnknownHostException unexpected) {
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
@@ -5,9 +5,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -58,6 +56,9 @@
 
         final String name;
         final String failureDomain;
+        /** Bandwidth of the link that the settings of the next process name. */
+        int linkMegabits;
+
         private final InetSocketAddress address;
         private VmProcess process;
         private long incarnation;
@@ -73,7 +74,7 @@
         private Vm(int index, int domains) {
             this.failureDomain = "domain-" + index % domains;
             this.name = "frontend-" + failureDomain + '-' + index;
-            this.address = addressOf(index);
+            this.address = SimulatedExchange.addressOf(index);
             this.disturbedUntil = now();
         }
 
@@ -219,7 +220,7 @@
 
         private VmProcess(Vm vm, long incarnation) {
             this.vm = vm;
-            this.codec = new DigestCodec(vm.name, vm.failureDomain, incarnation);
+            this.codec = new DigestCodec(vm.name, vm.failureDomain, incarnation, vm.linkMegabits);
             this.crashes = new CrashTracking(
                     vm.name,
                     StoreFleet.this::now,
@@ -372,6 +373,11 @@
             return vm.failureDomain;
         }
 
+        @Override
+        public int linkMegabits() {
+            return vm.linkMegabits;
+        }
+
         @Override
         public Collection<Upstream> engines() {
             return upstreams.all();
@@ -434,14 +440,6 @@
         vms.forEach(vm -> after(random.nextInt(TICK_MILLISECONDS), vm::start));
     }
 
-    private static InetSocketAddress addressOf(int index) {
-        try {
-            return new InetSocketAddress(InetAddress.getByAddress(new byte[] {10, 0, 0, 1}), index + 1);
-        } catch (UnknownHostException unexpected) {
-            throw new IllegalStateException(unexpected);
-        }
-    }
-
     /** Lets the event loop of each VM look at its sockets and timers no more often than this. */
     void lookEvery(Duration interval) {
         lookIntervalMilliseconds = interval.toMillis();
