Tell peers in digests which upstreams the store says leave or are gone

Cause: an upstream's registration as leaving, and the removal of its entry, reach a VM only in the store's history, behind all that was written before, such as a configuration of some 900 routes. Digests name leaving upstreams already, but only those that said so in an answer, and only while a request shows it.

Change: digests have a field `departed_upstreams`: the lifetimes whose entries say that they leave, for as long as they are registered, and those whose entries are gone, for 10 s (an upstream serves for 2 s and some seconds more; later requests find nobody). At most a dozen, the newest first. A receiver that knows the store less far than the digest's sender sends these lifetimes nothing new. Once it knows the store up to that revision, its own entries decide again; at the latest 10 s after nobody tells it any more. The digests that go anyway bear it, the summaries to other failure domains too; nothing is broadcast.

Bound to the revision of the digest that tells it, the news can be right or overtaken, never wrong for longer. Earlier builds ignore the field and are as they were. Only removals that were reported to FleetState count, so those that StoreMirror holds back don't; an end that peers told of stays an unexpected one for the search for what crashes upstreams.

UpstreamTable.remove takes the present time, as each function that decides; its callers in tests and experiments pass it.

Size: the test holds a dozen names in 48 digests a second against 16 KB/s; docs/CAPACITY.md says where that doesn't fit.

--- a/experiments/src/main/java/org/pollenhoist/experiments/serving/FleetSimulation.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/serving/FleetSimulation.java
@@ -274,7 +274,7 @@
         Collections.shuffle(alive, orderLuck);
         for (SimulatedEngine engine : alive.subList(0, Math.min(count, alive.size()))) {
             engine.crash();
-            time.after(REMOVAL_LAG, () -> vms.forEach(vm -> vm.upstreams.remove(engine.name, "entry removed")));
+            time.after(REMOVAL_LAG, () -> vms.forEach(vm -> vm.upstreams.remove(engine.name, "entry removed", now())));
             time.after(downMilliseconds, () -> {
                 SimulatedEngine replacement = add(engine.domain);
                 if (isDiskKept) {
--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
@@ -145,6 +145,18 @@
                 : digest;
     }
 
+    /** Adds the upstreams whose entries in the store say that they leave or are gone. */
+    static VmDigest withDepartures(VmDigest digest, List<org.pollenhoist.request.UpstreamLifetime> departed) {
+        if (departed.isEmpty()) {
+            return digest;
+        }
+        VmDigest.Builder extended = digest.toBuilder();
+        departed.forEach(lifetime -> extended.addDepartedUpstreams(UpstreamLifetime.newBuilder()
+                .setUpstream(lifetime.upstream().value())
+                .setStartedMilliseconds(lifetime.startedMilliseconds())));
+        return extended.build();
+    }
+
     /** Reads the revision of the sender's configuration, empty if it has none of its store's era or doesn't name it. */
     static Optional<StoreRevision> configurationRevision(VmDigest digest) {
         return digest.hasStoreEra() && digest.hasConfigurationRevision()
--- a/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
@@ -126,7 +126,7 @@
         if (key.startsWith(binding.upstreamPrefix())) {
             String identifier = key.substring(binding.upstreamPrefix().length());
             unreadableUpstreams.remove(identifier);
-            upstreams.remove(identifier, "entry removed");
+            upstreams.remove(identifier, "entry removed", clock.get());
         } else if (key.startsWith(binding.evacuationPrefix())) {
             upstreams.setEvacuated(evacuatedDomain(key), false, clock.get());
         } else if (key.startsWith(VM_PREFIX)) {
@@ -224,7 +224,7 @@
             upstreams.put(description.get(), clock.get());
             unreadableUpstreams.remove(identifier);
         } else {
-            upstreams.remove(identifier, "unreadable entry at revision " + item.revision());
+            upstreams.remove(identifier, "unreadable entry at revision " + item.revision(), clock.get());
             if (unreadableUpstreams.add(identifier)) {
                 LOG.event("upstream_unreadable", "upstream", identifier, "revision", item.revision());
             }
--- a/serving/src/main/java/org/pollenhoist/serving/node/LocalVmState.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/LocalVmState.java
@@ -84,7 +84,8 @@
                 leadership.highestKnownToken(),
                 crashes,
                 now);
-        return DigestCodec.withConfiguration(digest, configurationRevision.get());
+        return DigestCodec.withDepartures(
+                DigestCodec.withConfiguration(digest, configurationRevision.get()), upstreams.recentDepartures(now));
     }
 
     @Override
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -83,6 +83,7 @@
     private final StoreRelayExchange relay;
     private final StoreSynchronizer synchronizer;
     private final ConfigurationStanding configurationStanding;
+    private final ReportedDepartures departures;
     private final Leadership leadership;
     private final PlacementDriver placement;
     private final PlacementTrigger placementTrigger = new PlacementTrigger(this::after, bootClock::read, this::place);
@@ -97,7 +98,7 @@
     private final LeaseRequestStagger leaseRequests;
 
     private ServingSettings settings;
-    private MonotonicTime sweptAt;
+    private MonotonicTime sweptAt = bootClock.read();
 
     private ServingNode(ServingSettings settings, PlatformBinding binding, EventLoop loop) {
         this.settings = settings;
@@ -106,7 +107,6 @@
         MonotonicTime now = bootClock.read();
         retryBudgets = new RetryBudgets(settings, now);
         leaseRequests = new LeaseRequestStagger(now);
-        sweptAt = now;
         limits = new FleetRateLimiter(settings.isFirstStart(), this::fleetSize, this::announceSpending);
         connections =
                 new HttpConnectionPool(loop, bootClock::read, binding.singleResponseFields(), this::upstreamResponded);
@@ -153,6 +153,7 @@
         StoreStanding standing = storeStanding(now);
         synchronizer = new StoreSynchronizer(mirror, relay, digests, standing, now);
         configurationStanding = ConfigurationStanding.of(state, mirror, standing, eras, peers);
+        departures = new ReportedDepartures(upstreams, mirror::revision);
         forwarding = requestForwarding();
         handler = new RequestHandler(environment());
         callers = new CallerServer(loop, bootClock::read, this::callerLimits, binding.singleRequestFields(), handler);
@@ -358,6 +359,7 @@
         mirror.applyDueRemovals(now);
         synchronizer.tick(now);
         configurationStanding.update(now);
+        departures.update(now);
         presence.updateLimits(now);
         rateShares.update(stop.isStopping(), now);
         queue.tryStartAll(now);
@@ -434,6 +436,7 @@
 
     private void receive(PeerReport report) {
         relay.receive(report.digest());
+        departures.receive(report);
         leadership.onTokenUsed(report.digest().getHighestFencingToken());
         DigestCodec.resignation(report.digest(), eras, report.receivedAt()).ifPresent(leadership::onResignation);
         digests.receive(report);
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamTable.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamTable.java
@@ -3,8 +3,10 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -28,6 +30,8 @@
     private final Map<Integer, Upstream> byTag = new HashMap<>();
     private final Consumer<Upstream> onUnexpectedEnd;
     private final Set<String> evacuatedDomains = new TreeSet<>();
+    private final RecentDepartures departures = new RecentDepartures();
+    private final Set<Upstream> reportedDepartures = new HashSet<>();
     private Function<String, OptionalDouble> coldRates = service -> OptionalDouble.empty();
     private long lifetimeChanges;
 
@@ -57,6 +61,7 @@
         if (known != null && isSameLifetime(known.description(), description)) {
             if (!known.description().isLeaving() && description.isLeaving()) {
                 LOG.event("upstream_leaving", "upstream", description.identifier());
+                departures.recordLeaving(known.lifetime());
             }
             known.updateDescription(description);
             limitIfCold(known, now);
@@ -65,8 +70,13 @@
         if (known != null) {
             removeFromService(known);
             end(known);
+            departures.recordRemoval(known.lifetime(), now);
         }
         Upstream joined = new Upstream(description, now);
+        departures.forget(joined.lifetime());
+        if (description.isLeaving()) {
+            departures.recordLeaving(joined.lifetime());
+        }
         lifetimeChanges++;
         upstreams.put(description.identifier(), joined);
         byService
@@ -169,14 +179,46 @@
      * Returns whether new requests may be sent to an upstream.
      *
      * @param upstream the upstream
-     * @return false if it has ended or is leaving, or if its failure domain is evacuated
+     * @return false if it has ended or is leaving, here or as peers report, or if its failure domain is evacuated
      */
     public boolean isUsable(Upstream upstream) {
         return upstream.isUsable()
+                && !reportedDepartures.contains(upstream)
                 && !evacuatedDomains.contains(upstream.description().failureDomain());
     }
 
+    /**
+     * Sets whether peers that know the store better report that an upstream is leaving or gone.
+     *
+     * @param upstream the upstream
+     * @param isReported true to send it no new requests, false to go by its entry
+     */
+    public void setDepartureReported(Upstream upstream, boolean isReported) {
+        if (isReported) {
+            reportedDepartures.add(upstream);
+        } else {
+            reportedDepartures.remove(upstream);
+        }
+    }
+
+    /**
+     * Returns the upstreams whose entries say that they leave or were removed lately, and of which peers aren't told
+     * because the upstreams said so themselves.
+     *
+     * @param now the current time
+     * @return a limited number of them, the newest one first
+     */
+    public List<UpstreamLifetime> recentDepartures(MonotonicTime now) {
+        return departures.newest(lifetime -> !hasAnnouncedLeaving(lifetime), now);
+    }
+
+    private boolean hasAnnouncedLeaving(UpstreamLifetime lifetime) {
+        Upstream found = upstreams.get(lifetime.upstream().value());
+        return found != null && found.lifetime().equals(lifetime) && found.hasAnnouncedLeaving();
+    }
+
     private void end(Upstream ended) {
+        reportedDepartures.remove(ended);
         if (ended.markEnded()) {
             onUnexpectedEnd.accept(ended);
         }
@@ -203,14 +245,16 @@
      *
      * @param identifier its identifier
      * @param reason why it is removed, for the log
+     * @param now the current time
      */
-    public void remove(String identifier, String reason) {
+    public void remove(String identifier, String reason, MonotonicTime now) {
         Upstream removed = upstreams.remove(identifier);
         if (removed != null) {
             lifetimeChanges++;
             removeFromService(removed);
             end(removed);
             byTag.remove(removed.tag(), removed);
+            departures.recordRemoval(removed.lifetime(), now);
             LOG.event("upstream_gone", "upstream", identifier, "reason", reason);
         }
     }
--- a/serving/src/test/java/org/pollenhoist/serving/node/DigestCodecTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/DigestCodecTest.java
@@ -117,6 +117,47 @@
         }
     }
 
+    @Nested
+    class Departures {
+
+        /** What a VM may use for control each second, and the digests that it sends in it in a domain of 21 VMs. */
+        private static final int MAX_CONTROL_BYTES_PER_SECOND = 16_384;
+
+        private static final int DIGESTS_PER_SECOND = 48;
+
+        @Test
+        void should_stay_within_the_target_for_control_when_all_engines_of_a_large_fleet_are_replaced()
+                throws InvalidProtocolBufferException {
+            VmDigest without = DigestCodecTest.write(Optional.empty(), Optional.empty());
+            UpstreamTable upstreams = new UpstreamTable();
+            for (int index = 0; index < 2_200; index++) {
+                upstreams.put(upstream("i-%010x".formatted(index)), NOW);
+                upstreams.remove("i-%010x".formatted(index), "entry removed", NOW);
+            }
+
+            VmDigest digest = DigestCodec.withDepartures(without, upstreams.recentDepartures(NOW));
+
+            assertThat(digest.getDepartedUpstreamsCount()).isPositive();
+            assertThat((digest.getSerializedSize() - without.getSerializedSize()) * DIGESTS_PER_SECOND)
+                    .isLessThanOrEqualTo(MAX_CONTROL_BYTES_PER_SECOND);
+        }
+
+        private static UpstreamDescription upstream(String name) {
+            return new UpstreamDescription(
+                    name,
+                    1_796_662_800_000L,
+                    "app",
+                    "v1",
+                    new InetSocketAddress(1),
+                    "north",
+                    4,
+                    false,
+                    0,
+                    List.of(),
+                    Set.of());
+        }
+    }
+
     private static VmDemand demandFor(int models) {
         Map<String, RecentWork> work = new HashMap<>();
         for (int model = 0; model < models; model++) {
--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
@@ -412,7 +412,7 @@
     /** Removes an upstream on all VMs. */
     void removeUpstream(String identifier) {
         upstreams.removeIf(known -> known.identifier().equals(identifier));
-        vms.forEach(vm -> vm.upstreams.remove(identifier, "left"));
+        vms.forEach(vm -> vm.upstreams.remove(identifier, "left", now()));
     }
 
     List<UpstreamDescription> upstreams() {
--- a/serving/src/test/java/org/pollenhoist/serving/request/InconclusiveAttemptsTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/request/InconclusiveAttemptsTest.java
@@ -68,7 +68,7 @@
         void should_suspect_a_request_when_it_was_cancelled_before_its_upstream_ended() {
             attempts.add(EVIDENCE, register(1, false), at(1_000));
             now = 5_000;
-            upstreams.remove("i-1", "entry removed");
+            upstreams.remove("i-1", "entry removed", at(now));
             assertThat(isSuspected()).isTrue();
         }
 
@@ -83,7 +83,7 @@
         @Test
         void should_suspect_a_request_when_it_is_cancelled_after_its_upstream_ended() {
             Upstream upstream = register(1, false);
-            upstreams.remove("i-1", "entry removed");
+            upstreams.remove("i-1", "entry removed", at(now));
             attempts.add(EVIDENCE, upstream, at(1_000));
             assertThat(isSuspected()).isTrue();
         }
@@ -94,7 +94,7 @@
             attempts.add(EVIDENCE, upstream, at(1_000));
             upstream.recordActivity(at(4_000));
             now = 5_000;
-            upstreams.remove("i-1", "entry removed");
+            upstreams.remove("i-1", "entry removed", at(now));
             assertThat(isSuspected()).isFalse();
         }
 
@@ -103,7 +103,7 @@
             attempts.add(EVIDENCE, register(1, false), at(1_000));
             register(1, true);
             now = 5_000;
-            upstreams.remove("i-1", "entry removed");
+            upstreams.remove("i-1", "entry removed", at(now));
             assertThat(isSuspected()).isFalse();
         }
     }
--- a/serving/src/test/java/org/pollenhoist/serving/upstream/UpstreamTableTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/upstream/UpstreamTableTest.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.common.UpstreamName;
+import org.pollenhoist.request.UpstreamLifetime;
 
 class UpstreamTableTest {
 
@@ -18,9 +20,13 @@
     private final UpstreamTable upstreams = new UpstreamTable();
 
     private void put(long started, boolean isLeaving) {
+        put("i-1", started, isLeaving);
+    }
+
+    private void put(String name, long started, boolean isLeaving) {
         upstreams.put(
                 new UpstreamDescription(
-                        "i-1",
+                        name,
                         started,
                         "app",
                         "v1",
@@ -56,6 +62,83 @@
         return upstreams.find("i-1").orElseThrow();
     }
 
+    /** What peers are told that may not have it from the store yet. */
+    @Nested
+    class RecentDepartures {
+
+        private static UpstreamLifetime lifetime(String name, long started) {
+            return new UpstreamLifetime(UpstreamName.of(name), started);
+        }
+
+        @Test
+        void should_hold_an_upstream_that_leaves_by_its_entry_for_as_long_as_it_is_registered() {
+            put(1, false);
+            assertThat(upstreams.recentDepartures(NOW)).isEmpty();
+
+            put(1, true);
+
+            assertThat(upstreams.recentDepartures(NOW.plus(Duration.ofMinutes(5))))
+                    .containsExactly(lifetime("i-1", 1));
+        }
+
+        @Test
+        void should_hold_one_that_registers_as_leaving() {
+            put(1, true);
+
+            assertThat(upstreams.recentDepartures(NOW)).containsExactly(lifetime("i-1", 1));
+        }
+
+        @Test
+        void should_leave_out_one_that_said_so_itself_since_that_is_told_anyway() {
+            put(1, true);
+            upstream().markLeaving();
+
+            assertThat(upstreams.recentDepartures(NOW)).isEmpty();
+        }
+
+        @Test
+        void should_hold_a_removed_one_for_ten_seconds() {
+            put(1, false);
+            upstreams.remove("i-1", "entry removed", NOW);
+
+            assertThat(upstreams.recentDepartures(NOW.plus(Duration.ofMillis(9_999))))
+                    .containsExactly(lifetime("i-1", 1));
+            assertThat(upstreams.recentDepartures(NOW.plus(Duration.ofSeconds(10))))
+                    .isEmpty();
+        }
+
+        @Test
+        void should_drop_one_whose_entry_is_written_again() {
+            put(1, false);
+            upstreams.remove("i-1", "entry removed", NOW);
+
+            put(1, false);
+
+            assertThat(upstreams.recentDepartures(NOW)).isEmpty();
+        }
+
+        @Test
+        void should_hold_the_former_lifetime_of_one_that_started_again() {
+            put(1, false);
+
+            put(2, false);
+
+            assertThat(upstreams.recentDepartures(NOW)).containsExactly(lifetime("i-1", 1));
+        }
+
+        @Test
+        void should_hold_a_dozen_of_many_the_newest_first() {
+            for (int index = 0; index < 2_200; index++) {
+                put("i-" + index, 1, false);
+                upstreams.remove("i-" + index, "entry removed", NOW);
+            }
+
+            List<UpstreamLifetime> told = upstreams.recentDepartures(NOW);
+
+            assertThat(told).hasSize(12).startsWith(lifetime("i-2199", 1), lifetime("i-2198", 1));
+        }
+    }
+
     @Nested
     class Evacuation {
 
