--- a/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/BufferedHttpClient.java
@@ -10,10 +10,12 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.pollenhoist.common.DecisionLog;
+import org.pollenhoist.common.MonotonicTime;
 
 /** An HTTP client that buffers each response and delivers it when it is complete. Confined to the event loop. */
 public final class BufferedHttpClient {
@@ -23,6 +25,9 @@
     /** Maximum size of the body of a response, in bytes. */
     private static final int MAXIMUM_RESPONSE_BYTES = 8 << 20;
 
+    /** Shortest time between the head and the end of a response that is logged. */
+    private static final Duration LOGGED_TRANSFER = Duration.ofMillis(200);
+
     /** The result of a call. */
     public sealed interface Result {
 
@@ -86,24 +91,33 @@
             Duration timeout,
             Predicate<HttpResponse> isExpected,
             Consumer<Result> callback) {
-        ResponseBuffer buffer = new ResponseBuffer(isExpected, callback);
-        HttpExchange exchange = connections.send(target, request, ConnectionOptions.ANY_IDLE, buffer);
-        buffer.exchange = exchange;
-        buffer.timer = loop.schedule(
-                () -> {
-                    boolean isSent = exchange.isSent();
-                    exchange.cancel();
-                    buffer.complete(new Result.Failed(isSent, "no response within " + timeout.toMillis() + " ms"));
-                },
-                timeout.toMillis(),
-                TimeUnit.MILLISECONDS);
-        if (buffer.isComplete) {
-            buffer.timer.cancel(false);
-        }
+        ResponseBuffer buffer = send(target, request, isExpected, callback);
+        buffer.giveUpAfter(timeout);
+    }
+
+    /**
+     * Sends a request whose response may be large, to a process that responds once to each request.
+     *
+     * @param target the process to call
+     * @param request the request, which is released
+     * @param timeout when the call is given up
+     * @param callback receives the result, exactly once
+     */
+    public void call(Target target, FullHttpRequest request, ResponseTimeout timeout, Consumer<Result> callback) {
+        ResponseBuffer buffer = send(target, request, head -> true, callback);
+        buffer.giveUpWithoutProgress(timeout);
     }
 
-    private static final class ResponseBuffer implements ResponseListener {
+    private ResponseBuffer send(
+            Target target, FullHttpRequest request, Predicate<HttpResponse> isExpected, Consumer<Result> callback) {
+        ResponseBuffer buffer = new ResponseBuffer(target, isExpected, callback);
+        buffer.exchange = connections.send(target, request, ConnectionOptions.ANY_IDLE, buffer);
+        return buffer;
+    }
+
+    private final class ResponseBuffer implements ResponseListener {
 
+        private final Target target;
         private final Predicate<HttpResponse> isExpected;
         private final Consumer<Result> callback;
         private final ByteBuf body = Unpooled.buffer();
@@ -111,9 +125,12 @@
         private ScheduledFuture<?> timer;
         private int status;
         private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
+        private Optional<MonotonicTime> begunAt = Optional.empty();
+        private Optional<Duration> progressPeriod = Optional.empty();
         private boolean isComplete;
 
-        private ResponseBuffer(Predicate<HttpResponse> isExpected, Consumer<Result> callback) {
+        private ResponseBuffer(Target target, Predicate<HttpResponse> isExpected, Consumer<Result> callback) {
+            this.target = target;
             this.isExpected = isExpected;
             this.callback = callback;
         }
@@ -135,9 +152,69 @@
             }
             status = head.status().code();
             headers = head.headers();
+            begunAt = Optional.of(connections.now());
+            progressPeriod.ifPresent(this::awaitProgress);
             return true;
         }
 
+        private void giveUpAfter(Duration timeout) {
+            schedule(timeout, () -> giveUp(describeReceived() + " within " + timeout.toMillis() + " ms"));
+        }
+
+        private void giveUpWithoutProgress(ResponseTimeout timeout) {
+            progressPeriod = Optional.of(timeout.progress());
+            schedule(timeout.beginning(), () -> {
+                if (begunAt.isEmpty()) {
+                    giveUp("no response within " + timeout.beginning().toMillis() + " ms");
+                }
+            });
+        }
+
+        private void awaitProgress(Duration period) {
+            int before = body.readableBytes();
+            schedule(period, () -> {
+                if (body.readableBytes() - before >= ResponseTimeout.MINIMUM_BYTES) {
+                    awaitProgress(period);
+                } else {
+                    giveUp(describeReceived() + " of them " + (body.readableBytes() - before) + " in the last "
+                            + period.toMillis() + " ms");
+                }
+            });
+        }
+
+        private void schedule(Duration delay, Runnable action) {
+            cancelTimer();
+            if (!isComplete) {
+                // A late event loop may have yet to read what has come in time.
+                timer = loop.schedule(
+                        () -> SocketLook.thenRun(loop, () -> runUnlessComplete(action)),
+                        delay.toMillis(),
+                        TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void runUnlessComplete(Runnable action) {
+            if (!isComplete) {
+                action.run();
+            }
+        }
+
+        private void cancelTimer() {
+            if (timer != null) {
+                timer.cancel(false);
+            }
+        }
+
+        private String describeReceived() {
+            return begunAt.isPresent() ? "incomplete response, " + body.readableBytes() + " bytes," : "no response";
+        }
+
+        private void giveUp(String reason) {
+            boolean isSent = exchange.isSent();
+            exchange.cancel();
+            complete(new Result.Failed(isSent, reason));
+        }
+
         @Override
         public void onBody(ByteBuf chunk) {
             if (body.readableBytes() + chunk.readableBytes() > MAXIMUM_RESPONSE_BYTES) {
@@ -150,9 +227,26 @@
 
         @Override
         public void onEnd() {
+            begunAt.ifPresent(this::logIfSlow);
             complete(new Result.Answered(status, headers, ByteBufUtil.getBytes(body)));
         }
 
+        private void logIfSlow(MonotonicTime begun) {
+            Duration transfer = connections.now().since(begun);
+            if (transfer.compareTo(LOGGED_TRANSFER) >= 0) {
+                LOG.event(
+                        "slow_response",
+                        "address",
+                        target.address(),
+                        "lifetime",
+                        target.lifetime(),
+                        "bytes",
+                        body.readableBytes(),
+                        "transfer_ms",
+                        transfer.toMillis());
+            }
+        }
+
         @Override
         public void onFailure(ExchangeFailure failure, String reason) {
             complete(new Result.Failed(failure.isSent(), reason));
@@ -163,9 +257,7 @@
                 return;
             }
             isComplete = true;
-            if (timer != null) {
-                timer.cancel(false);
-            }
+            cancelTimer();
             callback.accept(completed);
         }
     }
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
@@ -22,6 +22,7 @@
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.http.BufferedHttpClient;
 import org.pollenhoist.serving.http.CallerResponse;
+import org.pollenhoist.serving.http.ResponseTimeout;
 import org.pollenhoist.serving.http.Target;
 import org.pollenhoist.serving.peer.PeerExchange;
 import org.pollenhoist.serving.peer.PeerReport;
@@ -48,8 +49,9 @@
     private static final DecisionLog LOG = DecisionLog.of("store");
     private static final int OK = 200;
 
-    /** Time-out of a relay request to a peer. */
-    private static final Duration RELAY_TIMEOUT = Duration.ofMillis(450);
+    /** When a relay request to a peer is given up. */
+    private static final ResponseTimeout RELAY_TIMEOUT =
+            new ResponseTimeout(Duration.ofMillis(450), Duration.ofMillis(450));
 
     /**
      * How long a peer must have a newer revision before a VM that watches the store itself requests the changes from
@@ -72,11 +74,14 @@
          *
          * @param target the peer
          * @param request the request, which is released
-         * @param timeout the longest time until the result
+         * @param timeout when the call is given up
          * @param callback receives the result, exactly once
          */
         void call(
-                Target target, FullHttpRequest request, Duration timeout, Consumer<BufferedHttpClient.Result> callback);
+                Target target,
+                FullHttpRequest request,
+                ResponseTimeout timeout,
+                Consumer<BufferedHttpClient.Result> callback);
     }
 
     private final Client client;
@@ -243,20 +248,21 @@
                         + '='
                         + mirror.revision().era(),
                 Unpooled.EMPTY_BUFFER);
-        client.call(new Target(peer.address(), "peer"), request, RELAY_TIMEOUT, this::received);
+        String name = peer.digest().getVmName();
+        client.call(new Target(peer.address(), "peer"), request, RELAY_TIMEOUT, result -> received(result, name));
     }
 
-    private void received(BufferedHttpClient.Result result) {
+    private void received(BufferedHttpClient.Result result, String peer) {
         isRequestPending = false;
         if (!(result instanceof BufferedHttpClient.Result.Answered completed) || completed.status() != OK) {
-            LOG.event("relay_failed", "reason", result);
+            LOG.event("relay_failed", "peer", peer, "revision", mirror.revision(), "reason", result);
             return;
         }
         try {
             mirror.applyPeerChanges(fromMessage(
                     StoreRelay.parseFrom(completed.body()), mirror.revision().era()));
         } catch (InvalidProtocolBufferException malformed) {
-            LOG.event("relay_failed", "reason", malformed.getMessage());
+            LOG.event("relay_failed", "peer", peer, "revision", mirror.revision(), "reason", malformed.getMessage());
         }
     }
 }
