Pass the link on in the environment, and leave the review's files as they were

The section in the template broke the stand-ins of review/, which fill in the template by themselves and were changed for it.

--- a/review/stand-ins-2/org/pollenhoist/review/SmallFleet.java
+++ b/review/stand-ins-2/org/pollenhoist/review/SmallFleet.java
@@ -80,7 +80,6 @@
 
     private Process launch(Machine machine, boolean isFirstStart) throws IOException {
         String settings = Files.readString(Path.of("platform/settings.template.toml"))
-                .replaceAll("(?s)\\{\\{#([^}]+)}}.*?\\{\\{/\\1}}", "")
                 .replace("{{nodeName}}", machine.name())
                 .replace("{{zone}}", machine.zone())
                 .replace("{{isBootstrap}}", String.valueOf(isFirstStart))
--- a/review/standins/MachineFleet.java
+++ b/review/standins/MachineFleet.java
@@ -163,8 +163,7 @@
                 Map.entry("heartbeatMs", "1200"),
                 Map.entry("bounds.leaseMs", "3000"));
         String template = Files.readString(root.resolve("platform/settings.template.toml"))
-                .replace("{{ip}}:9464", "127.0.0.1:" + machine.metrics)
-                .replaceAll("(?s)\\{\\{#([^}]+)}}.*?\\{\\{/\\1}}", "");
+                .replace("{{ip}}:9464", "127.0.0.1:" + machine.metrics);
         Matcher matcher = Pattern.compile("\\{\\{([^}]+)}}").matcher(template);
         return matcher.replaceAll(found -> {
             String value = values.get(found.group(1));
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingSettings.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingSettings.java
@@ -100,6 +100,32 @@
         return settings;
     }
 
+    /**
+     * Returns these settings with another link.
+     *
+     * @param megabits the bandwidth in megabits per second, 0 or less if it is not known
+     * @return the settings
+     */
+    public ServingSettings withLinkMegabits(int megabits) {
+        return new ServingSettings(
+                vmName,
+                failureDomain,
+                isFirstStart,
+                callerAddress,
+                readinessAddress,
+                peerAddress,
+                metricsAddress,
+                storeAddress,
+                stopGrace,
+                retryRatio,
+                retryWindow,
+                retryAllowance,
+                propagationBound,
+                upstreamHeartbeat,
+                handoverInterval,
+                Math.max(0, megabits));
+    }
+
     /** Returns whether a running process can apply these settings, that is, its name and addresses are unchanged. */
     boolean isApplicableTo(ServingSettings running) {
         return vmName.equals(running.vmName)
