Send small relays beside a large one, and count a relay that brings nothing as failed

A relay of 1 MiB on its way refused all others, small ones too, and each refused one was compressed first, which for 17 VMs that come back each 100 ms is more than a narrow VM's processor.

--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
@@ -256,8 +256,13 @@
             fail(peer, malformed.getMessage());
             return;
         }
-        behindSince = clock.get();
+        StoreRevision before = mirror.revision();
         mirror.applyPeerChanges(changes);
+        if (mirror.revision().isAfter(before)) {
+            behindSince = clock.get();
+        } else {
+            fail(peer, "nothing after " + before);
+        }
     }
 
     private static byte[] content(BufferedHttpClient.Result.Answered answered) throws IOException {
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayServer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayServer.java
@@ -39,6 +39,9 @@
     /** Names the compression that the peer can read; earlier builds name none. */
     static final String COMPRESSION = "compression";
 
+    /** Size up to which a relay is sent whatever else is on its way, in bytes. */
+    static final int SMALL_BYTES = 16 << 10;
+
     /** Bytes of relays that may be on their way at once; a larger relay is sent alone. */
     static final int MAXIMUM_BYTES_AT_ONCE = 256 << 10;
 
@@ -122,20 +125,22 @@
      * @return the relay, which counts as on its way until {@link #end}; empty if others have to be sent first
      */
     Optional<Relay> begin(String uri) {
-        if (bytesOnTheirWay >= MAXIMUM_BYTES_AT_ONCE) {
-            refusals++;
-            return Optional.empty();
-        }
         Map<String, List<String>> query = new QueryStringDecoder(uri).parameters();
-        Relay relay = relay(knownRevision(query), RelayCompression.NAME.equals(text(query, COMPRESSION)));
-        int bytes = relay.bytes().length;
-        if (bytesOnTheirWay > 0 && bytesOnTheirWay + bytes > MAXIMUM_BYTES_AT_ONCE) {
+        boolean mayCompress = RelayCompression.NAME.equals(text(query, COMPRESSION));
+        Optional<Relay> relay =
+                relay(knownRevision(query), mayCompress).filter(ready -> hasRoomFor(ready.bytes().length));
+        if (relay.isEmpty()) {
             refusals++;
-            return Optional.empty();
         }
-        bytesOnTheirWay += bytes;
-        sentBytes += bytes;
-        return Optional.of(relay);
+        relay.ifPresent(begun -> {
+            bytesOnTheirWay += begun.bytes().length;
+            sentBytes += begun.bytes().length;
+        });
+        return relay;
+    }
+
+    private boolean hasRoomFor(int bytes) {
+        return bytes <= SMALL_BYTES || bytesOnTheirWay == 0 || bytesOnTheirWay + bytes <= MAXIMUM_BYTES_AT_ONCE;
     }
 
     /** Records that a relay has been sent, or can't be any more. */
@@ -152,11 +157,12 @@
         return headers;
     }
 
-    private Relay relay(StoreRevision after, boolean mayCompress) {
+    /** Returns a relay, empty if there is certainly no room for it, so that its compression would be in vain. */
+    private Optional<Relay> relay(StoreRevision after, boolean mayCompress) {
         MonotonicTime now = clock.get();
         Optional<Relay> reused = latest.filter(known -> mayCompress && isReusable(known, after, now))
                 .map(Compressed::relay);
-        return reused.orElseGet(() -> compose(after, mayCompress, now));
+        return reused.isPresent() ? reused : compose(after, mayCompress, now);
     }
 
     private boolean isReusable(Compressed known, StoreRevision after, MonotonicTime now) {
@@ -165,14 +171,17 @@
                 && now.since(known.at()).compareTo(REUSE_PERIOD) < 0;
     }
 
-    private Relay compose(StoreRevision after, boolean mayCompress, MonotonicTime now) {
+    private Optional<Relay> compose(StoreRevision after, boolean mayCompress, MonotonicTime now) {
         byte[] plain = changesAfter(after, now).toByteArray();
         if (!mayCompress || plain.length < MINIMUM_COMPRESSED_BYTES) {
-            return new Relay(plain, false);
+            return Optional.of(new Relay(plain, false));
+        }
+        if (plain.length > SMALL_BYTES && bytesOnTheirWay >= MAXIMUM_BYTES_AT_ONCE) {
+            return Optional.empty();
         }
         Relay compressed = new Relay(RelayCompression.compress(plain), true);
         latest = Optional.of(new Compressed(after, mirror.revision(), compressed, now));
-        return compressed;
+        return Optional.of(compressed);
     }
 
     /** Returns what this VM answers to a relay request. Records of streams are read at the start of a VM only. */
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreRelayServerTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreRelayServerTest.java
@@ -152,6 +152,15 @@
             assertThat(server.begin(CURRENT_BUILD)).isPresent();
         }
 
+        @Test
+        void should_send_a_small_relay_beside_the_largest() {
+            write(7, incompressible(1 << 20));
+            assertThat(server.begin(CURRENT_BUILD)).isPresent();
+            write(8, incompressible(4 << 10));
+
+            assertThat(server.begin("/relay?after=7&era=1&compression=gzip")).isPresent();
+        }
+
         @Test
         void should_send_small_relays_to_all_vms_of_a_failure_domain_at_once() {
             write(7, incompressible(4 << 10));
