Simulate fleets whose links and configurations have a size

Change: a link for each VM and for the store, with a bandwidth in each direction; a transfer goes in segments of 4 KiB, four on the way at a time, which wait in a link in their order; a call that is given up sends no further segment. Watches, listings, relays and digests go through it; values of the store as base64. RelayTraffic counts who asks whom. VmWithoutEngines and SimulatedClock come out of StoreFleet for its length only.

--- a/serving/src/test/java/org/pollenhoist/serving/node/ChangePropagation.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/ChangePropagation.java
@@ -17,6 +17,8 @@
 
     private static final long START_MILLISECONDS = 6_000;
     private static final long SETTLING_MILLISECONDS = 9_000;
+    private static final long GROWTH_MILLISECONDS = 3_000;
+    private static final long CHANGE_INTERVAL_MILLISECONDS = 400;
     private static final int WRITE_INTERVAL_MILLISECONDS = 600;
     private static final int WRITERS = 40;
 
@@ -51,6 +53,32 @@
         }
     }
 
+    /**
+     * What became of a large configuration that changed several times.
+     *
+     * @param distribution the times until the last VM had a change, or a later one, in force
+     * @param behind the names of the VMs that did not have the last change in force at the end
+     * @param traffic who asked whom for relays meanwhile
+     */
+    record LargeChanges(Distribution distribution, List<String> behind, String traffic) {
+
+        private static final int NAMED_VMS = 3;
+
+        Duration longest() {
+            return distribution.longest();
+        }
+
+        @Override
+        public String toString() {
+            return "%s; %d VMs behind at the end, %s; %s"
+                    .formatted(
+                            distribution,
+                            behind.size(),
+                            behind.stream().limit(NAMED_VMS).toList(),
+                            traffic);
+        }
+    }
+
     private record Change(long version, MonotonicTime confirmedAt) {}
 
     private final StoreFleet fleet;
@@ -95,14 +123,64 @@
         long calls = fleet.store.calls();
         for (int version = 2; version < 2 + count; version++) {
             trouble.strike(fleet, random);
-            Change change = new Change(version, fleet.now());
-            changes.add(change);
-            fleet.configure(version);
+            Change change = change(version);
             fleet.run(SETTLING_MILLISECONDS);
-            fleet.vms.stream()
-                    .filter(vm -> vm.version() < change.version() && vm.isUndisturbedFor(stablePeriod))
-                    .forEach(vm -> record(change));
+            recordMissing(change);
+        }
+        return distribution(startedAt, bytes, calls);
+    }
+
+    /**
+     * Changes the configuration to one of a certain size and then, after an interval each, several times more, in one
+     * trouble that strikes before the first change that counts.
+     *
+     * @param configurationBytes the size of each version but the first one
+     * @param isLargeBefore whether the configuration has that size already before the changes that count
+     */
+    LargeChanges measureLarge(StoreTrouble trouble, int count, int configurationBytes, boolean isLargeBefore) {
+        writeForever();
+        fleet.run(START_MILLISECONDS);
+        fleet.setConfigurationBytes(configurationBytes);
+        int version = 2;
+        if (isLargeBefore) {
+            fleet.configure(version++);
+            fleet.run(GROWTH_MILLISECONDS);
         }
+        MonotonicTime startedAt = fleet.now();
+        long bytes = fleet.bytes();
+        long calls = fleet.store.calls();
+        trouble.strike(fleet, random);
+        for (int changed = 0; changed < count; changed++) {
+            fleet.run(changed == 0 ? 0 : CHANGE_INTERVAL_MILLISECONDS);
+            change(version + changed);
+        }
+        fleet.run(SETTLING_MILLISECONDS);
+        changes.forEach(this::recordMissing);
+        return new LargeChanges(distribution(startedAt, bytes, calls), behind(), fleet.relays.toString());
+    }
+
+    private Change change(long version) {
+        Change change = new Change(version, fleet.now());
+        changes.add(change);
+        fleet.configure(version);
+        return change;
+    }
+
+    private void recordMissing(Change change) {
+        fleet.vms.stream()
+                .filter(vm -> vm.version() < change.version() && vm.isUndisturbedFor(stablePeriod))
+                .forEach(vm -> record(change));
+    }
+
+    private List<String> behind() {
+        long last = changes.get(changes.size() - 1).version();
+        return fleet.vms.stream()
+                .filter(vm -> vm.version() < last && vm.isUndisturbedFor(stablePeriod))
+                .map(vm -> vm.name)
+                .toList();
+    }
+
+    private Distribution distribution(MonotonicTime startedAt, long bytes, long calls) {
         double seconds = fleet.now().since(startedAt).toMillis() / 1e3;
         return new Distribution(
                 changes.stream().map(change -> longest.getOrDefault(change, 0L)).toList(),
--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedHistoryStore.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedHistoryStore.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreEras;
@@ -22,6 +21,11 @@
 
     private static final long ONE_WAY_MILLISECONDS = 2;
     private static final int PAGE_ITEMS = 500;
+    /** Size of a request, and of what a response holds beside its items. */
+    private static final int HEAD_BYTES = 200;
+    /** Size of what stands beside a value in an item: names, key and revision. */
+    private static final int ITEM_BYTES = 100;
+
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration WATCH_GRACE_PERIOD = Duration.ofMillis(400);
 
@@ -34,7 +38,8 @@
         UNANSWERED
     }
 
-    private final BiConsumer<Long, Runnable> timer;
+    private final SimulatedClock clock;
+    private final SimulatedLink link;
     private final Random random;
     private final TreeMap<String, StoreItem> items = new TreeMap<>();
     private final List<StoreItem> history = new ArrayList<>();
@@ -46,8 +51,9 @@
     private long era = 1;
     private long calls;
 
-    SimulatedHistoryStore(BiConsumer<Long, Runnable> timer, Random random) {
-        this.timer = timer;
+    SimulatedHistoryStore(SimulatedClock clock, SimulatedLink link, Random random) {
+        this.clock = clock;
+        this.link = link;
         this.random = random;
     }
 
@@ -87,35 +93,35 @@
     }
 
     /** Creates the access of one process, which treats its calls as told. */
-    Access access(StoreEras eras, Consumer<Runnable> process) {
-        Access access = new Access(eras, process);
+    Access access(StoreEras eras, SimulatedLink vmLink, Consumer<Runnable> process) {
+        Access access = new Access(eras, vmLink, process);
         accesses.add(access);
         return access;
     }
 
-    private static final class Call {
-
-        private final Consumer<StoreResult<StorePage>> callback;
-        private final long after;
-        private boolean isComplete;
-
-        private Call(Consumer<StoreResult<StorePage>> callback, long after) {
-            this.callback = callback;
-            this.after = after;
-        }
+    /** Values travel as base64 in JSON. */
+    private static long encodedBytes(StorePage page) {
+        return page.items().stream()
+                .mapToLong(item -> ITEM_BYTES + (item.value().length + 2) / 3 * 4L)
+                .sum();
     }
 
+    private record Watch(SimulatedCall<StoreResult<StorePage>> call, long after) {}
+
     /** The store as one process reaches it. */
     final class Access implements Store {
 
         private final StoreEras eras;
+        private final SimulatedLink vmLink;
         private final Consumer<Runnable> process;
         private Treatment treatment = Treatment.SERVED;
         private double lostResponses;
-        private final List<Call> waiting = new ArrayList<>();
+        private boolean isOpen = true;
+        private final List<Watch> waiting = new ArrayList<>();
 
-        private Access(StoreEras eras, Consumer<Runnable> process) {
+        private Access(StoreEras eras, SimulatedLink vmLink, Consumer<Runnable> process) {
             this.eras = eras;
+            this.vmLink = vmLink;
             this.process = process;
         }
 
@@ -133,20 +139,21 @@
 
         /** Ends with its process. */
         void close() {
+            isOpen = false;
             accesses.remove(this);
             waiting.clear();
         }
 
         @Override
         public void list(String prefix, String afterKey, Consumer<StoreResult<StorePage>> callback) {
-            Call call = send(callback, 0, CALL_TIMEOUT);
-            timer.accept(ONE_WAY_MILLISECONDS, () -> {
+            SimulatedCall<StoreResult<StorePage>> call = send(callback, CALL_TIMEOUT, () -> {});
+            request(() -> {
                 if (isAccepted(call)) {
                     List<StoreItem> rest = items.tailMap(afterKey, afterKey.isEmpty()).values().stream()
                             .toList();
                     List<StoreItem> page = rest.stream().limit(PAGE_ITEMS).toList();
                     boolean hasMore = rest.size() > page.size();
-                    respond(call, new StoreResult.Success<>(new StorePage(page, revision(), hasMore)));
+                    respond(call, new StorePage(page, revision(), hasMore));
                 }
             });
         }
@@ -158,64 +165,82 @@
                 callback.accept(new StoreResult.Rejected<>("of an earlier era"));
                 return;
             }
-            Call call = send(callback, after.number(), wait.plus(WATCH_GRACE_PERIOD));
-            timer.accept(ONE_WAY_MILLISECONDS, () -> {
+            SimulatedCall<StoreResult<StorePage>> call = send(
+                    callback,
+                    wait.plus(WATCH_GRACE_PERIOD),
+                    () -> waiting.removeIf(watch -> watch.call().isComplete()));
+            request(() -> {
                 if (!isAccepted(call)) {
                     return;
                 }
                 if (after.number() > number || after.number() < historyStart) {
-                    respond(call, new StoreResult.Rejected<>("410"));
+                    respond(call, new StoreResult.Rejected<>("410"), HEAD_BYTES);
                     return;
                 }
-                waiting.add(call);
+                Watch watch = new Watch(call, after.number());
+                waiting.add(watch);
                 answerWatch();
-                timer.accept(wait.toMillis(), () -> {
-                    if (waiting.remove(call) && treatment != Treatment.UNANSWERED) {
-                        respond(call, new StoreResult.Success<>(new StorePage(List.of(), revision(), false)));
+                clock.after(wait.toMillis(), () -> {
+                    if (waiting.remove(watch) && treatment != Treatment.UNANSWERED) {
+                        respond(call, new StorePage(List.of(), revision(), false));
                     }
                 });
             });
         }
 
-        private Call send(Consumer<StoreResult<StorePage>> callback, long after, Duration timeout) {
+        private SimulatedCall<StoreResult<StorePage>> send(
+                Consumer<StoreResult<StorePage>> callback, Duration timeout, Runnable ended) {
             calls++;
-            Call call = new Call(callback, after);
-            timer.accept(
-                    timeout.toMillis(),
-                    () -> process.accept(() -> complete(call, new StoreResult.Unavailable<>("no response"))));
+            SimulatedCall<StoreResult<StorePage>> call = new SimulatedCall<>(result -> {
+                ended.run();
+                callback.accept(result);
+            });
+            call.giveUpAfter(
+                    timeout,
+                    (delay, action) -> clock.after(delay, () -> process.accept(action)),
+                    new StoreResult.Unavailable<>("no response"));
             return call;
         }
 
-        private boolean isAccepted(Call call) {
+        private void request(Runnable received) {
+            SimulatedTransfer.begin(clock, vmLink, link, ONE_WAY_MILLISECONDS, HEAD_BYTES, received);
+        }
+
+        private boolean isAccepted(SimulatedCall<StoreResult<StorePage>> call) {
             if (treatment == Treatment.REJECTED) {
-                timer.accept(
-                        ONE_WAY_MILLISECONDS,
-                        () -> process.accept(() -> complete(call, new StoreResult.Unavailable<>("status 503"))));
+                fail(call, "status 503");
             }
             return treatment == Treatment.SERVED;
         }
 
-        private void respond(Call call, StoreResult<StorePage> result) {
+        private void fail(SimulatedCall<StoreResult<StorePage>> call, String reason) {
+            clock.after(
+                    ONE_WAY_MILLISECONDS,
+                    () -> process.accept(() -> call.complete(new StoreResult.Unavailable<>(reason))));
+        }
+
+        private void respond(SimulatedCall<StoreResult<StorePage>> call, StorePage page) {
+            respond(call, new StoreResult.Success<>(page), HEAD_BYTES + encodedBytes(page));
+        }
+
+        private void respond(SimulatedCall<StoreResult<StorePage>> call, StoreResult<StorePage> result, long bytes) {
             if (random.nextDouble() < lostResponses) {
                 return;
             }
             long sentInEra = era;
-            timer.accept(
+            call.receives(SimulatedTransfer.begin(
+                    clock,
+                    link,
+                    vmLink,
                     ONE_WAY_MILLISECONDS,
+                    bytes,
+                    () -> isOpen && !call.isComplete(),
                     () -> process.accept(() -> {
-                        if (!call.isComplete) {
+                        if (!call.isComplete()) {
                             boolean isNewest = eras.observe(sentInEra, "store");
-                            complete(call, isNewest ? result : new StoreResult.Unavailable<>("earlier era"));
+                            call.complete(isNewest ? result : new StoreResult.Unavailable<>("earlier era"));
                         }
-                    }));
-        }
-
-        private void complete(Call call, StoreResult<StorePage> result) {
-            if (!call.isComplete) {
-                call.isComplete = true;
-                waiting.remove(call);
-                call.callback.accept(result);
-            }
+                    })));
         }
 
         private StoreRevision revision() {
@@ -223,30 +248,25 @@
         }
 
         private void answerWatch() {
-            for (Call call : List.copyOf(waiting)) {
+            for (Watch watch : List.copyOf(waiting)) {
                 Map<String, StoreItem> changed = new HashMap<>();
                 history.stream()
-                        .filter(item -> item.revision().number() > call.after)
+                        .filter(item -> item.revision().number() > watch.after())
                         .forEach(item -> changed.put(item.key(), item));
                 if (!changed.isEmpty()) {
-                    waiting.remove(call);
+                    waiting.remove(watch);
                     if (treatment == Treatment.SERVED) {
-                        respond(
-                                call,
-                                new StoreResult.Success<>(
-                                        new StorePage(List.copyOf(changed.values()), revision(), false)));
+                        respond(watch.call(), new StorePage(List.copyOf(changed.values()), revision(), false));
                     }
                 }
             }
         }
 
         private void cutWatch() {
-            for (Call call : List.copyOf(waiting)) {
-                waiting.remove(call);
+            for (Watch watch : List.copyOf(waiting)) {
+                waiting.remove(watch);
                 if (treatment != Treatment.UNANSWERED) {
-                    timer.accept(
-                            ONE_WAY_MILLISECONDS,
-                            () -> process.accept(() -> complete(call, new StoreResult.Unavailable<>("reset"))));
+                    fail(watch.call(), "reset");
                 }
             }
         }
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
@@ -8,18 +8,16 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.IntFunction;
 import org.pollenhoist.common.MonotonicTime;
 import org.pollenhoist.serving.http.BufferedHttpClient;
 import org.pollenhoist.serving.http.Target;
@@ -29,7 +27,6 @@
 import org.pollenhoist.serving.placement.DemandRates;
 import org.pollenhoist.serving.store.StoreEras;
 import org.pollenhoist.serving.store.StoreItem;
-import org.pollenhoist.serving.store.StoreListener;
 import org.pollenhoist.serving.store.StoreMirror;
 import org.pollenhoist.serving.upstream.Upstream;
 import org.pollenhoist.serving.upstream.UpstreamNoticeHandler;
@@ -49,16 +46,16 @@
 
     private static final double LOSS_RATE = 0.01;
     private static final Duration UPSTREAM_HEARTBEAT = Duration.ofMillis(1_200);
+    private static final int RELAY_REQUEST_BYTES = 200;
     private static final int OK = 200;
 
-    private record Event(long at, long number, Runnable action) {}
-
     /** A VM, whose processes follow each other. */
     final class Vm {
 
         final String name;
         final String failureDomain;
         private final InetSocketAddress address;
+        private final SimulatedLink link;
         private VmProcess process;
         private long incarnation;
         private boolean isFrozen;
@@ -70,10 +67,11 @@
         private long version;
         private long bytes;
 
-        private Vm(int index, int domains) {
+        private Vm(int index, int domains, SimulatedLink link) {
             this.failureDomain = "domain-" + index % domains;
             this.name = "frontend-" + failureDomain + '-' + index;
             this.address = addressOf(index);
+            this.link = link;
             this.disturbedUntil = now();
         }
 
@@ -179,8 +177,8 @@
             if (lookIntervalMilliseconds == 0) {
                 runNow(owner, action);
             } else {
-                long sinceLook =
-                        (milliseconds + (long) LOOK_OFFSET_MILLISECONDS * address.getPort()) % lookIntervalMilliseconds;
+                long sinceLook = (clock.milliseconds() + (long) LOOK_OFFSET_MILLISECONDS * address.getPort())
+                        % lookIntervalMilliseconds;
                 after(lookIntervalMilliseconds - sinceLook, () -> runNow(owner, action));
             }
         }
@@ -202,7 +200,7 @@
     }
 
     /** One process with the components that keep its copy of the store. */
-    private final class VmProcess implements DigestExchange.LocalVm, StoreListener {
+    private final class VmProcess implements VmWithoutEngines {
 
         private final Vm vm;
         private final DigestCodec codec;
@@ -239,7 +237,7 @@
                     new DemandRates(),
                     crashes,
                     this);
-            this.access = store.access(eras, action -> vm.run(this, action));
+            this.access = store.access(eras, vm.link, action -> vm.run(this, action));
             this.mirror = new StoreMirror(new SimulatedLoop(), StoreFleet.this::now, access, this, this::batchingDelay);
             this.relay = new StoreRelayExchange(this::call, peers, mirror, eras, StoreFleet.this::now);
             StoreStanding standing =
@@ -275,7 +273,7 @@
                 Vm to = vms.get(receiver.getPort() - 1);
                 vm.bytes += sent.length;
                 if (random.nextDouble() >= LOSS_RATE && !isPartitioned(vm, to)) {
-                    after(LINK_DELAY_MILLISECONDS, () -> {
+                    transfer(vm, to, sent.length, () -> {
                         VmProcess reached = to.process;
                         if (reached != null) {
                             to.run(reached, () -> reached.peers.receive(sent, vm.address));
@@ -292,56 +290,45 @@
                 Consumer<BufferedHttpClient.Result> callback) {
             String uri = request.uri();
             request.release();
-            boolean[] isComplete = {false};
-            Consumer<BufferedHttpClient.Result> complete = result -> {
-                if (!isComplete[0]) {
-                    isComplete[0] = true;
-                    callback.accept(result);
-                }
-            };
-            later(timeout.toMillis(), () -> complete.accept(new BufferedHttpClient.Result.Failed(true, "no response")));
+            SimulatedCall<BufferedHttpClient.Result> call = new SimulatedCall<>(result -> {
+                relays.end(result);
+                callback.accept(result);
+            });
+            call.giveUpAfter(timeout, this::later, new BufferedHttpClient.Result.Failed(true, "no response"));
             Vm to = vms.get(target.address().getPort() - 1);
             VmProcess reached = to.process;
-            if (reached == null || isPartitioned(vm, to)) {
-                return;
+            if (reached != null && !isPartitioned(vm, to)) {
+                transfer(vm, to, RELAY_REQUEST_BYTES, () -> to.run(reached, () -> relay(uri, reached, call)));
             }
-            after(
+        }
+
+        private void relay(String uri, VmProcess relaying, SimulatedCall<BufferedHttpClient.Result> call) {
+            byte[] body = relaying.relay.changesFor(uri).toByteArray();
+            relaying.vm.bytes += body.length;
+            relays.begin(vm, relaying.vm, call);
+            call.receives(SimulatedTransfer.begin(
+                    clock,
+                    relaying.vm.link,
+                    vm.link,
                     LINK_DELAY_MILLISECONDS,
-                    () -> to.run(reached, () -> {
-                        byte[] body = reached.relay.changesFor(uri).toByteArray();
-                        to.bytes += body.length;
-                        later(
-                                LINK_DELAY_MILLISECONDS,
-                                () -> complete.accept(
-                                        new BufferedHttpClient.Result.Answered(OK, EmptyHttpHeaders.INSTANCE, body)));
-                    }));
+                    body.length,
+                    () -> !call.isComplete() && vm.process == this && relaying.vm.process == relaying,
+                    () -> vm.run(
+                            this,
+                            () -> call.complete(
+                                    new BufferedHttpClient.Result.Answered(OK, EmptyHttpHeaders.INSTANCE, body)))));
         }
 
         @Override
         public void onWritten(StoreItem item) {
             if (item.key().equals(CONFIGURATION)) {
-                vm.install(Long.parseLong(new String(item.value(), StandardCharsets.UTF_8)));
+                vm.install(SimulatedConfiguration.versionOf(item.value()));
             } else if (item.key().startsWith(VM_PREFIX)) {
                 Vm peer = vms.get(Integer.parseInt(item.key().substring(VM_PREFIX.length())));
                 peers.putPeer(peer.name, peer.address, peer.failureDomain);
             }
         }
 
-        @Override
-        public void onRemoved(String key) {
-            // Nothing is removed that a configuration depends on.
-        }
-
-        @Override
-        public void onListed() {
-            // There is no placement leader.
-        }
-
-        @Override
-        public boolean mayBeRewritten(String key) {
-            return false;
-        }
-
         @Override
         public VmDigest createDigest(long sequence, boolean hasDemand, Collection<Upstream> engines, MonotonicTime at) {
             return codec.write(
@@ -377,26 +364,6 @@
             return upstreams.all();
         }
 
-        @Override
-        public boolean isSendingOrders(MonotonicTime at) {
-            return false;
-        }
-
-        @Override
-        public boolean hasUrgentNotices(MonotonicTime at) {
-            return false;
-        }
-
-        @Override
-        public void onResidentModelsChanged(MonotonicTime at) {
-            // There are no engines.
-        }
-
-        @Override
-        public void onPeerModelRequests(MonotonicTime at) {
-            // There is no placement leader.
-        }
-
         /** Runs what the mirror schedules on the simulated clock. */
         private final class SimulatedLoop extends DefaultEventLoop {
 
@@ -410,24 +377,35 @@
 
     final List<Vm> vms = new ArrayList<>();
     final SimulatedHistoryStore store;
+    final RelayTraffic relays = new RelayTraffic();
+    private final SimulatedClock clock = new SimulatedClock();
     private final Random random;
     private final Duration bound;
-    private final PriorityQueue<Event> events =
-            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
     private Consumer<Vm> installed = vm -> {};
     private Set<String> partitionedDomains = Set.of();
     private long configured;
+    private int configurationBytes;
     private long treatments;
-    private long milliseconds = 1_000_000;
-    private long nextNumber;
     private long lookIntervalMilliseconds;
 
+    /** Creates a fleet whose links carry everything at once. */
     StoreFleet(int size, int domains, Duration bound, long seed) {
+        this(size, domains, bound, seed, SimulatedLink.unlimited(), index -> SimulatedLink.unlimited());
+    }
+
+    /** Creates a fleet whose links carry only so much in a time. */
+    StoreFleet(
+            int size,
+            int domains,
+            Duration bound,
+            long seed,
+            SimulatedLink storeLink,
+            IntFunction<SimulatedLink> links) {
         this.random = new Random(seed);
         this.bound = bound;
-        this.store = new SimulatedHistoryStore(this::after, random);
+        this.store = new SimulatedHistoryStore(clock, storeLink, random);
         for (int index = 0; index < size; index++) {
-            vms.add(new Vm(index, domains));
+            vms.add(new Vm(index, domains, links.apply(index)));
             store.write(VM_PREFIX + index, new byte[0]);
         }
         configure(1);
@@ -450,7 +428,12 @@
     /** Writes a version of the configuration. */
     void configure(long version) {
         configured = version;
-        store.write(CONFIGURATION, Long.toString(version).getBytes(StandardCharsets.UTF_8));
+        store.write(CONFIGURATION, SimulatedConfiguration.of(version, configurationBytes));
+    }
+
+    /** Sets the size that versions of the configuration have from now on. */
+    void setConfigurationBytes(int bytes) {
+        configurationBytes = bytes;
     }
 
     /** Writes the newest version again, as the operator does when the store has lost it. */
@@ -479,20 +462,18 @@
     }
 
     MonotonicTime now() {
-        return MonotonicTime.of(Duration.ofMillis(milliseconds));
+        return clock.now();
     }
 
     void after(long delayMilliseconds, Runnable action) {
-        events.add(new Event(milliseconds + delayMilliseconds, nextNumber++, action));
+        clock.after(delayMilliseconds, action);
     }
 
     void run(long durationMilliseconds) {
-        long end = milliseconds + durationMilliseconds;
-        while (!events.isEmpty() && events.peek().at() <= end) {
-            Event event = events.poll();
-            milliseconds = event.at();
-            event.action().run();
-        }
-        milliseconds = end;
+        clock.run(durationMilliseconds);
+    }
+
+    private void transfer(Vm from, Vm to, int bytes, Runnable whole) {
+        SimulatedTransfer.begin(clock, from.link, to.link, LINK_DELAY_MILLISECONDS, bytes, whole);
     }
 }
