Merge the bound on progress into the simulated fleets

SimulatedCall gives a call up as BufferedHttpClient does now: if the first bytes haven't come within `beginning`, or a period of `progress` from then on brings less than 8 KiB; the simulated store as PlatformStore (listing 1 s and 1 s, watch its wait + 400 ms and 400 ms).

--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedHistoryStore.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedHistoryStore.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.pollenhoist.serving.http.ResponseTimeout;
 import org.pollenhoist.serving.store.Store;
 import org.pollenhoist.serving.store.StoreEras;
 import org.pollenhoist.serving.store.StoreItem;
@@ -26,8 +27,12 @@
     /** Size of what stands beside a value in an item: names, key and revision. */
     private static final int ITEM_BYTES = 100;
 
-    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+    /** As in the adapter of the platform's store, which these tests can't see. */
+    private static final ResponseTimeout CALL_TIMEOUT =
+            new ResponseTimeout(Duration.ofSeconds(1), Duration.ofSeconds(1));
+
     private static final Duration WATCH_GRACE_PERIOD = Duration.ofMillis(400);
+    private static final Duration WATCH_PROGRESS_PERIOD = Duration.ofMillis(400);
 
     /** How the store treats the calls of one VM. */
     enum Treatment {
@@ -167,7 +172,7 @@
             }
             SimulatedCall<StoreResult<StorePage>> call = send(
                     callback,
-                    wait.plus(WATCH_GRACE_PERIOD),
+                    new ResponseTimeout(wait.plus(WATCH_GRACE_PERIOD), WATCH_PROGRESS_PERIOD),
                     () -> waiting.removeIf(watch -> watch.call().isComplete()));
             request(() -> {
                 if (!isAccepted(call)) {
@@ -189,13 +194,13 @@
         }
 
         private SimulatedCall<StoreResult<StorePage>> send(
-                Consumer<StoreResult<StorePage>> callback, Duration timeout, Runnable ended) {
+                Consumer<StoreResult<StorePage>> callback, ResponseTimeout timeout, Runnable ended) {
             calls++;
             SimulatedCall<StoreResult<StorePage>> call = new SimulatedCall<>(result -> {
                 ended.run();
                 callback.accept(result);
             });
-            call.giveUpAfter(
+            call.giveUpWithoutProgress(
                     timeout,
                     (delay, action) -> clock.after(delay, () -> process.accept(action)),
                     new StoreResult.Unavailable<>("no response"));
--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedTransfer.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedTransfer.java
@@ -21,6 +21,7 @@
     private final long bytes;
     private final BooleanSupplier isWanted;
     private final Runnable whole;
+    private Runnable begun = () -> {};
     private long sentBytes;
     private long receivedBytes;
 
@@ -93,7 +94,11 @@
     }
 
     private void receive(long segment) {
+        boolean isFirst = receivedBytes == 0;
         receivedBytes += segment;
+        if (isFirst && receivedBytes < bytes) {
+            begun.run();
+        }
         if (receivedBytes == bytes) {
             whole.run();
         } else {
@@ -101,6 +106,11 @@
         }
     }
 
+    /** Sets what runs when the first bytes have come, unless these are all. */
+    void whenBegun(Runnable action) {
+        begun = action;
+    }
+
     long receivedBytes() {
         return receivedBytes;
     }
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
@@ -19,7 +19,8 @@
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.serving.http.BufferedHttpClient;
+import org.pollenhoist.serving.http.BufferedHttpClient.Result;
+import org.pollenhoist.serving.http.ResponseTimeout;
 import org.pollenhoist.serving.http.Target;
 import org.pollenhoist.serving.limit.FleetRateLimiter;
 import org.pollenhoist.serving.peer.PeerExchange;
@@ -283,18 +284,14 @@
             }
         }
 
-        private void call(
-                Target target,
-                FullHttpRequest request,
-                Duration timeout,
-                Consumer<BufferedHttpClient.Result> callback) {
+        private void call(Target target, FullHttpRequest request, ResponseTimeout timeout, Consumer<Result> callback) {
             String uri = request.uri();
             request.release();
-            SimulatedCall<BufferedHttpClient.Result> call = new SimulatedCall<>(result -> {
+            SimulatedCall<Result> call = new SimulatedCall<>(result -> {
                 relays.end(result);
                 callback.accept(result);
             });
-            call.giveUpAfter(timeout, this::later, new BufferedHttpClient.Result.Failed(true, "no response"));
+            call.giveUpWithoutProgress(timeout, this::later, new Result.Failed(true, "no response"));
             Vm to = vms.get(target.address().getPort() - 1);
             VmProcess reached = to.process;
             if (reached != null && !isPartitioned(vm, to)) {
@@ -302,7 +299,7 @@
             }
         }
 
-        private void relay(String uri, VmProcess relaying, SimulatedCall<BufferedHttpClient.Result> call) {
+        private void relay(String uri, VmProcess relaying, SimulatedCall<Result> call) {
             byte[] body = relaying.relay.changesFor(uri).toByteArray();
             relaying.vm.bytes += body.length;
             relays.begin(vm, relaying.vm, call);
@@ -313,10 +310,7 @@
                     LINK_DELAY_MILLISECONDS,
                     body.length,
                     () -> !call.isComplete() && vm.process == this && relaying.vm.process == relaying,
-                    () -> vm.run(
-                            this,
-                            () -> call.complete(
-                                    new BufferedHttpClient.Result.Answered(OK, EmptyHttpHeaders.INSTANCE, body)))));
+                    () -> vm.run(this, () -> call.complete(new Result.Answered(OK, EmptyHttpHeaders.INSTANCE, body)))));
         }
 
         @Override
