Merge compressed relays into the simulated fleets

A relay goes through the links with the bytes that StoreRelayServer sends; the server hears of its end when the last byte has come, or when it finds that nobody wants the rest. A refusal (503) is a small response.

--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedTransfer.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedTransfer.java
@@ -22,6 +22,8 @@
     private final BooleanSupplier isWanted;
     private final Runnable whole;
     private Runnable begun = () -> {};
+    private Runnable stopped = () -> {};
+    private boolean isStopped;
     private long sentBytes;
     private long receivedBytes;
 
@@ -82,7 +84,12 @@
 
     private void sendSegment() {
         long segment = Math.min(SEGMENT_BYTES, bytes - sentBytes);
-        if (segment == 0 || !isWanted.getAsBoolean()) {
+        if (segment == 0 || isStopped) {
+            return;
+        }
+        if (!isWanted.getAsBoolean()) {
+            isStopped = true;
+            stopped.run();
             return;
         }
         sentBytes += segment;
@@ -111,6 +118,11 @@
         begun = action;
     }
 
+    /** Sets what runs when the sender finds that nobody wants the rest. */
+    void whenStopped(Runnable action) {
+        stopped = action;
+    }
+
     long receivedBytes() {
         return receivedBytes;
     }
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
@@ -3,6 +3,7 @@
 import io.netty.channel.DefaultEventLoop;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetAddress;
@@ -49,6 +50,8 @@
     private static final Duration UPSTREAM_HEARTBEAT = Duration.ofMillis(1_200);
     private static final int RELAY_REQUEST_BYTES = 200;
     private static final int OK = 200;
+    private static final int BUSY = 503;
+    private static final byte[] EMPTY = new byte[0];
 
     /** A VM, whose processes follow each other. */
     final class Vm {
@@ -300,17 +303,36 @@
         }
 
         private void relay(String uri, VmProcess relaying, SimulatedCall<Result> call) {
-            byte[] body = relaying.relay.changesFor(uri).toByteArray();
-            relaying.vm.bytes += body.length;
+            StoreRelayServer server = relaying.relay.server();
+            Optional<StoreRelayServer.Relay> begun = server.begin(uri);
+            if (begun.isEmpty()) {
+                transfer(
+                        relaying.vm,
+                        vm,
+                        RELAY_REQUEST_BYTES,
+                        () -> answer(call, BUSY, EmptyHttpHeaders.INSTANCE, EMPTY));
+                return;
+            }
+            StoreRelayServer.Relay relay = begun.get();
+            relaying.vm.bytes += relay.bytes().length;
             relays.begin(vm, relaying.vm, call);
-            call.receives(SimulatedTransfer.begin(
+            SimulatedTransfer transfer = SimulatedTransfer.begin(
                     clock,
                     relaying.vm.link,
                     vm.link,
                     LINK_DELAY_MILLISECONDS,
-                    body.length,
+                    relay.bytes().length,
                     () -> !call.isComplete() && vm.process == this && relaying.vm.process == relaying,
-                    () -> vm.run(this, () -> call.complete(new Result.Answered(OK, EmptyHttpHeaders.INSTANCE, body)))));
+                    () -> {
+                        server.end(relay);
+                        answer(call, OK, StoreRelayServer.headers(relay), relay.bytes());
+                    });
+            transfer.whenStopped(() -> server.end(relay));
+            call.receives(transfer);
+        }
+
+        private void answer(SimulatedCall<Result> call, int status, HttpHeaders headers, byte[] body) {
+            vm.run(this, () -> call.complete(new Result.Answered(status, headers, body)));
         }
 
         @Override
