Merge the choice of relays' sources and wide followers into the simulated fleets

Each VM's digest names the bandwidth of its simulated link. Refusals (503) are counted apart from whole relays.

--- a/serving/src/test/java/org/pollenhoist/serving/node/DigestCodecTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/DigestCodecTest.java
@@ -47,6 +47,8 @@
 
     private static final long HIGHEST_FENCING_TOKEN = 51;
 
+    private static final int LINK_MEGABITS = 140;
+
     private static final StoreRevision REVISION = new StoreRevision(3, 2);
 
     /** Space for a name of twenty characters and two numbers. */
@@ -54,7 +56,7 @@
 
     private static VmDigest write(Optional<VmDemand> demand, Optional<Leadership.Resignation> resignation)
             throws InvalidProtocolBufferException {
-        VmDigest written = new DigestCodec("vm-1", "north", 5)
+        VmDigest written = new DigestCodec("vm-1", "north", 5, LINK_MEGABITS)
                 .write(
                         1,
                         REVISION,
@@ -117,6 +119,47 @@
         }
     }
 
+    @Nested
+    class Departures {
+
+        /** What a VM may use for control each second, and the digests that it sends in it in a domain of 21 VMs. */
+        private static final int MAX_CONTROL_BYTES_PER_SECOND = 16_384;
+
+        private static final int DIGESTS_PER_SECOND = 48;
+
+        @Test
+        void should_stay_within_the_target_for_control_when_all_engines_of_a_large_fleet_are_replaced()
+                throws InvalidProtocolBufferException {
+            VmDigest without = DigestCodecTest.write(Optional.empty(), Optional.empty());
+            UpstreamTable upstreams = new UpstreamTable();
+            for (int index = 0; index < 2_200; index++) {
+                upstreams.put(upstream("i-%010x".formatted(index)), NOW);
+                upstreams.remove("i-%010x".formatted(index), "entry removed", NOW);
+            }
+
+            VmDigest digest = DigestCodec.withDepartures(without, upstreams.recentDepartures(NOW));
+
+            assertThat(digest.getDepartedUpstreamsCount()).isPositive();
+            assertThat((digest.getSerializedSize() - without.getSerializedSize()) * DIGESTS_PER_SECOND)
+                    .isLessThanOrEqualTo(MAX_CONTROL_BYTES_PER_SECOND);
+        }
+
+        private static UpstreamDescription upstream(String name) {
+            return new UpstreamDescription(
+                    name,
+                    1_796_662_800_000L,
+                    "app",
+                    "v1",
+                    new InetSocketAddress(1),
+                    "north",
+                    4,
+                    false,
+                    0,
+                    List.of(),
+                    Set.of());
+        }
+    }
+
     private static VmDemand demandFor(int models) {
         Map<String, RecentWork> work = new HashMap<>();
         for (int model = 0; model < models; model++) {
@@ -125,6 +168,16 @@
         return new VmDemand(work, Duration.ofMillis(2_500));
     }
 
+    @Nested
+    class Link {
+
+        @Test
+        void should_be_named_in_megabits_per_second() throws InvalidProtocolBufferException {
+            assertThat(write(Optional.empty(), Optional.empty()).getLinkMegabits())
+                    .isEqualTo(LINK_MEGABITS);
+        }
+    }
+
     @Nested
     class Demand {
 
@@ -169,7 +222,7 @@
         private final UpstreamTable upstreams = new UpstreamTable();
 
         private VmDigest write() throws InvalidProtocolBufferException {
-            VmDigest written = new DigestCodec("vm-1", "north", 5)
+            VmDigest written = new DigestCodec("vm-1", "north", 5, LINK_MEGABITS)
                     .write(
                             1,
                             REVISION,
--- a/serving/src/test/java/org/pollenhoist/serving/node/LargeConfigurationTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/LargeConfigurationTest.java
@@ -23,9 +23,9 @@
     /** The longest value that the store takes. */
     private static final int LARGEST_BYTES = 1 << 20;
 
-    private static final double STORE_MEGABITS_PER_SECOND = 1_000;
-    private static final double WIDE_MEGABITS_PER_SECOND = 140;
-    private static final double NARROW_MEGABITS_PER_SECOND = 7;
+    private static final int STORE_MEGABITS_PER_SECOND = 1_000;
+    private static final int WIDE_MEGABITS_PER_SECOND = 140;
+    private static final int NARROW_MEGABITS_PER_SECOND = 7;
     private static final int WIDE_LINKS_OF_A_DOMAIN = 2;
 
     private static ChangePropagation.LargeChanges changeTenTimes(
--- a/serving/src/test/java/org/pollenhoist/serving/node/RelayTraffic.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/RelayTraffic.java
@@ -9,11 +9,15 @@
 /** Counts who asks whom for relays in a simulated fleet, and what becomes of it. */
 final class RelayTraffic {
 
+    private static final int OK = 200;
+
     private final Map<String, Long> askedOf = new HashMap<>();
     private final Map<String, List<SimulatedCall<?>>> serving = new HashMap<>();
     private long relays;
     private long toOtherDomains;
     private long whole;
+    private long refused;
+    private long givenUp;
     private long mostAtOnce;
 
     /** Records that a VM begins to relay. */
@@ -29,14 +33,18 @@
 
     /** Records the end of a call. */
     void end(BufferedHttpClient.Result result) {
-        whole += result instanceof BufferedHttpClient.Result.Answered ? 1 : 0;
+        switch (result) {
+            case BufferedHttpClient.Result.Answered answered when answered.status() == OK -> whole++;
+            case BufferedHttpClient.Result.Answered answered -> refused++;
+            case BufferedHttpClient.Result.Failed failed -> givenUp++;
+        }
     }
 
     @Override
     public String toString() {
         long mostAsked =
                 askedOf.values().stream().mapToLong(Long::longValue).max().orElse(0);
-        return "%d relays begun, %d whole, %d to other domains, at most %d of one VM and %d of one VM at once"
-                .formatted(relays, whole, toOtherDomains, mostAsked, mostAtOnce);
+        return "%d relays begun, %d whole, %d given up, %d refused, %d to other domains, most of one VM %d, at once %d"
+                .formatted(relays, whole, givenUp, refused, toOtherDomains, mostAsked, mostAtOnce);
     }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedLink.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedLink.java
@@ -24,17 +24,17 @@
 
     private final Direction outgoing;
     private final Direction incoming;
-    private final boolean isLimited;
+    private final int megabitsPerSecond;
 
-    private SimulatedLink(double bytesPerMillisecond) {
+    private SimulatedLink(int megabitsPerSecond, double bytesPerMillisecond) {
+        this.megabitsPerSecond = megabitsPerSecond;
         this.outgoing = new Direction(bytesPerMillisecond);
         this.incoming = new Direction(bytesPerMillisecond);
-        this.isLimited = Double.isFinite(bytesPerMillisecond);
     }
 
     /** Creates a link that carries everything at once. */
     static SimulatedLink unlimited() {
-        return new SimulatedLink(Double.POSITIVE_INFINITY);
+        return new SimulatedLink(0, Double.POSITIVE_INFINITY);
     }
 
     /**
@@ -43,8 +43,9 @@
      * @param megabitsPerSecond its bandwidth in each direction
      * @param callersShare the share of it that callers' traffic takes all the time
      */
-    static SimulatedLink of(double megabitsPerSecond, double callersShare) {
-        return new SimulatedLink(megabitsPerSecond * (1 - callersShare) * BYTES_PER_MILLISECOND_OF_MEGABIT);
+    static SimulatedLink of(int megabitsPerSecond, double callersShare) {
+        double bytesPerMillisecond = megabitsPerSecond * (1 - callersShare) * BYTES_PER_MILLISECOND_OF_MEGABIT;
+        return new SimulatedLink(megabitsPerSecond, bytesPerMillisecond);
     }
 
     Direction outgoing() {
@@ -55,7 +56,12 @@
         return incoming;
     }
 
+    /** Returns the bandwidth in each direction, callers' share included, or 0 for no limit. */
+    int megabitsPerSecond() {
+        return megabitsPerSecond;
+    }
+
     boolean isLimited() {
-        return isLimited;
+        return megabitsPerSecond > 0;
     }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedTransferTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedTransferTest.java
@@ -14,7 +14,7 @@
     /** What a link of 8 Mbit/s carries in 100 ms. */
     private static final long BYTES = 100_000;
 
-    private static final double MEGABITS_PER_SECOND = 8;
+    private static final int MEGABITS_PER_SECOND = 8;
     private static final long DELAY_MILLISECONDS = 1;
 
     private final SimulatedClock clock = new SimulatedClock();
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
@@ -6,9 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -58,6 +56,9 @@
 
         final String name;
         final String failureDomain;
+        /** Bandwidth of the link that the settings of the next process name. */
+        int linkMegabits;
+
         private final InetSocketAddress address;
         private final SimulatedLink link;
         private VmProcess process;
@@ -74,8 +75,9 @@
         private Vm(int index, int domains, SimulatedLink link) {
             this.failureDomain = "domain-" + index % domains;
             this.name = "frontend-" + failureDomain + '-' + index;
-            this.address = addressOf(index);
+            this.address = SimulatedExchange.addressOf(index);
             this.link = link;
+            this.linkMegabits = link.megabitsPerSecond();
             this.disturbedUntil = now();
         }
 
@@ -221,7 +223,7 @@
 
         private VmProcess(Vm vm, long incarnation) {
             this.vm = vm;
-            this.codec = new DigestCodec(vm.name, vm.failureDomain, incarnation);
+            this.codec = new DigestCodec(vm.name, vm.failureDomain, incarnation, vm.linkMegabits);
             this.crashes = new CrashTracking(
                     vm.name,
                     StoreFleet.this::now,
@@ -243,7 +245,8 @@
                     this);
             this.access = store.access(eras, vm.link, action -> vm.run(this, action));
             this.mirror = new StoreMirror(new SimulatedLoop(), StoreFleet.this::now, access, this, this::batchingDelay);
-            this.relay = new StoreRelayExchange(this::call, peers, mirror, eras, StoreFleet.this::now);
+            RelaySources sources = new RelaySources(vm.failureDomain, vm.name);
+            this.relay = new StoreRelayExchange(this::call, peers, sources, mirror, eras, StoreFleet.this::now);
             StoreStanding standing =
                     new StoreStanding(vm.failureDomain, mirror::revision, mirror::knownAsOf, eras, peers, now());
             this.synchronizer = new StoreSynchronizer(mirror, relay, digests, standing, now());
@@ -375,6 +378,11 @@
             return vm.failureDomain;
         }
 
+        @Override
+        public int linkMegabits() {
+            return vm.linkMegabits;
+        }
+
         @Override
         public Collection<Upstream> engines() {
             return upstreams.all();
@@ -428,14 +436,6 @@
         vms.forEach(vm -> after(random.nextInt(TICK_MILLISECONDS), vm::start));
     }
 
-    private static InetSocketAddress addressOf(int index) {
-        try {
-            return new InetSocketAddress(InetAddress.getByAddress(new byte[] {10, 0, 0, 1}), index + 1);
-        } catch (UnknownHostException unexpected) {
-            throw new IllegalStateException(unexpected);
-        }
-    }
-
     /** Lets the event loop of each VM look at its sockets and timers no more often than this. */
     void lookEvery(Duration interval) {
         lookIntervalMilliseconds = interval.toMillis();
