--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
@@ -44,11 +44,13 @@
     private final String vmName;
     private final String failureDomain;
     private final long incarnation;
+    private final int linkMegabits;
 
-    DigestCodec(String vmName, String failureDomain, long incarnation) {
+    DigestCodec(String vmName, String failureDomain, long incarnation, int linkMegabits) {
         this.vmName = vmName;
         this.failureDomain = failureDomain;
         this.incarnation = incarnation;
+        this.linkMegabits = linkMegabits;
     }
 
     VmDigest write(
@@ -71,6 +73,7 @@
                 .setVmName(vmName)
                 .setFailureDomain(failureDomain)
                 .setIncarnation(incarnation)
+                .setLinkMegabits(linkMegabits)
                 .setSequence(sequence)
                 .setStoreRevision(storeRevision.number())
                 .setStoreEra(storeRevision.era())
@@ -145,6 +148,18 @@
                 : digest;
     }
 
+    /** Adds the upstreams whose entries in the store say that they leave or are gone. */
+    static VmDigest withDepartures(VmDigest digest, List<org.pollenhoist.request.UpstreamLifetime> departed) {
+        if (departed.isEmpty()) {
+            return digest;
+        }
+        VmDigest.Builder extended = digest.toBuilder();
+        departed.forEach(lifetime -> extended.addDepartedUpstreams(UpstreamLifetime.newBuilder()
+                .setUpstream(lifetime.upstream().value())
+                .setStartedMilliseconds(lifetime.startedMilliseconds())));
+        return extended.build();
+    }
+
     /** Reads the revision of the sender's configuration, empty if it has none of its store's era or doesn't name it. */
     static Optional<StoreRevision> configurationRevision(VmDigest digest) {
         return digest.hasStoreEra() && digest.hasConfigurationRevision()
