--- a/serving/src/main/java/org/pollenhoist/serving/request/RequestAdmission.java
+++ b/serving/src/main/java/org/pollenhoist/serving/request/RequestAdmission.java
@@ -16,7 +16,7 @@
 /**
  * Decides whether a request is admitted: it has to be well formed, match a route to a configured service, present the
  * key of a team if the route needs one, and fit into the team's rate limit. A VM that may lack a newer configuration
- * refuses nothing for good by its own. Confined to the event loop.
+ * refuses for now what its own does not allow. Confined to the event loop.
  */
 final class RequestAdmission {
 
--- a/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamTable.java
+++ b/serving/src/main/java/org/pollenhoist/serving/upstream/UpstreamTable.java
@@ -202,8 +202,8 @@
     }
 
     /**
-     * Returns the upstreams whose entries say that they leave or were removed lately, and of which peers aren't told
-     * because the upstreams said so themselves.
+     * Returns the upstreams whose entries say that they leave, or were removed lately. Those that said so themselves
+     * are left out, since peers are told of them anyway.
      *
      * @param now the current time
      * @return a limited number of them, the newest one first
