Set the log level in the test of the event loop's delay

Seen in a whole run of serving's tests: EventLoopDelayTest.should_log_a_delay_that_is_long found no line. It takes the level of the logger `pollenhoist` as the tests before it left it, and DigestExchangeTest leaves WARN.

The test now sets the level and restores it, as StoreStandingTest does; what it asserts is unchanged.

--- a/serving/src/test/java/org/pollenhoist/serving/node/EventLoopDelayTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/EventLoopDelayTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
@@ -25,16 +26,19 @@
     private final EventLoopDelay delay = new EventLoopDelay(INTERVAL, registry, START);
     private final ListAppender<ILoggingEvent> log = new ListAppender<>();
     private final Logger logger = (Logger) LoggerFactory.getLogger("pollenhoist.node");
+    private final Level levelBefore = logger.getLevel();
 
     @BeforeEach
     void captureLog() {
         log.start();
+        logger.setLevel(Level.INFO);
         logger.addAppender(log);
     }
 
     @AfterEach
     void releaseLog() {
         logger.detachAppender(log);
+        logger.setLevel(levelBefore);
     }
 
     private double observedSeconds() {
