--- a/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
+++ b/experiments/src/main/java/org/pollenhoist/experiments/Experiments.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.pollenhoist.experiments.configuration.ConfigurationRolloutExperiment;
+import org.pollenhoist.experiments.configuration.ConfigurationSizeExperiment;
 import org.pollenhoist.experiments.configuration.ConfigurationSpreadExperiment;
 import org.pollenhoist.experiments.limit.TeamLimitCostExperiment;
 import org.pollenhoist.experiments.limit.TeamLimitExperiment;
@@ -26,6 +27,7 @@
         experiments.add(new FleetCostExperiment());
         experiments.add(new ConfigurationSpreadExperiment());
         experiments.add(new ConfigurationRolloutExperiment());
+        experiments.add(new ConfigurationSizeExperiment());
         experiments.add(new TeamLimitExperiment());
         experiments.add(new TeamLimitCostExperiment());
         experiments.add(new RoutingBench());
