--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestCodec.java
@@ -133,6 +133,40 @@
         return new StoreRevision(digest.getStoreEra(), digest.getStoreRevision());
     }
 
+    /**
+     * Adds the revision of the configuration in force to a digest.
+     *
+     * @param configuration the revision of the newest configuration in the store that isn't newer than the one in force
+     *     here; left out unless it is of the era of the digest's revision of the store
+     */
+    static VmDigest withConfiguration(VmDigest digest, StoreRevision configuration) {
+        boolean isComparable = configuration.number() > 0 && configuration.isOfSameEra(storeRevision(digest));
+        return isComparable
+                ? digest.toBuilder()
+                        .setConfigurationRevision(configuration.number())
+                        .build()
+                : digest;
+    }
+
+    /** Adds the upstreams whose entries in the store say that they leave or are gone. */
+    static VmDigest withDepartures(VmDigest digest, List<org.pollenhoist.request.UpstreamLifetime> departed) {
+        if (departed.isEmpty()) {
+            return digest;
+        }
+        VmDigest.Builder extended = digest.toBuilder();
+        departed.forEach(lifetime -> extended.addDepartedUpstreams(UpstreamLifetime.newBuilder()
+                .setUpstream(lifetime.upstream().value())
+                .setStartedMilliseconds(lifetime.startedMilliseconds())));
+        return extended.build();
+    }
+
+    /** Reads the revision of the sender's configuration, empty if it has none of its store's era or doesn't name it. */
+    static Optional<StoreRevision> configurationRevision(VmDigest digest) {
+        return digest.hasStoreEra() && digest.hasConfigurationRevision()
+                ? Optional.of(new StoreRevision(digest.getStoreEra(), digest.getConfigurationRevision()))
+                : Optional.empty();
+    }
+
     /**
      * Reads which placement lease the sender has released, if any.
      *
--- a/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/FleetState.java
@@ -53,6 +53,7 @@
     private final StreamTracking streams;
     private final ConfigurationMetrics configurations;
     private Optional<Catalog> catalog = Optional.empty();
+    private StoreRevision configurationRevision = StoreRevision.NONE;
     private final Set<String> unreadableUpstreams = new HashSet<>();
     private boolean isLoaded;
     private boolean isRegistered;
@@ -87,6 +88,16 @@
         return catalog;
     }
 
+    /**
+     * Returns the revision of the newest configuration in the store that this VM has read and that isn't newer than the
+     * one in force here.
+     *
+     * @return its revision, {@link StoreRevision#NONE} before the first one
+     */
+    StoreRevision configurationRevision() {
+        return configurationRevision;
+    }
+
     @Override
     public void onWritten(StoreItem item) {
         if (item.key().equals(binding.catalogKey())) {
@@ -115,7 +126,7 @@
         if (key.startsWith(binding.upstreamPrefix())) {
             String identifier = key.substring(binding.upstreamPrefix().length());
             unreadableUpstreams.remove(identifier);
-            upstreams.remove(identifier, "entry removed");
+            upstreams.remove(identifier, "entry removed", clock.get());
         } else if (key.startsWith(binding.evacuationPrefix())) {
             upstreams.setEvacuated(evacuatedDomain(key), false, clock.get());
         } else if (key.startsWith(VM_PREFIX)) {
@@ -161,6 +172,7 @@
                     unreadable.getMessage());
             return;
         }
+        configurationRevision = item.revision();
         if (read.version() < activeVersion) {
             configurations.reject(ConfigurationMetrics.Rejection.OLDER);
             LOG.event(
@@ -212,7 +224,7 @@
             upstreams.put(description.get(), clock.get());
             unreadableUpstreams.remove(identifier);
         } else {
-            upstreams.remove(identifier, "unreadable entry at revision " + item.revision());
+            upstreams.remove(identifier, "unreadable entry at revision " + item.revision(), clock.get());
             if (unreadableUpstreams.add(identifier)) {
                 LOG.event("upstream_unreadable", "upstream", identifier, "revision", item.revision());
             }
--- a/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/ServingNode.java
@@ -82,6 +82,8 @@
     private final StoreMirror mirror;
     private final StoreRelayExchange relay;
     private final StoreSynchronizer synchronizer;
+    private final ConfigurationStanding configurationStanding;
+    private final ReportedDepartures departures;
     private final Leadership leadership;
     private final PlacementDriver placement;
     private final PlacementTrigger placementTrigger = new PlacementTrigger(this::after, bootClock::read, this::place);
@@ -96,7 +98,7 @@
     private final LeaseRequestStagger leaseRequests;
 
     private ServingSettings settings;
-    private MonotonicTime sweptAt;
+    private MonotonicTime sweptAt = bootClock.read();
 
     private ServingNode(ServingSettings settings, PlatformBinding binding, EventLoop loop) {
         this.settings = settings;
@@ -105,7 +107,6 @@
         MonotonicTime now = bootClock.read();
         retryBudgets = new RetryBudgets(settings, now);
         leaseRequests = new LeaseRequestStagger(now);
-        sweptAt = now;
         limits = new FleetRateLimiter(settings.isFirstStart(), this::fleetSize, this::announceSpending);
         connections =
                 new HttpConnectionPool(loop, bootClock::read, binding.singleResponseFields(), this::upstreamResponded);
@@ -116,7 +117,6 @@
         crashes = crashTracking(store);
         inconclusive = new InconclusiveAttempts(crashes.recorder());
         streams = streamTracking(store);
-        streams.register(registry);
         leadership = new Leadership(
                 store,
                 FleetState.LEADER_KEY,
@@ -137,7 +137,7 @@
                 streams,
                 new ConfigurationMetrics(registry, bootClock::read));
         mirror = new StoreMirror(loop, bootClock::read, store, state, this::batchingDelay);
-        relay = new StoreRelayExchange(client::call, peers, mirror, eras, bootClock::read);
+        relay = StoreRelayExchange.of(settings, client, peers, mirror, eras, bootClock::read);
         placement = new PlacementDriver(
                 this::after,
                 bootClock::read,
@@ -150,9 +150,11 @@
                 this::after, bootClock::read, peers, upstreams, notices, limits, demandRates, crashes, localVmState());
         presence = new FleetPresence(peers, digests, limits);
         rateShares = new RateShares(settings.vmName(), settings.failureDomain(), upstreams, peers, digests);
-        synchronizer = new StoreSynchronizer(mirror, relay, digests, storeStanding(now), now);
+        StoreStanding standing = storeStanding(now);
+        synchronizer = new StoreSynchronizer(mirror, relay, digests, standing, now);
+        configurationStanding = ConfigurationStanding.of(state, mirror, standing, eras, peers);
+        departures = new ReportedDepartures(upstreams, mirror::revision);
         forwarding = requestForwarding();
-        forwarding.register(registry);
         handler = new RequestHandler(environment());
         callers = new CallerServer(loop, bootClock::read, this::callerLimits, binding.singleRequestFields(), handler);
         endpoints = new InternalEndpoints(callers, binding.singleRequestFields());
@@ -163,6 +165,7 @@
         return new RequestEnvironment(
                 bootClock::read,
                 state::catalog,
+                configurationStanding::mayLackConfiguration,
                 upstreams,
                 notices,
                 limits,
@@ -215,6 +218,7 @@
                 settings,
                 incarnation,
                 mirror,
+                state::configurationRevision,
                 limits,
                 upstreams,
                 demand,
@@ -325,14 +329,18 @@
                         settings.peerAddress(),
                         forwarding.server(),
                         () -> RequestForwarding.limits(callerLimits()),
-                        relay::respond),
+                        relay.server()::respond),
                 datagrams.listen(settings.peerAddress(), peers::receive));
     }
 
     private void begin() {
         eras.register(registry);
+        streams.register(registry);
+        forwarding.register(registry);
+        relay.server().register(registry);
         callers.register(registry);
         rateShares.register(registry, bootClock::read);
+        configurationStanding.register(registry, bootClock::read);
         EvacuationMetrics.register(registry, upstreams, bootClock::read);
         eras.onChange(() -> leadership.onNewEra(bootClock.read()));
         eras.onChange(() -> mirror.onNewEra(bootClock.read()));
@@ -351,6 +359,8 @@
         handler.expire(now);
         mirror.applyDueRemovals(now);
         synchronizer.tick(now);
+        configurationStanding.update(now);
+        departures.update(now);
         presence.updateLimits(now);
         rateShares.update(stop.isStopping(), now);
         queue.tryStartAll(now);
@@ -427,6 +437,7 @@
 
     private void receive(PeerReport report) {
         relay.receive(report.digest());
+        departures.receive(report);
         leadership.onTokenUsed(report.digest().getHighestFencingToken());
         DigestCodec.resignation(report.digest(), eras, report.receivedAt()).ifPresent(leadership::onResignation);
         digests.receive(report);
--- a/serving/src/test/java/org/pollenhoist/serving/node/DigestCodecTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/DigestCodecTest.java
@@ -82,6 +82,84 @@
                 .isEqualTo(HIGHEST_FENCING_TOKEN);
     }
 
+    @Nested
+    class Configuration {
+
+        private static Optional<StoreRevision> readBack(StoreRevision configuration)
+                throws InvalidProtocolBufferException {
+            VmDigest digest = DigestCodecTest.write(Optional.empty(), Optional.empty());
+            VmDigest written = DigestCodec.withConfiguration(digest, configuration);
+            return DigestCodec.configurationRevision(VmDigest.parseFrom(written.toByteArray()));
+        }
+
+        @Test
+        void should_be_equal_after_writing_and_reading_when_it_is_of_the_era_of_the_store()
+                throws InvalidProtocolBufferException {
+            assertThat(readBack(new StoreRevision(3, 2))).contains(new StoreRevision(3, 2));
+        }
+
+        @Test
+        void should_be_absent_when_it_is_of_another_era() throws InvalidProtocolBufferException {
+            assertThat(readBack(new StoreRevision(2, 60))).isEmpty();
+        }
+
+        @Test
+        void should_be_absent_when_there_is_none() throws InvalidProtocolBufferException {
+            assertThat(readBack(StoreRevision.NONE)).isEmpty();
+        }
+
+        @Test
+        void should_go_to_other_failure_domains_with_the_summary() throws InvalidProtocolBufferException {
+            VmDigest digest = DigestCodec.withConfiguration(
+                    DigestCodecTest.write(Optional.empty(), Optional.empty()), new StoreRevision(3, 2));
+
+            VmDigest summary = DigestCodec.withDomainSummary(digest, DomainSummary.getDefaultInstance());
+
+            assertThat(DigestCodec.configurationRevision(summary)).contains(new StoreRevision(3, 2));
+        }
+    }
+
+    @Nested
+    class Departures {
+
+        /** What a VM may use for control each second, and the digests that it sends in it in a domain of 21 VMs. */
+        private static final int MAX_CONTROL_BYTES_PER_SECOND = 16_384;
+
+        private static final int DIGESTS_PER_SECOND = 48;
+
+        @Test
+        void should_stay_within_the_target_for_control_when_all_engines_of_a_large_fleet_are_replaced()
+                throws InvalidProtocolBufferException {
+            VmDigest without = DigestCodecTest.write(Optional.empty(), Optional.empty());
+            UpstreamTable upstreams = new UpstreamTable();
+            for (int index = 0; index < 2_200; index++) {
+                upstreams.put(upstream("i-%010x".formatted(index)), NOW);
+                upstreams.remove("i-%010x".formatted(index), "entry removed", NOW);
+            }
+
+            VmDigest digest = DigestCodec.withDepartures(without, upstreams.recentDepartures(NOW));
+
+            assertThat(digest.getDepartedUpstreamsCount()).isPositive();
+            assertThat((digest.getSerializedSize() - without.getSerializedSize()) * DIGESTS_PER_SECOND)
+                    .isLessThanOrEqualTo(MAX_CONTROL_BYTES_PER_SECOND);
+        }
+
+        private static UpstreamDescription upstream(String name) {
+            return new UpstreamDescription(
+                    name,
+                    1_796_662_800_000L,
+                    "app",
+                    "v1",
+                    new InetSocketAddress(1),
+                    "north",
+                    4,
+                    false,
+                    0,
+                    List.of(),
+                    Set.of());
+        }
+    }
+
     private static VmDemand demandFor(int models) {
         Map<String, RecentWork> work = new HashMap<>();
         for (int model = 0; model < models; model++) {
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreFleet.java
@@ -1,8 +1,8 @@
 package org.pollenhoist.serving.node;
 
 import io.netty.channel.DefaultEventLoop;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
@@ -19,7 +19,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.pollenhoist.common.MonotonicTime;
-import org.pollenhoist.serving.http.BufferedHttpClient;
+import org.pollenhoist.serving.http.BufferedHttpClient.Result;
+import org.pollenhoist.serving.http.ResponseTimeout;
 import org.pollenhoist.serving.http.Target;
 import org.pollenhoist.serving.limit.FleetRateLimiter;
 import org.pollenhoist.serving.peer.PeerExchange;
@@ -242,7 +243,8 @@
                     this);
             this.access = store.access(eras, action -> vm.run(this, action));
             this.mirror = new StoreMirror(new SimulatedLoop(), StoreFleet.this::now, access, this, this::batchingDelay);
-            this.relay = new StoreRelayExchange(this::call, peers, mirror, eras, StoreFleet.this::now);
+            RelaySources sources = new RelaySources(vm.failureDomain, vm.name);
+            this.relay = new StoreRelayExchange(this::call, peers, sources, mirror, eras, StoreFleet.this::now);
             StoreStanding standing =
                     new StoreStanding(vm.failureDomain, mirror::revision, mirror::knownAsOf, eras, peers, now());
             this.synchronizer = new StoreSynchronizer(mirror, relay, digests, standing, now());
@@ -286,21 +288,17 @@
             }
         }
 
-        private void call(
-                Target target,
-                FullHttpRequest request,
-                Duration timeout,
-                Consumer<BufferedHttpClient.Result> callback) {
+        private void call(Target target, FullHttpRequest request, ResponseTimeout timeout, Consumer<Result> callback) {
             String uri = request.uri();
             request.release();
             boolean[] isComplete = {false};
-            Consumer<BufferedHttpClient.Result> complete = result -> {
+            Consumer<Result> complete = result -> {
                 if (!isComplete[0]) {
                     isComplete[0] = true;
                     callback.accept(result);
                 }
             };
-            later(timeout.toMillis(), () -> complete.accept(new BufferedHttpClient.Result.Failed(true, "no response")));
+            later(timeout.beginning().toMillis(), () -> complete.accept(new Result.Failed(true, "no response")));
             Vm to = vms.get(target.address().getPort() - 1);
             VmProcess reached = to.process;
             if (reached == null || isPartitioned(vm, to)) {
@@ -309,12 +307,14 @@
             after(
                     LINK_DELAY_MILLISECONDS,
                     () -> to.run(reached, () -> {
-                        byte[] body = reached.relay.changesFor(uri).toByteArray();
-                        to.bytes += body.length;
+                        StoreRelayServer.Relay relay =
+                                reached.relay.server().begin(uri).orElseThrow();
+                        reached.relay.server().end(relay);
+                        to.bytes += relay.bytes().length;
+                        HttpHeaders headers = StoreRelayServer.headers(relay);
                         later(
                                 LINK_DELAY_MILLISECONDS,
-                                () -> complete.accept(
-                                        new BufferedHttpClient.Result.Answered(OK, EmptyHttpHeaders.INSTANCE, body)));
+                                () -> complete.accept(new Result.Answered(OK, headers, relay.bytes())));
                     }));
         }
 
