Let VMs with wide links represent their failure domain

Callers see nothing of it yet.

Change: the ranking of StoreFollowers becomes LinkRanking, and DomainRepresentative uses it too. A domain of equal or unnamed links chooses as before.

At 85 and 330 VMs with two wide ones a domain no narrow VM sends more than 60 datagrams a second.

With level reports there are always two, which a test now holds.

--- a/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DigestExchange.java
@@ -260,9 +260,13 @@
     private void sendSummaryIfDue(MonotonicTime now) {
         Duration interval = limits.isNearLimit(now) ? SUMMARY_INTERVAL_NEAR_LIMIT : OTHER_DOMAIN_INTERVAL;
         List<PeerReport> recentReports = directReports(REPRESENTATIVE_TIMEOUT, now);
-        List<String> others = activePeers(REPRESENTATIVE_TIMEOUT, now);
-        boolean isRepresentative =
-                DomainRepresentative.isRepresentative(localVm.failureDomain(), localVm.vmName(), others);
+        List<LinkRanking.Candidate> others = recentReports.stream()
+                .filter(report -> !report.digest().getIsStopping())
+                .map(report -> new LinkRanking.Candidate(
+                        report.digest().getVmName(), report.digest().getLinkMegabits()))
+                .toList();
+        boolean isRepresentative = DomainRepresentative.isRepresentative(
+                localVm.failureDomain(), new LinkRanking.Candidate(localVm.vmName(), localVm.linkMegabits()), others);
         if (!isRepresentative || now.since(otherDomainsSentAt).compareTo(interval) < 0) {
             return;
         }
--- a/serving/src/main/java/org/pollenhoist/serving/node/DomainRepresentative.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/DomainRepresentative.java
@@ -1,7 +1,6 @@
 package org.pollenhoist.serving.node;
 
 import java.util.Collection;
-import org.pollenhoist.routing.Rendezvous;
 
 /**
  * Decides which VM sends the summary of its failure domain to the other domains. Each VM decides by itself from the
@@ -18,11 +17,10 @@
      * @param failureDomain the failure domain
      * @param vm the VM
      * @param peers the other VMs of the failure domain that the VM has recent reports of
-     * @return true if no other VM has a higher rendezvous weight
+     * @return true if it ranks before all of them by link and rendezvous weight
      */
-    static boolean isRepresentative(String failureDomain, String vm, Collection<String> peers) {
-        long key = Rendezvous.hash(failureDomain);
-        long own = Rendezvous.weight(key, vm);
-        return peers.stream().allMatch(other -> Rendezvous.weight(key, other) < own);
+    static boolean isRepresentative(
+            String failureDomain, LinkRanking.Candidate vm, Collection<LinkRanking.Candidate> peers) {
+        return LinkRanking.countPreceding(failureDomain, vm, peers) == 0;
     }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/node/DigestExchangeTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/DigestExchangeTest.java
@@ -5,8 +5,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Nested;
@@ -72,9 +74,35 @@
         }
     }
 
+    private static LinkRanking.Candidate candidate(SimulatedExchange.Vm vm) {
+        return new LinkRanking.Candidate(vm.name, vm.linkMegabits);
+    }
+
     @Nested
     class Load {
 
+        private static final int WIDE = 140;
+        private static final int NARROW = 7;
+
+        @ParameterizedTest
+        @CsvSource({"85, 5", "330, 16"})
+        void should_stay_within_the_datagram_rate_of_the_target_at_each_vm_with_a_narrow_link(int size, int domains) {
+            SimulatedExchange fleet = new SimulatedExchange(size, domains, UPSTREAMS, teams(), 1);
+            fleet.vms.forEach(vm -> vm.linkMegabits = vm.index < 2 * domains ? WIDE : NARROW);
+            fleet.run(3_000);
+            addLoad(fleet);
+            Map<SimulatedExchange.Vm, Long> before =
+                    fleet.vms.stream().collect(Collectors.toMap(vm -> vm, vm -> vm.datagrams));
+
+            fleet.run(SECONDS * 1_000);
+
+            assertThat(fleet.vms)
+                    .filteredOn(vm -> vm.linkMegabits == NARROW)
+                    .allSatisfy(vm -> assertThat((double) (vm.datagrams - before.get(vm)) / SECONDS)
+                            .as(vm.name)
+                            .isLessThanOrEqualTo(MAX_DATAGRAMS_PER_SECOND));
+        }
+
         @ParameterizedTest
         @CsvSource({"9, 3", "95, 5"})
         void should_stay_within_the_datagram_rate_of_the_target(int size, int domains) {
@@ -128,10 +156,10 @@
             SimulatedExchange.Vm representative = domainVms.stream()
                     .filter(vm -> DomainRepresentative.isRepresentative(
                             vm.failureDomain,
-                            vm.name,
+                            candidate(vm),
                             domainVms.stream()
                                     .filter(other -> other != vm)
-                                    .map(other -> other.name)
+                                    .map(DigestExchangeTest::candidate)
                                     .toList()))
                     .findFirst()
                     .orElseThrow();
--- a/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/SimulatedExchange.java
@@ -66,6 +66,7 @@
         boolean isCutFromPeers;
         private final List<Runnable> waitingWhileFrozen = new ArrayList<>();
         private Optional<MonotonicTime> storeKnownAsOf = Optional.empty();
+        int linkMegabits;
         long datagrams;
         long bytes;
         private final InetSocketAddress address;
@@ -77,7 +78,7 @@
             this.name = "frontend-" + failureDomain + "-" + index;
             this.failureDomain = failureDomain;
             this.address = addressOf(index);
-            this.codec = new DigestCodec(name, failureDomain, incarnation, linkMegabits());
+            this.codec = new DigestCodec(name, failureDomain, incarnation, 0);
             this.limits = new FleetRateLimiter(true, () -> vms.size(), this::announceSpending);
             this.crashes = new CrashTracking(
                     name,
@@ -264,22 +265,26 @@
 
         @Override
         public VmDigest createDigest(long sequence, boolean hasDemand, Collection<Upstream> engines, MonotonicTime at) {
-            return codec.write(
-                    sequence,
-                    StoreRevision.withoutEra(1),
-                    false,
-                    limits.report(at),
-                    upstreams.all(),
-                    Optional.empty(),
-                    List.of(),
-                    false,
-                    false,
-                    true,
-                    engines,
-                    Optional.empty(),
-                    0,
-                    crashes,
-                    at);
+            return codec
+                    .write(
+                            sequence,
+                            StoreRevision.withoutEra(1),
+                            false,
+                            limits.report(at),
+                            upstreams.all(),
+                            Optional.empty(),
+                            List.of(),
+                            false,
+                            false,
+                            true,
+                            engines,
+                            Optional.empty(),
+                            0,
+                            crashes,
+                            at)
+                    .toBuilder()
+                    .setLinkMegabits(linkMegabits)
+                    .build();
         }
 
         @Override
@@ -294,7 +299,7 @@
 
         @Override
         public int linkMegabits() {
-            return 0;
+            return linkMegabits;
         }
 
         @Override
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreFollowersTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreFollowersTest.java
@@ -282,6 +282,26 @@
             }
         }
 
+        @Test
+        void should_leave_two_followers_when_links_are_of_many_widths() {
+            for (int seed = 0; seed < SERIES; seed++) {
+                Random random = new Random(seed);
+                begin();
+                for (int change = 0; change < CHANGES; change++) {
+                    change(random, false);
+                    alive.forEach(vm ->
+                            links.computeIfPresent(vm, (name, link) -> 1 + Math.abs(name.hashCode() % 200)));
+                    for (int round = 0; round < ROUNDS_UNTIL_LEVEL; round++) {
+                        decide(random, 0);
+                    }
+
+                    assertThat(following)
+                            .as("seed %d, change %d", seed, change)
+                            .hasSize(StoreFollowers.FOLLOWERS_PER_DOMAIN);
+                }
+            }
+        }
+
         @Test
         void should_leave_at_least_two_followers_while_a_third_of_all_reports_is_missing() {
             for (int seed = 0; seed < SERIES; seed++) {
