--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayExchange.java
@@ -11,7 +11,6 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
-import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.pollenhoist.common.DecisionLog;
@@ -41,7 +40,7 @@
 
     /** When a relay request to a peer is given up. */
     private static final ResponseTimeout RELAY_TIMEOUT =
-            new ResponseTimeout(Duration.ofMillis(450), Duration.ofMillis(450));
+            new ResponseTimeout(Duration.ofMillis(450), Duration.ofSeconds(1));
 
     /**
      * How long a peer must have a newer revision before a VM that watches the store itself requests the changes from
@@ -55,9 +54,6 @@
      */
     private static final Duration MAX_LAG = Duration.ofMillis(900);
 
-    /** A VM that has received one relay for this long watches the store itself: the peer's link may be to blame. */
-    private static final Duration MAX_TRANSFER = Duration.ofSeconds(3);
-
     /** Calls peers. */
     @FunctionalInterface
     interface Client {
@@ -85,7 +81,7 @@
     private final RelaySources sources;
     private final StoreRelayServer server;
     private MonotonicTime behindSince;
-    private Optional<MonotonicTime> requestedAt = Optional.empty();
+    private boolean isRequestPending;
 
     StoreRelayExchange(
             Client client,
@@ -163,8 +159,8 @@
             return;
         }
         boolean isDue = !isFollowing || now.since(behindSince).compareTo(FOLLOWER_RELAY_DELAY) >= 0;
-        if (isDue && requestedAt.isEmpty()) {
-            sources.choose(ahead, isBehindFor(MAX_LAG, now), now).ifPresent(peer -> requestChanges(peer, now));
+        if (isDue && !isRequestPending) {
+            sources.choose(ahead, isBehindFor(MAX_LAG, now), now).ifPresent(this::requestChanges);
         }
     }
 
@@ -203,25 +199,17 @@
                 .toList();
     }
 
-    /**
-     * Returns whether peers have had a newer revision for longer than a relay may take, and none is on its way: the
-     * bytes of a large one take their time, and a watch of this VM's own would only share its link with them.
-     */
+    /** Returns whether peers have had a newer revision for longer than a relay may take. */
     boolean isLagging(MonotonicTime now) {
-        boolean isReceiving = requestedAt
-                .map(now::since)
-                .filter(pending ->
-                        pending.compareTo(RELAY_TIMEOUT.beginning()) >= 0 && pending.compareTo(MAX_TRANSFER) < 0)
-                .isPresent();
-        return isBehindFor(MAX_LAG, now) && !isReceiving;
+        return isBehindFor(MAX_LAG, now);
     }
 
     private boolean isBehindFor(Duration duration, MonotonicTime now) {
         return now.since(behindSince).compareTo(duration) >= 0;
     }
 
-    private void requestChanges(PeerReport peer, MonotonicTime now) {
-        requestedAt = Optional.of(now);
+    private void requestChanges(PeerReport peer) {
+        isRequestPending = true;
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uriOfChanges(), Unpooled.EMPTY_BUFFER);
         String name = peer.digest().getVmName();
@@ -237,7 +225,7 @@
     }
 
     private void received(BufferedHttpClient.Result result, String peer) {
-        requestedAt = Optional.empty();
+        isRequestPending = false;
         switch (result) {
             case BufferedHttpClient.Result.Answered answered when answered.status() == OK -> apply(answered, peer);
             case BufferedHttpClient.Result.Answered answered
@@ -258,9 +246,7 @@
         }
         StoreRevision before = mirror.revision();
         mirror.applyPeerChanges(changes);
-        if (mirror.revision().isAfter(before)) {
-            behindSince = clock.get();
-        } else {
+        if (!mirror.revision().isAfter(before)) {
             fail(peer, "nothing after " + before);
         }
     }
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreRelayServerTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreRelayServerTest.java
@@ -4,17 +4,25 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import io.netty.channel.epoll.EpollEventLoopGroup;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pollenhoist.common.MonotonicTime;
+import org.pollenhoist.serving.catalog.CallerLimits;
+import org.pollenhoist.serving.http.CallerServer;
 import org.pollenhoist.serving.store.StoreChanges;
 import org.pollenhoist.serving.store.StoreItem;
 import org.pollenhoist.serving.store.StoreListener;
@@ -170,4 +178,69 @@
             }
         }
     }
+
+    /** A peer that has lost power or its path in the middle of a relay: its connection hangs, and nothing resets it. */
+    @Nested
+    class PeerThatTakesNothing {
+
+        /** A change has to be in force everywhere within this time, so a relay may not be refused for longer. */
+        private static final int PROPAGATION_BOUND_MILLISECONDS = 3_000;
+
+        /** Interval at which a serving process closes stalled connections. */
+        private static final int SWEEP_MILLISECONDS = 500;
+
+        private final EpollEventLoopGroup group = new EpollEventLoopGroup(1);
+        private final EventLoop relayLoop = group.next();
+        private final CallerServer peers =
+                new CallerServer(relayLoop, () -> now, () -> CallerLimits.DEFAULTS, Set.of(), (request, response) -> {
+                    request.body().release();
+                    server.respond(request.head().uri(), response);
+                    return () -> {};
+                });
+
+        @AfterEach
+        void stopRelays() {
+            group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        }
+
+        private Socket ask(InetSocketAddress address) throws IOException {
+            Socket peer = new Socket();
+            peer.setReceiveBufferSize(4_096);
+            peer.connect(address);
+            peer.getOutputStream()
+                    .write(("GET " + CURRENT_BUILD + " HTTP/1.1\r\nHost: peer\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
+            return peer;
+        }
+
+        private static String statusLine(Socket peer) throws IOException {
+            return new String(peer.getInputStream().readNBytes("HTTP/1.1 200".length()), StandardCharsets.US_ASCII);
+        }
+
+        @Test
+        void should_not_keep_the_others_from_getting_relays_for_longer_than_a_change_may_take() throws Exception {
+            write(7, incompressible(7 << 20));
+            InetSocketAddress address =
+                    (InetSocketAddress) peers.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                            .sync()
+                            .channel()
+                            .localAddress();
+
+            try (Socket cutOff = ask(address)) {
+                assertThat(statusLine(cutOff)).isEqualTo("HTTP/1.1 200");
+                for (int passed = 0; passed < PROPAGATION_BOUND_MILLISECONDS; passed += SWEEP_MILLISECONDS) {
+                    relayLoop
+                            .submit(() -> {
+                                now = now.plus(Duration.ofMillis(SWEEP_MILLISECONDS));
+                                peers.closeStalled(now);
+                            })
+                            .sync();
+                }
+
+                try (Socket other = ask(address)) {
+                    assertThat(statusLine(other)).isEqualTo("HTTP/1.1 200");
+                }
+            }
+        }
+    }
 }
--- a/serving/src/test/java/org/pollenhoist/serving/node/StoreStandingTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/StoreStandingTest.java
@@ -162,6 +162,14 @@
                                     + " knowledge_age_ms=1050 watchers=0 watchers_said=none");
         }
 
+        /** Else it refuses a route for good that has had to be in force here for a second. */
+        @Test
+        void should_count_it_as_old_once_a_change_that_it_has_not_heard_of_has_to_be_in_force() {
+            Duration propagationBound = Duration.ofSeconds(3);
+
+            assertThat(standing.isKnowledgeOld(START.plus(propagationBound))).isTrue();
+        }
+
         @Test
         void should_take_its_knowledge_from_the_digests_of_watchers_of_its_domain_if_it_does_not_watch() {
             for (long second = 1; second <= 6; second++) {
