--- a/serving/src/main/java/org/pollenhoist/serving/http/ResponseTimeout.java
+++ b/serving/src/main/java/org/pollenhoist/serving/http/ResponseTimeout.java
@@ -13,8 +13,8 @@
 public record ResponseTimeout(Duration beginning, Duration progress) {
 
     /**
-     * Number of bytes of the body that each period has to bring, or the end of the response. Less than a hundredth of
-     * what the narrowest links carry counts as a stall.
+     * Number of bytes of the body that each period has to bring, or the end of the response. A transfer that shares a
+     * narrow link with many others brings more; a server that sends a byte now and then doesn't.
      */
-    public static final int MINIMUM_BYTES = 8 << 10;
+    public static final int MINIMUM_BYTES = 2 << 10;
 }
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayServer.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreRelayServer.java
@@ -11,6 +11,7 @@
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -45,6 +46,9 @@
     /** Bytes of relays that may be on their way at once; a larger relay is sent alone. */
     static final int MAXIMUM_BYTES_AT_ONCE = 256 << 10;
 
+    /** How long a relay keeps others waiting: a peer that has lost its path takes nothing and resets nothing. */
+    private static final Duration MAXIMUM_HOLD = Duration.ofMillis(1_500);
+
     /** Size from which a relay is compressed, in bytes. */
     private static final int MINIMUM_COMPRESSED_BYTES = 1 << 10;
 
@@ -57,18 +61,23 @@
     /**
      * A relay as it is sent.
      *
+     * @param number tells it from other relays with the same bytes
      * @param bytes the message, compressed or not
      * @param isCompressed whether it is
      */
     @SuppressWarnings("ArrayRecordComponent")
-    record Relay(byte[] bytes, boolean isCompressed) {}
+    record Relay(long number, byte[] bytes, boolean isCompressed) {}
+
+    private record Sending(int bytes, MonotonicTime begunAt) {}
 
     private record Compressed(StoreRevision after, StoreRevision revision, Relay relay, MonotonicTime at) {}
 
     private final StoreMirror mirror;
     private final Supplier<MonotonicTime> clock;
     private Optional<Compressed> latest = Optional.empty();
-    private long bytesOnTheirWay;
+    private final Map<Long, Sending> onTheirWay = new HashMap<>();
+
+    private long lastNumber;
     private long sentBytes;
     private long refusals;
 
@@ -86,7 +95,7 @@
         GaugeWithCallback.builder()
                 .name("pollenhoist_relay_bytes_on_their_way")
                 .help("Bytes of relays to peers that have not been written to their connections yet.")
-                .callback(gauge -> gauge.call((double) bytesOnTheirWay))
+                .callback(gauge -> gauge.call((double) bytesOnTheirWay()))
                 .register(registry);
         CounterWithCallback.builder()
                 .name("pollenhoist_relay_sent_bytes_total")
@@ -132,20 +141,32 @@
         if (relay.isEmpty()) {
             refusals++;
         }
-        relay.ifPresent(begun -> {
-            bytesOnTheirWay += begun.bytes().length;
-            sentBytes += begun.bytes().length;
-        });
-        return relay;
+        return relay.map(this::recordBegun);
+    }
+
+    private Relay recordBegun(Relay ready) {
+        Relay begun = new Relay(++lastNumber, ready.bytes(), ready.isCompressed());
+        onTheirWay.put(begun.number(), new Sending(begun.bytes().length, clock.get()));
+        sentBytes += begun.bytes().length;
+        return begun;
     }
 
     private boolean hasRoomFor(int bytes) {
-        return bytes <= SMALL_BYTES || bytesOnTheirWay == 0 || bytesOnTheirWay + bytes <= MAXIMUM_BYTES_AT_ONCE;
+        long before = bytesOnTheirWay();
+        return bytes <= SMALL_BYTES || before == 0 || before + bytes <= MAXIMUM_BYTES_AT_ONCE;
     }
 
     /** Records that a relay has been sent, or can't be any more. */
     void end(Relay relay) {
-        bytesOnTheirWay -= relay.bytes().length;
+        onTheirWay.remove(relay.number());
+    }
+
+    private long bytesOnTheirWay() {
+        MonotonicTime now = clock.get();
+        return onTheirWay.values().stream()
+                .filter(sending -> now.since(sending.begunAt()).compareTo(MAXIMUM_HOLD) < 0)
+                .mapToLong(Sending::bytes)
+                .sum();
     }
 
     /** Returns the headers of the response with a relay. */
@@ -174,12 +195,12 @@
     private Optional<Relay> compose(StoreRevision after, boolean mayCompress, MonotonicTime now) {
         byte[] plain = changesAfter(after, now).toByteArray();
         if (!mayCompress || plain.length < MINIMUM_COMPRESSED_BYTES) {
-            return Optional.of(new Relay(plain, false));
+            return Optional.of(new Relay(0, plain, false));
         }
-        if (plain.length > SMALL_BYTES && bytesOnTheirWay >= MAXIMUM_BYTES_AT_ONCE) {
+        if (plain.length > SMALL_BYTES && bytesOnTheirWay() >= MAXIMUM_BYTES_AT_ONCE) {
             return Optional.empty();
         }
-        Relay compressed = new Relay(RelayCompression.compress(plain), true);
+        Relay compressed = new Relay(0, RelayCompression.compress(plain), true);
         latest = Optional.of(new Compressed(after, mirror.revision(), compressed, now));
         return Optional.of(compressed);
     }
--- a/serving/src/main/java/org/pollenhoist/serving/node/StoreStanding.java
+++ b/serving/src/main/java/org/pollenhoist/serving/node/StoreStanding.java
@@ -29,6 +29,12 @@
      */
     static final Duration MAXIMUM_KNOWLEDGE_AGE = Duration.ofSeconds(4);
 
+    /**
+     * Age from which this VM can't tell what is in force: longer than between two watches of a store that has changes,
+     * and no longer than a change of a large fleet may take.
+     */
+    static final Duration MAXIMUM_CONCLUSIVE_AGE = Duration.ofSeconds(3);
+
     /** How long knowledge has to be recent again until it no longer counts as old. */
     static final Duration SETTLING_TIME = Duration.ofSeconds(1);
 
@@ -162,13 +168,13 @@
     }
 
     /**
-     * Returns whether what this VM knows of the store is old.
+     * Returns whether what this VM knows of the store is too old to tell what is in force.
      *
      * @param now the current time
-     * @return true if it can't tell what has changed in the last {@link #MAXIMUM_KNOWLEDGE_AGE} or longer
+     * @return true if it can't tell what has changed in the last {@link #MAXIMUM_CONCLUSIVE_AGE} or longer
      */
     boolean isKnowledgeOld(MonotonicTime now) {
-        return now.since(knowledgeAsOf).compareTo(MAXIMUM_KNOWLEDGE_AGE) >= 0;
+        return now.since(knowledgeAsOf).compareTo(MAXIMUM_CONCLUSIVE_AGE) >= 0;
     }
 
     private void recordKnowledge(MonotonicTime asOf) {
