List a simulated fleet that gets the largest configuration too late

Cause: found with a second seed of the case that is green with the first: 85 VMs, 1 MiB changed once, nothing else disturbed.

The change is written at 6,075 ms, all ten watchers have it at 6,420, half of the VMs at 7,618, the last at 9,084: the relays take the time. 222 KB of a relay and another 222 KB are more than MAXIMUM_BYTES_AT_ONCE (256 KiB), so that a watcher with 140 Mbit/s sends to one link of 7 Mbit/s at a time.

Conclusion: the bound on the bytes at once wants to follow the sender's link, which the settings name. The product is left to the lead.

--- a/serving/src/test/java/org/pollenhoist/serving/node/LargeConfigurationTest.java
+++ b/serving/src/test/java/org/pollenhoist/serving/node/LargeConfigurationTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 
@@ -15,6 +16,9 @@
 class LargeConfigurationTest {
 
     private static final long SEED = 2;
+    /** With it, the last VM of 85 has the largest configuration later than with the other one. */
+    private static final long OTHER_SEED = 1;
+
     private static final Duration BOUND = Duration.ofSeconds(3);
     private static final Duration STABLE_PERIOD = Duration.ofSeconds(4);
 
@@ -30,26 +34,26 @@
 
     private static ChangePropagation.LargeChanges changeTenTimes(
             int vms, int domains, double callersShare, StoreTrouble trouble) {
-        return propagation(vms, domains, callersShare).measureLarge(trouble, CHANGES, LARGE_BYTES, true);
+        return propagation(vms, domains, callersShare, SEED).measureLarge(trouble, CHANGES, LARGE_BYTES, true);
     }
 
-    private static ChangePropagation.LargeChanges growToTheLargest(int vms, int domains) {
-        return propagation(vms, domains, 0).measureLarge(StoreTrouble.CALM, 1, LARGEST_BYTES, false);
+    private static ChangePropagation.LargeChanges growToTheLargest(int vms, int domains, long seed) {
+        return propagation(vms, domains, 0, seed).measureLarge(StoreTrouble.CALM, 1, LARGEST_BYTES, false);
     }
 
-    private static ChangePropagation propagation(int vms, int domains, double callersShare) {
+    private static ChangePropagation propagation(int vms, int domains, double callersShare, long seed) {
         StoreFleet fleet = new StoreFleet(
                 vms,
                 domains,
                 BOUND,
-                SEED,
+                seed,
                 SimulatedLink.of(STORE_MEGABITS_PER_SECOND, 0),
                 index -> SimulatedLink.of(
                         index / domains < WIDE_LINKS_OF_A_DOMAIN
                                 ? WIDE_MEGABITS_PER_SECOND
                                 : NARROW_MEGABITS_PER_SECOND,
                         callersShare));
-        return new ChangePropagation(fleet, STABLE_PERIOD, SEED);
+        return new ChangePropagation(fleet, STABLE_PERIOD, seed);
     }
 
     private static void assertInForceInTime(ChangePropagation.LargeChanges measured) {
@@ -222,7 +226,7 @@
 
         @BeforeAll
         void measure() {
-            measured = growToTheLargest(85, 5);
+            measured = growToTheLargest(85, 5, SEED);
         }
 
         @Test
@@ -235,4 +239,14 @@
             assertNobodyBehind(measured);
         }
     }
+
+    @Nested
+    class LargestConfigurationOf85WithAnotherSeed {
+
+        @Tag("known-red")
+        @Test
+        void should_have_the_largest_configuration_in_force_within_3_seconds_with_another_seed() {
+            assertInForceInTime(growToTheLargest(85, 5, OTHER_SEED));
+        }
+    }
 }
